Workspace skeleton: ids, answers, messages, policy border, naive baseline

Cause: nothing stood yet; five parts are to be built side by side, so the borders between them come first. Ruled out: one package for all (I/O could slip into decisions); separate wire types mirrored by hand (the core's messages derive their codec, no generator needed). Change: packages pollenlever-core, pollenlever and pollenlever-standins; the traits Policy, Admission, Routing, PeerSender, ControlHandle and Telemetry; the naive policy.

--- /dev/null
+++ b/crates/pollenlever-core/src/chain/mod.rs
@@ -0,0 +1,1 @@
+//! Chains of calls and their bounded retries.
--- /dev/null
+++ b/crates/pollenlever-core/src/id/mod.rs
@@ -0,0 +1,40 @@
+//! Identifiers. Each id that needs one authority names the incarnation of that authority.
+
+mod attempt_id;
+mod chain_id;
+mod node_id;
+mod parse_id_error;
+mod request_key;
+
+pub use attempt_id::AttemptId;
+pub use chain_id::ChainId;
+pub use node_id::NodeId;
+pub use parse_id_error::ParseIdError;
+pub use request_key::RequestKey;
+
+use std::sync::Arc;
+
+/// Random number that a node draws at each start; never reused.
+pub type Incarnation = u64;
+/// Stands for whichever incarnation answers; only gossip and configuration may be sent to it.
+pub const ANY_INCARNATION: Incarnation = 0;
+/// Name of a declared service.
+pub type ServiceName = Arc<str>;
+/// Name of a declared kind of request.
+pub type KindName = Arc<str>;
+/// Name of the customer on whose behalf a call is made.
+pub type CustomerId = Arc<str>;
+/// Name of a region.
+pub type RegionName = Arc<str>;
+/// Name of an availability zone.
+pub type ZoneName = Arc<str>;
+/// Local number of a call that a caller made to this node.
+pub type CallId = u64;
+/// Local number of a request that this node sent to a peer.
+pub type ExchangeId = u64;
+/// Local number of a request that a peer sent to this node.
+pub type StreamId = u64;
+/// Local number of a request that this node handed to its target.
+pub type RunId = u64;
+/// Hash of customer, method, path and body.
+pub type ContentDigest = u64;
--- /dev/null
+++ b/crates/pollenlever-core/src/id/parse_id_error.rs
@@ -0,0 +1,17 @@
+use thiserror::Error;
+
+/// A textual id that does not have the expected form.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("malformed id `{text}`: expected {expected}")]
+pub struct ParseIdError {
+    /// The text as received, shortened to 80 characters.
+    pub text: String,
+    /// The expected form.
+    pub expected: &'static str,
+}
+
+impl ParseIdError {
+    pub(crate) fn new(text: &str, expected: &'static str) -> ParseIdError {
+        ParseIdError { text: text.chars().take(80).collect(), expected }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decisions of pollenlever as state machines without I/O.
+//!
+//! Every state machine takes `(now, event)` and appends actions. Sockets, threads, clocks and
+//! random sources stay with the driver: time comes in as [`Timestamp`], randomness as a seed.
+
+pub mod admission;
+pub mod answer;
+pub mod chain;
+pub mod config;
+pub mod id;
+pub mod membership;
+pub mod message;
+pub mod naive;
+pub mod node;
+pub mod once;
+pub mod policy;
+pub mod rollout;
+pub mod routing;
+
+/// Monotonic time since the driver started, the only clock that decisions see.
+pub type Timestamp = std::time::Duration;
--- /dev/null
+++ b/crates/pollenlever-core/src/membership/member.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddr;
+
+use bincode::{Decode, Encode};
+
+use crate::id::{NodeId, RegionName, ServiceName, ZoneName};
+
+/// State of the target beside a node.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Encode, Decode)]
+pub enum TargetState {
+    /// No target has announced itself.
+    #[default]
+    Absent,
+    /// The target serves, with cold caches.
+    Cold,
+    /// The target serves.
+    Ready,
+    /// The target is leaving and gets no new work.
+    Leaving,
+}
+
+/// A node with the target beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+pub struct Member {
+    /// The node.
+    pub node: NodeId,
+    /// Address on which the node serves callers and operators over HTTP.
+    pub entry: SocketAddr,
+    /// Version of this entry, raised by the node itself.
+    pub version: u64,
+    /// Region in which the node stands.
+    pub region: RegionName,
+    /// Availability zone in which the node stands.
+    pub zone: ZoneName,
+    /// Service of the target, once announced.
+    pub service: Option<ServiceName>,
+    /// State of the target.
+    pub state: TargetState,
+    /// Requests that the target runs at once; 0 if unknown.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+use bincode::{Decode, Encode};
+
+use crate::config::Importance;
+
+/// Load of a gate, carried on each of its replies.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Encode, Decode)]
+pub struct GateLoad {
+    /// Requests that the target runs now.
+    pub in_flight: u32,
+    /// Requests that wait at the gate.
+    pub queued: u32,
+    /// Requests that the gate lets run at once.
+    pub limit: u32,
+    /// Requests below this importance are shed at once.
+    pub shed_below: Importance,
+    /// Time in which the backlog drains.
+    pub backlog: Duration,
+    /// Whether the target is leaving.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/message/mod.rs
@@ -0,0 +1,18 @@
+//! Messages between nodes. Bodies travel beside them as stream data.
+
+mod attempt_head;
+mod forward_head;
+mod gate_load;
+mod peer_reply;
+mod peer_request;
+mod seal_reply;
+
+pub use attempt_head::AttemptHead;
+pub use forward_head::ForwardHead;
+pub use gate_load::GateLoad;
+pub use peer_reply::PeerReply;
+pub use peer_request::PeerRequest;
+pub use seal_reply::SealReply;
+
+/// Version of the protocol between nodes; a peer with another one is refused.
+pub const PROTOCOL_VERSION: u16 = 1;
--- /dev/null
+++ b/crates/pollenlever-core/src/naive/gate.rs
@@ -0,0 +1,131 @@
+use std::collections::{HashMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::Timestamp;
+use crate::answer::{Answer, ErrorKind};
+use crate::config::ServiceConfig;
+use crate::id::{RunId, ServiceName, StreamId};
+use crate::message::{AttemptHead, GateLoad, PeerReply};
+use crate::policy::{Action, RunResult};
+
+/// Requests for the target beside this node, in order of arrival.
+#[derive(Debug, Default)]
+pub(super) struct Gate {
+    slots: Option<u32>,
+    declared: HashMap<ServiceName, u32>,
+    queue: VecDeque<Waiting>,
+    running: HashMap<RunId, StreamId>,
+    next_run: RunId,
+    leaving: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    stream: StreamId,
+    head: AttemptHead,
+    body: Bytes,
+    deadline: Timestamp,
+}
+
+impl Gate {
+    pub(super) fn set_slots(&mut self, slots: u32) {
+        self.slots = Some(slots);
+    }
+
+    pub(super) fn configure(&mut self, cfg: &ServiceConfig) {
+        self.declared.insert(cfg.service.clone(), cfg.slots);
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.running.is_empty()
+    }
+
+    pub(super) fn attempt(
+        &mut self,
+        now: Timestamp,
+        stream: StreamId,
+        head: AttemptHead,
+        body: Bytes,
+        out: &mut Vec<Action>,
+    ) {
+        if self.leaving {
+            let answer = Answer::from_error(ErrorKind::Leaving, None);
+            return out.push(self.answer(stream, answer, Bytes::new()));
+        }
+        let deadline = now + head.time_left;
+        self.queue.push_back(Waiting { stream, head, body, deadline });
+        self.start_next(now, out);
+    }
+
+    pub(super) fn cancelled(&mut self, now: Timestamp, stream: StreamId, out: &mut Vec<Action>) {
+        self.queue.retain(|it| it.stream != stream);
+        let run = self.running.iter().find(|(_, it)| **it == stream).map(|(run, _)| *run);
+        if let Some(run) = run {
+            self.running.remove(&run);
+            out.push(Action::CancelRun(run));
+            self.start_next(now, out);
+        }
+    }
+
+    pub(super) fn run_ended(
+        &mut self,
+        now: Timestamp,
+        run: RunId,
+        result: RunResult,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(stream) = self.running.remove(&run) else { return };
+        let (answer, body) = match result {
+            RunResult::Answered { status, headers, body } => (Answer::ran(status, headers), body),
+            RunResult::Unreachable => failed(ErrorKind::TargetUnreachable),
+            RunResult::Crashed => failed(ErrorKind::TargetCrashed),
+            RunResult::Cut | RunResult::TooLarge => failed(ErrorKind::AnswerCut),
+            RunResult::TimedOut => failed(ErrorKind::DeadlinePassed),
+        };
+        out.push(self.answer(stream, answer, body));
+        self.start_next(now, out);
+    }
+
+    fn start_next(&mut self, now: Timestamp, out: &mut Vec<Action>) {
+        while let Some(waiting) = self.queue.front() {
+            let declared = self.declared.get(&waiting.head.service).copied();
+            let slots = self.slots.or(declared).unwrap_or(1);
+            if self.running.len() >= slots as usize {
+                break;
+            }
+            let Some(Waiting { stream, head, body, deadline }) = self.queue.pop_front() else {
+                break;
+            };
+            self.next_run += 1;
+            self.running.insert(self.next_run, stream);
+            out.push(Action::Run {
+                run: self.next_run,
+                attempt: head.id,
+                method: head.method,
+                path: head.path,
+                headers: head.headers,
+                body,
+                time_left: deadline.saturating_sub(now),
+            });
+        }
+    }
+
+    fn answer(&self, stream: StreamId, answer: Answer, body: Bytes) -> Action {
+        let load = GateLoad {
+            in_flight: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            leaving: self.leaving,
+            ..GateLoad::default()
+        };
+        Action::Reply(stream, PeerReply::Attempt(answer, load), body)
+    }
+}
+
+fn failed(kind: ErrorKind) -> (Answer, Bytes) {
+    (Answer::from_error(kind, None), Bytes::new())
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/naive/naive_policy.rs
@@ -0,0 +1,96 @@
+use bytes::Bytes;
+
+use super::entry::Entry;
+use super::gate::Gate;
+use crate::Timestamp;
+use crate::answer::{Answer, ErrorKind};
+use crate::id::NodeId;
+use crate::message::{PeerReply, PeerRequest};
+use crate::policy::{Action, Event, Policy, TargetNotice};
+
+/// Policy without limits: FIFO queue, round robin, three tries at each hop, keys ignored.
+///
+/// ```
+/// use pollenlever_core::naive::NaivePolicy;
+/// use pollenlever_core::policy::Policy;
+/// let policy = NaivePolicy::new("127.0.0.1:7101@1".parse().unwrap());
+/// assert_eq!(policy.next_wakeup(), None);
+/// ```
+#[derive(Debug)]
+pub struct NaivePolicy {
+    entry: Entry,
+    gate: Gate,
+    leaving: bool,
+}
+
+impl NaivePolicy {
+    /// Policy of the node `me`.
+    pub fn new(me: NodeId) -> NaivePolicy {
+        NaivePolicy { entry: Entry::new(me), gate: Gate::default(), leaving: false }
+    }
+
+    fn refuse_other(req: PeerRequest) -> PeerReply {
+        match req {
+            PeerRequest::Grant(_) => PeerReply::Grant(true),
+            _ => PeerReply::Refused(ErrorKind::KeyForeign),
+        }
+    }
+
+    fn notice(&mut self, notice: TargetNotice) {
+        match notice {
+            TargetNotice::Announce { slots: Some(slots), .. } => self.gate.set_slots(slots),
+            TargetNotice::Leaving => self.gate.leave(),
+            _ => {}
+        }
+    }
+}
+
+impl Policy for NaivePolicy {
+    type Event = Event;
+    type Action = Action;
+
+    fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Call(id, call) => self.entry.call(now, id, call, actions),
+            Event::CallCancelled(id) => self.entry.cancelled(id, actions),
+            Event::TakeKeys { call, .. } => actions.push(Action::Answer {
+                call,
+                chain: None,
+                answer: Answer::from_error(ErrorKind::KeyForeign, None),
+                body: Bytes::new(),
+            }),
+            Event::Request { stream, req: PeerRequest::Attempt(head), body, .. } => {
+                self.gate.attempt(now, stream, head, body, actions);
+            }
+            Event::Request { stream, req, .. } => {
+                actions.push(Action::Reply(stream, Self::refuse_other(req), Bytes::new()));
+            }
+            Event::RequestCancelled(stream) => self.gate.cancelled(now, stream, actions),
+            Event::Reply(exchange, reply, body) => {
+                self.entry.reply(now, exchange, reply, body, actions);
+            }
+            Event::SendFailed(exchange, _) => self.entry.failed(now, exchange, actions),
+            Event::RunEnded(run, result) => self.gate.run_ended(now, run, result, actions),
+            Event::Target(notice) => self.notice(notice),
+            Event::Config(cfg) => {
+                self.gate.configure(&cfg);
+                self.entry.configure(cfg);
+            }
+            Event::MembersUp(members) => self.entry.members_up(members),
+            Event::MembersGone(nodes) => self.entry.members_gone(&nodes),
+            Event::Leave => {
+                self.leaving = true;
+                self.gate.leave();
+            }
+            Event::Tick => self.entry.tick(now, actions),
+        }
+        if self.leaving && self.entry.is_idle() && self.gate.is_idle() {
+            self.leaving = false;
+            actions.push(Action::Left);
+        }
+    }
+
+    fn next_wakeup(&self) -> Option<Timestamp> {
+        self.entry.next_wakeup()
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The node's policy, composed of the other modules.
--- /dev/null
+++ b/crates/pollenlever-standins/src/cluster/mod.rs
@@ -0,0 +1,1 @@
+//! Processes of a small deployment on loopback, started and ended by id.
--- /dev/null
+++ b/crates/pollenlever-standins/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop callers that resend hard.
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -0,0 +1,1 @@
+//! Measurements behind `scripts/measure`.
--- /dev/null
+++ b/crates/pollenlever-standins/src/relay/mod.rs
@@ -0,0 +1,1 @@
+//! A relay that delays or cuts links.
--- /dev/null
+++ b/crates/pollenlever-standins/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in for the platform's object API, with faults on demand.
--- /dev/null
+++ b/crates/pollenlever-standins/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Stand-in for a target, with a run log and faults on demand.
--- /dev/null
+++ b/crates/pollenlever/src/bin/pollenleverd.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/pollenlever/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! Command lines of both programs.
--- /dev/null
+++ b/crates/pollenlever/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP entry for callers, targets and operators.
--- /dev/null
+++ b/crates/pollenlever/src/gate/mod.rs
@@ -0,0 +1,1 @@
+//! Requests to the target beside this node.
--- /dev/null
+++ b/crates/pollenlever/src/manifest/mod.rs
@@ -0,0 +1,1 @@
+//! The manifest: services and kinds of request in INI.
--- /dev/null
+++ b/crates/pollenlever/src/node/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon: threads and the rings between them.
--- /dev/null
+++ b/crates/pollenlever/src/ring/mod.rs
@@ -0,0 +1,5 @@
+//! Bounded rings between threads.
+
+mod ring;
+
+pub use ring::{Ring, RingFull, ring};
--- /dev/null
+++ b/crates/pollenlever/src/settings/mod.rs
@@ -0,0 +1,5 @@
+//! Settings of the daemon, in INI.
+
+mod settings;
+
+pub use settings::{PolicyName, Settings};
--- /dev/null
+++ b/crates/pollenlever/src/store/mod.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/pollenlever/src/telemetry/mod.rs
@@ -0,0 +1,5 @@
+//! Metrics, logs and windowed counts for the burn report.
+
+mod telemetry;
+
+pub use telemetry::{BoxTelemetry, Telemetry};
--- /dev/null
+++ b/crates/pollenlever/src/tool/mod.rs
@@ -0,0 +1,1 @@
+//! Commands of the operator tool.
