Carry crash counts between nodes

Cause: a request that crashes targets has to be refused everywhere, so the count must travel. Ruled out: counts in gossip, which the control thread owns and the policy does not see. Change: AttemptHead and GateLoad carry the count, PeerRequest::Suspects spreads it. Conclusion: wire types only; no behaviour yet.

--- a/crates/pollenlever-core/src/message/attempt_head.rs
+++ b/crates/pollenlever-core/src/message/attempt_head.rs
@@ -34,4 +34,6 @@
     pub digest: ContentDigest,
     /// Whether the attempt repeats an earlier one and took a grant.
     pub is_retry: bool,
+    /// Crashes of targets that the sender counts against the request.
+    pub crashes: u32,
 }
--- a/crates/pollenlever-core/src/message/gate_load.rs
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -19,4 +19,6 @@
     pub backlog: Duration,
     /// Whether the target is leaving.
     pub leaving: bool,
+    /// Crashes of targets that the gate counts against the request of this reply.
+    pub crashes: u32,
 }
--- a/crates/pollenlever-core/src/message/mod.rs
+++ b/crates/pollenlever-core/src/message/mod.rs
@@ -6,6 +6,7 @@
 mod peer_reply;
 mod peer_request;
 mod seal_reply;
+mod suspicion;
 
 pub use attempt_head::AttemptHead;
 pub use forward_head::ForwardHead;
@@ -13,6 +14,7 @@
 pub use peer_reply::PeerReply;
 pub use peer_request::PeerRequest;
 pub use seal_reply::SealReply;
+pub use suspicion::Suspicion;
 
 /// Version of the protocol between nodes; a peer with another one is refused.
 pub const PROTOCOL_VERSION: u16 = 1;
--- a/crates/pollenlever-core/src/message/peer_reply.rs
+++ b/crates/pollenlever-core/src/message/peer_reply.rs
@@ -18,6 +18,8 @@
     Seal(SealReply),
     /// Whether the records were taken over.
     Handover(bool),
+    /// The crashes are counted.
+    Suspects,
     /// Membership that the sender lacks.
     Gossip(GossipMessage),
     /// Configuration that the sender lacks.
--- a/crates/pollenlever-core/src/message/peer_request.rs
+++ b/crates/pollenlever-core/src/message/peer_request.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{AttemptHead, ForwardHead};
+use super::{AttemptHead, ForwardHead, Suspicion};
 use crate::id::{AttemptId, ChainId};
 use crate::membership::GossipMessage;
 use crate::once::Handover;
@@ -19,6 +19,8 @@
     Seal(AttemptId),
     /// Take over the records of a home that leaves.
     Handover(Handover),
+    /// Count crashes of targets against these requests.
+    Suspects(Vec<Suspicion>),
     /// Merge membership.
     Gossip(GossipMessage),
     /// Exchange configuration.
--- a/crates/pollenlever-core/src/naive/entry.rs
+++ b/crates/pollenlever-core/src/naive/entry.rs
@@ -133,6 +133,7 @@
             time_left: pending.deadline.saturating_sub(now),
             digest: 0,
             is_retry: pending.tries > 1,
+            crashes: 0,
         };
         let req = PeerRequest::Attempt(head);
         out.push(Action::Send { exchange: seq, to, req, body: pending.call.body.clone() });
