--- /dev/null
+++ b/crates/pollenlever/src/settings/ini/document.rs
@@ -0,0 +1,146 @@
+use ini::{Ini, ParseOption};
+
+use super::{Entry, Faults, Section};
+
+const UTF8_ALLOWED: &str = "UTF-8; convert the file, for example with `iconv -f latin1 -t utf-8`";
+const LINE_ALLOWED: &str =
+    "`[section]`, `key = value`, a comment that starts with ; or #, or nothing";
+
+/// An INI file: its sections with the lines on which everything stands.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Document {
+    /// Sections in order of lines.
+    pub sections: Vec<Section>,
+    /// Number of lines in the file.
+    pub lines: usize,
+}
+
+impl Document {
+    /// Decodes the bytes of a file.
+    ///
+    /// # Errors
+    ///
+    /// One fault that names the first byte that is not UTF-8.
+    pub fn decode<'a>(file: &str, bytes: &'a [u8]) -> Result<&'a str, Faults> {
+        std::str::from_utf8(bytes).map_err(|err| {
+            let valid = &bytes[..err.valid_up_to()];
+            let line = valid.iter().filter(|it| **it == b'\n').count() + 1;
+            let mut faults = Faults::new(file);
+            let found = format!("byte 0x{:02x}", bytes[err.valid_up_to()]);
+            faults.push(line, "encoding", found, UTF8_ALLOWED);
+            faults
+        })
+    }
+
+    /// Reads `text`; lines of a wrong form go to `faults` and are left out.
+    pub fn parse(text: &str, faults: &mut Faults) -> Document {
+        let text = text.strip_prefix('\u{feff}').unwrap_or(text);
+        let mut sections = Vec::new();
+        let mut kept = String::with_capacity(text.len());
+        for (index, line) in text.lines().enumerate() {
+            if keep_line(&mut sections, index + 1, line.trim(), faults) {
+                kept.push_str(line);
+            }
+            kept.push('\n');
+        }
+        fill_values(&mut sections, &kept, faults);
+        report_duplicates(&sections, faults);
+        Document { sections, lines: text.lines().count() }
+    }
+
+    /// The first section with this name.
+    pub fn section(&self, name: &str) -> Option<&Section> {
+        self.sections.iter().find(|it| it.name == name)
+    }
+}
+
+/// Notes what stands on a line; `false` if its form is wrong.
+fn keep_line(sections: &mut Vec<Section>, number: usize, line: &str, faults: &mut Faults) -> bool {
+    if line.is_empty() || line.starts_with([';', '#']) {
+        return true;
+    }
+    if let Some(name) = section_name(line) {
+        sections.push(Section { name: name.to_owned(), line: number, entries: Vec::new() });
+        return true;
+    }
+    let (Some(key), false) = (entry_key(line), line.starts_with('[')) else {
+        faults.push(number, "line", quoted(line), LINE_ALLOWED);
+        return false;
+    };
+    let Some(section) = sections.last_mut() else {
+        faults.push(number, key, "a key above the first section", "keys below a `[section]`");
+        return false;
+    };
+    section.entries.push(Entry { key: key.to_owned(), value: String::new(), line: number });
+    true
+}
+
+fn section_name(line: &str) -> Option<&str> {
+    let name = line.strip_prefix('[')?.strip_suffix(']')?.trim();
+    let plain = !name.is_empty() && !name.contains(['[', ']', '\\']);
+    plain.then_some(name)
+}
+
+fn entry_key(line: &str) -> Option<&str> {
+    let (key, _) = line.split_once('=')?;
+    let plain = !key.trim().is_empty() && !key.contains(':') && !line.contains('\\');
+    plain.then_some(key.trim())
+}
+
+/// Takes the values from the parser, which keeps the order of sections and entries.
+fn fill_values(sections: &mut [Section], text: &str, faults: &mut Faults) {
+    let plain =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    let parsed = match Ini::load_from_str_opt(text, plain) {
+        Ok(parsed) => parsed,
+        Err(err) => {
+            faults.push(err.line, "line", err.msg.to_string(), LINE_ALLOWED);
+            return;
+        }
+    };
+    let named = parsed.iter().filter(|(name, _)| name.is_some());
+    for (section, (_, properties)) in sections.iter_mut().zip(named) {
+        for (entry, (_, value)) in section.entries.iter_mut().zip(properties.iter()) {
+            value.clone_into(&mut entry.value);
+        }
+    }
+}
+
+fn report_duplicates(sections: &[Section], faults: &mut Faults) {
+    let mut first_lines = std::collections::HashMap::new();
+    for section in sections {
+        let place = format!("[{}]", section.name);
+        let first = *first_lines.entry((&section.name, None)).or_insert(section.line);
+        if first != section.line {
+            faults.push(
+                section.line,
+                &place,
+                format!("a second section, first on line {first}"),
+                "one",
+            );
+        }
+        for entry in &section.entries {
+            let key = (&section.name, Some((section.line, &entry.key)));
+            let first = *first_lines.entry(key).or_insert(entry.line);
+            if first != entry.line {
+                let place = format!("{place} {}", entry.key);
+                faults.push(
+                    entry.line,
+                    place,
+                    format!("a second value, first on line {first}"),
+                    "one",
+                );
+            }
+        }
+    }
+}
+
+/// Quotes what was found, cut to a length that fits a line of output.
+pub(super) fn quoted(text: &str) -> String {
+    const LIMIT: usize = 60;
+    if text.chars().count() <= LIMIT {
+        return format!("{text:?}");
+    }
+    let cut: String = text.chars().take(LIMIT).collect();
+    format!("{cut:?}…")
+}
--- a/crates/pollenlever/src/settings/mod.rs
+++ b/crates/pollenlever/src/settings/mod.rs
@@ -1,5 +1,11 @@
 //! Settings of the daemon, in INI.
 
+pub mod ini;
+mod parse;
+mod policy_name;
 mod settings;
+mod settings_error;
 
-pub use settings::{PolicyName, Settings};
+pub use policy_name::PolicyName;
+pub use settings::Settings;
+pub use settings_error::SettingsError;
--- a/crates/pollenlever/src/settings/settings.rs
+++ b/crates/pollenlever/src/settings/settings.rs
@@ -1,15 +1,10 @@
+use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
 use std::time::Duration;
 
-/// Which policy decides on this node.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum PolicyName {
-    /// The policy of this project.
-    #[default]
-    Pollenlever,
-    /// The baseline of measurements.
-    Naive,
-}
+use super::ini::Document;
+use super::{PolicyName, SettingsError, parse};
 
 /// Settings of one node.
 ///
@@ -52,6 +47,90 @@
     pub log_level: String,
 }
 
+impl Settings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError`] with every fault of the file.
+    pub fn load(path: &Path) -> Result<Settings, SettingsError> {
+        let bytes = std::fs::read(path)
+            .map_err(|source| SettingsError::Read { path: path.to_owned(), source })?;
+        let file = path.display().to_string();
+        let text = Document::decode(&file, &bytes).map_err(SettingsError::Invalid)?;
+        Settings::parse(&file, text)
+    }
+
+    /// Checks the text of a file; `file` is its name in errors.
+    ///
+    /// ```
+    /// use pollenlever::settings::Settings;
+    /// let text = "
+    /// [node]
+    /// entry = 127.0.0.1:7000
+    /// peer = 127.0.0.1:7100
+    /// region = lombardia
+    /// zone = lombardia-a
+    /// [target]
+    /// address = 127.0.0.1:7200
+    /// [store]
+    /// address = 127.0.0.1:7300
+    /// ";
+    /// let cfg = Settings::parse("node.ini", text).unwrap();
+    /// assert_eq!(cfg.zone, "lombardia-a");
+    /// assert!(Settings::parse("node.ini", "[node]").is_err());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Invalid`] with every fault.
+    pub fn parse(file: &str, text: &str) -> Result<Settings, SettingsError> {
+        parse::parse(file, text).map_err(SettingsError::Invalid)
+    }
+
+    /// The address by which other nodes reach this one.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.peer)
+    }
+
+    /// Writes the settings in the form that [`Settings::parse`] reads.
+    ///
+    /// ```
+    /// use pollenlever::settings::Settings;
+    /// let (region, zone) = ("lombardia".to_owned(), "lombardia-a".to_owned());
+    /// let cfg = Settings { region, zone, ..Settings::default() };
+    /// assert_eq!(Settings::parse("node.ini", &cfg.to_ini()).unwrap(), cfg);
+    /// ```
+    pub fn to_ini(&self) -> String {
+        let mut buf = String::new();
+        let mut line = |text: String| {
+            let _ = writeln!(buf, "{text}"); // writing to a string does not fail
+        };
+        line("[node]".to_owned());
+        line(format!("entry = {}", self.entry));
+        line(format!("peer = {}", self.peer));
+        if let Some(advertise) = self.advertise {
+            line(format!("advertise = {advertise}"));
+        }
+        line(format!("region = {}", self.region));
+        line(format!("zone = {}", self.zone));
+        line(format!("[target]\naddress = {}", self.target));
+        line(format!("[store]\naddress = {}", self.store));
+        let seeds: Vec<String> = self.seeds.iter().map(ToString::to_string).collect();
+        line(format!("[peers]\nseeds = {}", seeds.join(", ")));
+        line(format!("[limits]\nmax_body_bytes = {}", self.max_body_bytes));
+        line(format!("max_header_bytes = {}", self.max_header_bytes));
+        line(format!("ring_capacity = {}", self.ring_capacity));
+        line(format!("drain_timeout_ms = {}", self.drain_timeout.as_millis()));
+        line(format!("[policy]\nname = {}", self.policy.as_str()));
+        if let Some(seed) = self.seed {
+            line(format!("seed = {seed}"));
+        }
+        line(format!("[log]\nlevel = {}", self.log_level));
+        buf
+    }
+}
+
 impl Default for Settings {
     fn default() -> Settings {
         let loopback = |port| SocketAddr::from((Ipv4Addr::LOCALHOST, port));
