Stand-in target, relay, cluster launcher and the frame of scripts/measure

Cause: the thin path, the promises and the policy all need real processes to run against. Change: pollenlever-target (slots, service time, cold start, crash, cut, load reports that lag or mislead, run log in a file), a relay that knows both ends by their loopback addresses, Cluster that starts, freezes and kills by process id, Measurement and Verdict.

--- /dev/null
+++ b/crates/pollenlever-standins/src/cluster/cluster.rs
@@ -0,0 +1,211 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use pollenlever::control::ControlStatus;
+use pollenlever_core::config::ServiceConfig;
+
+use super::machine::StartContext;
+use super::machine_slot::MachineSlot;
+use super::publish::publish;
+use super::{ClusterError, ClusterSpec, Machine, Program};
+use crate::relay::{Links, Place, Relay};
+use crate::target::{Faults, RunLog, RunRecord};
+
+/// Time between two looks at a condition that is waited for.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Longest wait for an answer from a process of the deployment.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Machine number of the store.
+const STORE_NUMBER: u8 = 250;
+
+/// A running deployment: a store, and a node and a target for each machine.
+///
+/// Dropping it ends every process that it started.
+#[derive(Debug)]
+pub struct Cluster {
+    /// The machines, in order of services.
+    pub machines: Vec<Machine>,
+    /// The store's process.
+    pub store: Program,
+    /// HTTP address of the store.
+    pub store_addr: SocketAddr,
+    spec: ClusterSpec,
+    relay: Option<Relay>,
+    folder: PathBuf,
+    client: reqwest::blocking::Client,
+}
+
+impl Cluster {
+    /// Starts all processes and waits until every node knows every target.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if a process cannot be started or the deployment is not ready in time.
+    pub fn start(spec: ClusterSpec) -> Result<Cluster, ClusterError> {
+        let folder = make_folder()?;
+        let slots = MachineSlot::all(&spec);
+        let relay = start_relay(&spec, &slots)?;
+        let place = Place { region: 1, zone: 1 };
+        let store_addr = place.addr(STORE_NUMBER, spec.ports.store());
+        let args = [format!("--listen={store_addr}")];
+        let store = Program::start("pollenlever-store", &args, &folder.join("store.log"))?;
+        let client = reqwest::blocking::Client::builder()
+            .timeout(REQUEST_TIMEOUT)
+            .build()
+            .map_err(|err| ClusterError::request("make an HTTP client", err))?;
+        let machines = Vec::new();
+        let mut cluster = Cluster { machines, store, store_addr, spec, relay, folder, client };
+        cluster.publish_all()?;
+        cluster.start_machines(&slots)?;
+        cluster.wait_until_ready()?;
+        Ok(cluster)
+    }
+
+    /// Configurations of all services.
+    pub fn configs(&self) -> Vec<ServiceConfig> {
+        self.spec.services.iter().map(|it| it.config.clone()).collect()
+    }
+
+    /// The links between nodes, if they go through the relay.
+    pub fn links(&self) -> Option<&Links> {
+        self.relay.as_ref().map(Relay::links)
+    }
+
+    /// Folder of logs, settings and run logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// HTTP addresses of all nodes.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.machines.iter().map(|it| it.entry).collect()
+    }
+
+    /// Runs that the targets logged, by machine name.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if a log cannot be read.
+    pub fn run_records(&self) -> Result<BTreeMap<String, Vec<RunRecord>>, ClusterError> {
+        let read = |it: &Machine| {
+            let records = RunLog::read(&it.run_log)
+                .map_err(|err| ClusterError::process("read a run log", err))?;
+            Ok((it.name.clone(), records))
+        };
+        self.machines.iter().map(read).collect()
+    }
+
+    /// Sets the faults of a machine's target.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the target does not answer.
+    pub fn set_faults(&self, machine: &Machine, faults: &Faults) -> Result<(), ClusterError> {
+        let url = format!("http://{}/_faults", machine.target);
+        let sent = self.client.post(url).json(faults).send();
+        sent.and_then(|it| it.error_for_status())
+            .map(drop)
+            .map_err(|err| ClusterError::request("set faults", err))
+    }
+
+    /// Members and configurations as a machine's node sees them.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the node does not answer.
+    pub fn status(&self, machine: &Machine) -> Result<ControlStatus, ClusterError> {
+        let url = format!("http://{}/pollenlever/v1/status", machine.entry);
+        let sent = self.client.get(url).send();
+        sent.and_then(|it| it.error_for_status())
+            .and_then(|it| it.json())
+            .map_err(|err| ClusterError::request("read a node's status", err))
+    }
+
+    /// Waits until `done` holds.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError::Timeout`] with `what` if it does not hold within `within`.
+    pub fn wait_for(
+        &self,
+        what: &str,
+        within: Duration,
+        mut done: impl FnMut() -> bool,
+    ) -> Result<(), ClusterError> {
+        let start = Instant::now();
+        while !done() {
+            if start.elapsed() > within {
+                let logs = self.folder.clone();
+                return Err(ClusterError::Timeout { what: what.to_owned(), within, logs });
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        Ok(())
+    }
+
+    fn publish_all(&self) -> Result<(), ClusterError> {
+        let client = self.client.clone();
+        let url = format!("http://{}/v1/counters", self.store_addr);
+        let up = || client.get(&url).send().is_ok();
+        self.wait_for("start of the store", self.spec.start_timeout, up)?;
+        publish(self.store_addr, &self.configs())
+    }
+
+    fn start_machines(&mut self, slots: &[MachineSlot]) -> Result<(), ClusterError> {
+        let peer_port =
+            if self.spec.relayed { self.spec.ports.relayed_peer() } else { self.spec.ports.peer() };
+        let seeds: Vec<SocketAddr> =
+            slots.iter().take(3).map(|it| it.place.addr(it.number, peer_port)).collect();
+        let (spec, store) = (&self.spec, self.store_addr);
+        let cx = StartContext { spec, store, seeds: &seeds, folder: &self.folder };
+        for slot in slots {
+            let machine = Machine::start(&cx, slot)?;
+            self.machines.push(machine);
+        }
+        Ok(())
+    }
+
+    fn wait_until_ready(&self) -> Result<(), ClusterError> {
+        let services = self.spec.services.len();
+        let is_ready = |machine: &Machine| {
+            self.status(machine).is_ok_and(|status| {
+                let served = status.members.iter().filter(|it| serves(&it.state)).count();
+                served == self.machines.len() && status.configs.len() == services
+            })
+        };
+        let mut waiting: Vec<&Machine> = self.machines.iter().collect();
+        self.wait_for("readiness of all nodes", self.spec.start_timeout, || {
+            waiting.retain(|it| !is_ready(it));
+            waiting.is_empty()
+        })
+    }
+}
+
+fn serves(state: &str) -> bool {
+    state == "ready" || state == "cold"
+}
+
+fn start_relay(spec: &ClusterSpec, slots: &[MachineSlot]) -> Result<Option<Relay>, ClusterError> {
+    if !spec.relayed {
+        return Ok(None);
+    }
+    let route = |it: &MachineSlot| {
+        let listen = it.place.addr(it.number, spec.ports.relayed_peer());
+        (listen, it.place.addr(it.number, spec.ports.peer()))
+    };
+    let routes: Vec<_> = slots.iter().map(route).collect();
+    Ok(Some(Relay::start(&routes)?))
+}
+
+fn make_folder() -> Result<PathBuf, ClusterError> {
+    let name = format!("pollenlever-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let err = |err| ClusterError::process(format!("make {}", folder.display()), err);
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder).map_err(err)?;
+    }
+    std::fs::create_dir_all(&folder).map_err(err)?;
+    Ok(folder)
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/cluster/cluster_spec.rs
@@ -0,0 +1,61 @@
+use std::time::Duration;
+
+use pollenlever::settings::PolicyName;
+
+use super::{Ports, ServiceSpec};
+use crate::relay::Place;
+
+/// A deployment to start.
+#[derive(Debug, Clone)]
+pub struct ClusterSpec {
+    /// Services with their targets.
+    pub services: Vec<ServiceSpec>,
+    /// Names of the regions; a [`Place`]'s region is an index into them, from 1.
+    pub regions: Vec<String>,
+    /// Availability zones a region.
+    pub zones: u8,
+    /// Policy of all nodes.
+    pub policy: PolicyName,
+    /// Seed of the nodes' random choices.
+    pub seed: u64,
+    /// Ports of the deployment.
+    pub ports: Ports,
+    /// Whether links between nodes go through the relay.
+    pub relayed: bool,
+    /// Longest wait until all targets are known everywhere.
+    pub start_timeout: Duration,
+}
+
+impl ClusterSpec {
+    /// All places, in the order in which targets are spread over them.
+    pub fn places(&self) -> Vec<Place> {
+        let regions = 1..=self.regions.len() as u8;
+        let zones = 1..=self.zones;
+        zones.flat_map(|zone| regions.clone().map(move |region| Place { region, zone })).collect()
+    }
+
+    /// Name of a place's region.
+    pub fn region_name(&self, place: Place) -> &str {
+        &self.regions[usize::from(place.region) - 1]
+    }
+
+    /// Name of a place's availability zone.
+    pub fn zone_name(&self, place: Place) -> String {
+        format!("{}-{}", self.region_name(place), place.zone)
+    }
+}
+
+impl Default for ClusterSpec {
+    fn default() -> ClusterSpec {
+        ClusterSpec {
+            services: Vec::new(),
+            regions: ["lombardia", "veneto", "emilia"].map(str::to_owned).to_vec(),
+            zones: 2,
+            policy: PolicyName::Pollenlever,
+            seed: 1,
+            ports: Ports::new(std::process::id()),
+            relayed: true,
+            start_timeout: Duration::from_secs(15),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/cluster/machine.rs
@@ -0,0 +1,149 @@
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use pollenlever::settings::PolicyName;
+
+use super::machine_slot::MachineSlot;
+use super::{ClusterError, ClusterSpec, Program, ServiceSpec};
+use crate::relay::Place;
+
+/// What the start of every machine of a deployment needs.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct StartContext<'a> {
+    pub(super) spec: &'a ClusterSpec,
+    pub(super) store: SocketAddr,
+    pub(super) seeds: &'a [SocketAddr],
+    pub(super) folder: &'a Path,
+}
+
+/// A target and the node beside it.
+#[derive(Debug)]
+pub struct Machine {
+    /// Name in logs, such as `balance-1`.
+    pub name: String,
+    /// Service of the target.
+    pub service: String,
+    /// Where it stands.
+    pub place: Place,
+    /// HTTP address of the node.
+    pub entry: SocketAddr,
+    /// Peer address of the node as other nodes reach it.
+    pub peer: SocketAddr,
+    /// HTTP address of the target.
+    pub target: SocketAddr,
+    /// The node's process.
+    pub node: Program,
+    /// The target's process.
+    pub target_program: Program,
+    /// File to which the target logs its runs.
+    pub run_log: PathBuf,
+    node_args: Vec<String>,
+    target_args: Vec<String>,
+    folder: PathBuf,
+}
+
+impl Machine {
+    pub(super) fn start(
+        cx: &StartContext<'_>,
+        slot: &MachineSlot,
+    ) -> Result<Machine, ClusterError> {
+        let StartContext { spec, store, seeds, folder } = *cx;
+        let MachineSlot { service, index, place, number } = *slot;
+        let service = &spec.services[service];
+        let name = format!("{}-{index}", service.config.service);
+        let entry = place.addr(number, spec.ports.entry());
+        let listen = place.addr(number, spec.ports.peer());
+        let peer =
+            if spec.relayed { place.addr(number, spec.ports.relayed_peer()) } else { listen };
+        let target = place.addr(number, spec.ports.target());
+        let run_log = folder.join(format!("{name}.runs"));
+        let settings = folder.join(format!("{name}.ini"));
+        let seeds: Vec<String> = seeds.iter().map(SocketAddr::to_string).collect();
+        let text = format!(
+            "[node]\nentry = {entry}\npeer = {listen}\nadvertise = {peer}\nregion = {}\nzone = {}\n\n\
+             [target]\naddress = {target}\n\n[store]\naddress = {store}\n\n\
+             [peers]\nseeds = {}\n\n[policy]\nname = {}\nseed = {}\n\n[log]\nlevel = info\n",
+            spec.region_name(place),
+            spec.zone_name(place),
+            seeds.join(", "),
+            policy_name(spec),
+            spec.seed.wrapping_add(u64::from(number)),
+        );
+        std::fs::write(&settings, text)
+            .map_err(|err| ClusterError::process(format!("write {}", settings.display()), err))?;
+        let node_args = vec!["--settings".to_owned(), settings.display().to_string()];
+        let target_args = target_args(service, entry, target, &run_log);
+        let node =
+            Program::start("pollenleverd", &node_args, &folder.join(format!("{name}.node")))?;
+        let target_log = folder.join(format!("{name}.target"));
+        let target_program = Program::start("pollenlever-target", &target_args, &target_log)?;
+        let service = service.config.service.to_string();
+        Ok(Machine {
+            name,
+            service,
+            place,
+            entry,
+            peer,
+            target,
+            node,
+            target_program,
+            run_log,
+            node_args,
+            target_args,
+            folder: folder.to_owned(),
+        })
+    }
+
+    /// Starts the node again after it was killed; it draws a new incarnation.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process cannot be started.
+    pub fn restart_node(&mut self) -> Result<(), ClusterError> {
+        let log = self.folder.join(format!("{}.node", self.name));
+        self.node = Program::start("pollenleverd", &self.node_args, &log)?;
+        Ok(())
+    }
+
+    /// Starts the target again after it was killed.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process cannot be started.
+    pub fn restart_target(&mut self) -> Result<(), ClusterError> {
+        let log = self.folder.join(format!("{}.target", self.name));
+        self.target_program = Program::start("pollenlever-target", &self.target_args, &log)?;
+        Ok(())
+    }
+}
+
+fn policy_name(spec: &ClusterSpec) -> &'static str {
+    match spec.policy {
+        PolicyName::Pollenlever => "pollenlever",
+        PolicyName::Naive => "naive",
+    }
+}
+
+fn target_args(
+    service: &ServiceSpec,
+    node: SocketAddr,
+    listen: SocketAddr,
+    run_log: &Path,
+) -> Vec<String> {
+    let mut args = vec![
+        format!("--listen={listen}"),
+        format!("--node={node}"),
+        format!("--service={}", service.config.service),
+        format!("--slots={}", service.config.slots),
+        format!("--connections={}", service.config.connections),
+        format!("--service-ms={}", service.service_time.as_millis()),
+        format!("--retries={}", service.retries),
+        format!("--cold-ms={}", service.cold_time.as_millis()),
+        format!("--cold-factor={}", service.cold_factor),
+        format!("--log={}", run_log.display()),
+    ];
+    for call in &service.calls {
+        args.push(format!("--call={} {}", call.method, call.path));
+    }
+    args
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/cluster/program.rs
@@ -0,0 +1,107 @@
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+
+use super::ClusterError;
+
+/// A process of the deployment; it is killed when the value is dropped.
+#[derive(Debug)]
+pub struct Program {
+    name: String,
+    child: Child,
+}
+
+impl Program {
+    /// Starts a program of the workspace, with its output appended to `log`.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the program is missing or cannot be started.
+    pub fn start(name: &str, args: &[String], log: &Path) -> Result<Program, ClusterError> {
+        let path = find(name)?;
+        let err = |source| ClusterError::process(format!("start {name}"), source);
+        let out = File::options().create(true).append(true).open(log).map_err(err)?;
+        let child = Command::new(path)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone().map_err(err)?)
+            .stderr(out)
+            .spawn()
+            .map_err(err)?;
+        Ok(Program { name: name.to_owned(), child })
+    }
+
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Sends SIGTERM.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process is gone.
+    pub fn terminate(&self) -> Result<(), ClusterError> {
+        self.signal(Signal::SIGTERM)
+    }
+
+    /// Sends SIGSTOP: the process is frozen until [`Program::thaw`].
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process is gone.
+    pub fn freeze(&self) -> Result<(), ClusterError> {
+        self.signal(Signal::SIGSTOP)
+    }
+
+    /// Sends SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process is gone.
+    pub fn thaw(&self) -> Result<(), ClusterError> {
+        self.signal(Signal::SIGCONT)
+    }
+
+    /// Kills the process and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if it cannot be killed.
+    pub fn kill(&mut self) -> Result<(), ClusterError> {
+        let err = |source| ClusterError::process(format!("kill {}", self.name), source);
+        self.child.kill().map_err(err)?;
+        self.child.wait().map(drop).map_err(err)
+    }
+
+    fn signal(&self, signal: Signal) -> Result<(), ClusterError> {
+        let pid = Pid::from_raw(self.child.id().cast_signed());
+        kill(pid, signal).map_err(|err| {
+            ClusterError::process(format!("send {signal} to {}", self.name), err.into())
+        })
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Finds a program beside the running one, or one folder up for test binaries.
+fn find(name: &str) -> Result<PathBuf, ClusterError> {
+    let exe = std::env::current_exe().map_err(|err| ClusterError::process("find programs", err))?;
+    let folder = exe.parent().unwrap_or(Path::new("."));
+    let places = [Some(folder), folder.parent()];
+    let found = places.into_iter().flatten().map(|it| it.join(name)).find(|it| it.is_file());
+    found.ok_or_else(|| ClusterError::MissingProgram(folder.join(name)))
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -0,0 +1,4 @@
+use super::Measurement;
+
+/// All measurements, in the order of `scripts/measure list`.
+pub static CATALOG: &[&dyn Measurement] = &[];
--- /dev/null
+++ b/crates/pollenlever-standins/src/relay/link.rs
@@ -0,0 +1,24 @@
+use std::time::Duration;
+
+/// What a link does with data.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// Data passes.
+    #[default]
+    Up,
+    /// Data in both directions is swallowed; connections stay open.
+    Silent,
+    /// Connections are closed and new ones are refused.
+    Cut,
+}
+
+/// One link, for both directions.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Delay one way.
+    pub delay: Duration,
+    /// Bytes a second for each connection and direction; 0 for no limit.
+    pub bytes_per_s: u64,
+    /// What the link does with data.
+    pub state: LinkState,
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/relay/links.rs
@@ -0,0 +1,57 @@
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, PoisonError, RwLock};
+use std::time::Duration;
+
+use super::{Link, LinkState, Place};
+
+/// Delay one way between availability zones of a region.
+const ZONE_DELAY: Duration = Duration::from_micros(500);
+/// Delay one way between regions.
+const REGION_DELAY: Duration = Duration::from_millis(20);
+
+type Ends = (Place, Place);
+
+/// The links of a deployment; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Links {
+    overrides: Arc<RwLock<BTreeMap<Ends, LinkState>>>,
+    region_bytes: Arc<AtomicU64>,
+}
+
+impl Links {
+    /// The link from one place to another, as it is now.
+    pub fn between(&self, from: Place, to: Place) -> Link {
+        let overrides = self.overrides.read().unwrap_or_else(PoisonError::into_inner);
+        let state = overrides.get(&(from, to)).copied().unwrap_or_default();
+        let delay = match (from.region == to.region, from == to) {
+            (true, true) => Duration::ZERO,
+            (true, false) => ZONE_DELAY,
+            (false, _) => REGION_DELAY,
+        };
+        Link { delay, state, ..Link::default() }
+    }
+
+    /// Sets the state of the link between two places, for both directions.
+    pub fn set(&self, a: Place, b: Place, state: LinkState) {
+        self.set_one_way(a, b, state);
+        self.set_one_way(b, a, state);
+    }
+
+    /// Sets the state of the link from one place to another.
+    pub fn set_one_way(&self, from: Place, to: Place, state: LinkState) {
+        let mut overrides = self.overrides.write().unwrap_or_else(PoisonError::into_inner);
+        overrides.insert((from, to), state);
+    }
+
+    /// Bytes that crossed between regions so far.
+    pub fn region_bytes(&self) -> u64 {
+        self.region_bytes.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn count(&self, from: Place, to: Place, bytes: usize) {
+        if from.region != to.region {
+            self.region_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+    }
+}
--- a/crates/pollenlever-standins/src/target/mod.rs
+++ b/crates/pollenlever-standins/src/target/mod.rs
@@ -1,1 +1,18 @@
 //! Stand-in for a target, with a run log and faults on demand.
+
+mod answer_text;
+mod downstream;
+mod faults;
+mod handler;
+mod options;
+mod reporter;
+mod run_log;
+mod server;
+mod state;
+
+pub use answer_text::{answer_line, is_whole_answer};
+pub use downstream::DownstreamCall;
+pub use faults::{Faults, ReportMode};
+pub use options::TargetOptions;
+pub use run_log::{RunLog, RunRecord};
+pub use server::serve;
