Leave new fields of GateLoad to their defaults

Cause: GateLoad gained crash counts, which the composer fills in. Ruled out: nothing else. Change: update syntax in place of a list of all fields.

--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -247,7 +247,7 @@
             limit: self.limit.get(),
             shed_below: self.shed_level.get(),
             backlog: self.pace() * self.queue.len() as u32,
-            leaving: false,
+            ..GateLoad::default()
         }
     }
 }
