--- /dev/null
+++ b/crates/pollenlever-standins/src/bin/pollenlever-demo.rs
@@ -0,0 +1,14 @@
+//! Brings up a small deployment, sends requests through it and prints what happened.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match pollenlever_standins::demo::run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(err) => {
+            eprintln!("demo failed: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/demo/demo.rs
@@ -0,0 +1,155 @@
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pollenlever_core::config::{Importance, PathPattern, RequestKind, ServiceConfig};
+
+use super::{Caller, Reply, Step};
+use crate::cluster::{Cluster, ClusterSpec, ServiceSpec};
+use crate::target::{DownstreamCall, answer_line, is_whole_answer};
+
+/// Requests of each step through each node.
+const REQUESTS_A_NODE: usize = 10;
+/// Targets of each service.
+const TARGETS: usize = 3;
+
+/// Starts a deployment, sends requests and prints what happened. Returns whether all whole answers
+/// came.
+///
+/// # Errors
+///
+/// Any error of starting the deployment.
+pub fn run() -> Result<bool, Box<dyn Error>> {
+    println!("Starting 2 services of {TARGETS} targets in 3 regions, with their nodes and a store");
+    let cluster = Cluster::start(spec())?;
+    println!("Logs are in {}\n", cluster.folder().display());
+    let caller = Caller::new()?;
+    let entries = cluster.entries();
+    let steps = [
+        chains(&caller, &entries),
+        orders(&caller, &entries),
+        resends(&caller, &entries),
+        run_once(&cluster)?,
+    ];
+    println!("{:<44}{:>6}{:>8}", "step", "sent", "whole");
+    for step in &steps {
+        println!("{step}");
+    }
+    Ok(steps.iter().all(Step::is_whole))
+}
+
+fn spec() -> ClusterSpec {
+    let sheets = ServiceSpec {
+        config: service("sheets"),
+        targets: TARGETS,
+        service_time: Duration::from_millis(5),
+        calls: vec![DownstreamCall { method: "GET".to_owned(), path: "stock/read".to_owned() }],
+        ..ServiceSpec::default()
+    };
+    let stock = ServiceSpec { config: service("stock"), calls: Vec::new(), ..sheets.clone() };
+    let regions = ["sudvestur", "nordur", "austur"].map(str::to_owned).to_vec();
+    ClusterSpec { services: vec![sheets, stock], regions, zones: 1, ..ClusterSpec::default() }
+}
+
+fn service(name: &str) -> ServiceConfig {
+    let read = RequestKind {
+        name: "read".into(),
+        path: PathPattern::from("/read"),
+        ..RequestKind::default()
+    };
+    let order = RequestKind {
+        name: "order".into(),
+        method: "POST".to_owned(),
+        path: PathPattern::from("/order"),
+        importance: Importance::Critical,
+        idempotent: false,
+        ..RequestKind::default()
+    };
+    ServiceConfig { service: name.into(), kinds: vec![read, order], ..ServiceConfig::default() }
+}
+
+/// Calls that go through both services, by each node in turn.
+fn chains(caller: &Caller, entries: &[SocketAddr]) -> Step {
+    let mut step = Step::new("chain of calls, sheets -> stock");
+    for (n, node) in sequence(entries) {
+        let path = format!("/read?id=chain-{n}");
+        let reply = caller.call(node, "GET", &format!("sheets{path}"), None);
+        let line = answer_line("sheets", "GET", &path, b"");
+        step.count(check(reply.map_err(|it| it.to_string()), &line, 2));
+    }
+    step
+}
+
+/// Orders that may run only once.
+fn orders(caller: &Caller, entries: &[SocketAddr]) -> Step {
+    let mut step = Step::new("non-idempotent orders, each with a key");
+    for (n, node) in sequence(entries) {
+        let reply = take_key(caller, node).and_then(|key| order(caller, node, n, &key));
+        step.count(check(reply, &order_line(n), 1));
+    }
+    step
+}
+
+/// The same orders sent twice, the second time through another node.
+fn resends(caller: &Caller, entries: &[SocketAddr]) -> Step {
+    let mut step = Step::new("orders resent through another node");
+    let first = entries.len() * REQUESTS_A_NODE;
+    for (n, node) in sequence(entries) {
+        let n = first + n;
+        let other = entries[(n + 1) % entries.len()];
+        let result = take_key(caller, node).and_then(|key| {
+            let reply = order(caller, node, n, &key)?;
+            let again = order(caller, other, n, &key)?;
+            check(Ok(reply.clone()), &order_line(n), 1)?;
+            if again == reply { Ok(()) } else { Err(format!("another answer: {again:?}")) }
+        });
+        step.count(result);
+    }
+    step
+}
+
+/// Looks into the run logs: every order ran exactly once.
+fn run_once(cluster: &Cluster) -> Result<Step, Box<dyn Error>> {
+    let mut step = Step::new("orders that ran exactly once, by run logs");
+    let records = cluster.run_records()?;
+    let runs: Vec<&str> = records
+        .values()
+        .flatten()
+        .filter(|it| it.phase == "start" && it.method == "POST")
+        .map(|it| it.path.as_str())
+        .collect();
+    for n in 0..2 * REQUESTS_A_NODE * cluster.machines.len() {
+        let path = order_path(n);
+        let count = runs.iter().filter(|it| **it == path).count();
+        step.count(if count == 1 { Ok(()) } else { Err(format!("{path} ran {count} times")) });
+    }
+    Ok(step)
+}
+
+fn sequence(entries: &[SocketAddr]) -> impl Iterator<Item = (usize, SocketAddr)> {
+    entries.iter().copied().cycle().take(entries.len() * REQUESTS_A_NODE).enumerate()
+}
+
+fn order_path(n: usize) -> String {
+    format!("/order?id=order-{n}")
+}
+
+fn order_line(n: usize) -> String {
+    answer_line("stock", "POST", &order_path(n), b"")
+}
+
+fn take_key(caller: &Caller, node: SocketAddr) -> Result<String, String> {
+    let key = caller.take_key(node).map_err(|it| it.to_string())?;
+    key.ok_or_else(|| format!("{node} gave no key"))
+}
+
+fn order(caller: &Caller, node: SocketAddr, n: usize, key: &str) -> Result<Reply, String> {
+    let path = format!("stock{}", order_path(n));
+    caller.call(node, "POST", &path, Some(key)).map_err(|it| it.to_string())
+}
+
+fn check(reply: Result<Reply, String>, line: &str, depth: usize) -> Result<(), String> {
+    let reply = reply?;
+    let is_whole = reply.status == 200 && is_whole_answer(&reply.text, line, depth);
+    if is_whole { Ok(()) } else { Err(format!("status={} {}", reply.status, reply.text.trim())) }
+}
--- a/crates/pollenlever-standins/src/lib.rs
+++ b/crates/pollenlever-standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what pollenlever meets: the platform's store, targets, callers and links.
 
 pub mod cluster;
+pub mod demo;
 pub mod load;
 pub mod measure;
 pub mod relay;
