--- a/crates/pollenlever-standins/src/cluster/publish.rs
+++ b/crates/pollenlever-standins/src/cluster/publish.rs
@@ -13,9 +13,10 @@
         .enable_all()
         .build()
         .map_err(|it| err(it.to_string()))?;
+    let settings = SubmitSettings::default();
     for cfg in configs {
         let submission = format!("start-{}", cfg.service);
-        let submitted = submit(&api, cfg, &submission, &SubmitSettings::default());
+        let submitted = submit(&api, cfg, &submission, &settings);
         runtime.block_on(submitted).map_err(|it| err(it.to_string()))?;
     }
     Ok(())
