Run the node daemon: decision, entry, peer and target threads

Ruled out: spawning tasks from the decision thread, which would leave the runtime's unbounded queue as a ring; a runtime shared by all duties. Change: `pollenleverd` runs the naive policy over rocket, h2 with bincode and reqwest. One decision thread owns the policy; rings to peers and target are bounded and a full one fails the action at once. Replies after a cancel are dropped and counted. `Ring::try_push` gives a refused event back. Conclusion: thin path stands; control and telemetry are placeholders until theirs land, and the node's own policy is selected but not there yet.

--- /dev/null
+++ b/crates/pollenlever/src/entry/answer_response.rs
@@ -0,0 +1,81 @@
+use std::io::Cursor;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pollenlever_core::answer::{Answer, ComeBack, ErrorKind};
+use pollenlever_core::id::ChainId;
+use rocket::Response;
+use rocket::http::{ContentType, Header, Status};
+
+use super::error_body::ErrorBody;
+
+/// Wait that a full ring asks of its callers.
+const FULL_RING_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Widest spread that is added to the wait, so that callers do not come back together.
+const FULL_RING_SPREAD_MS: u64 = 1000;
+
+/// The HTTP response for an answer.
+pub(super) fn answer_response(
+    chain: Option<ChainId>,
+    answer: Answer,
+    body: Bytes,
+) -> Response<'static> {
+    let mut builder = Response::build();
+    builder.status(Status::new(answer.status));
+    for (name, value) in answer.headers {
+        builder.raw_header_adjoin(name, value);
+    }
+    if let Some(chain) = chain {
+        builder.raw_header("pollenlever-chain", chain.to_string());
+    }
+    builder.raw_header("pollenlever-outcome", answer.outcome.as_str());
+    let retry_after = retry_after(answer.error, answer.retry_after);
+    if let Some(retry_after) = retry_after {
+        builder.header(Header::new("Retry-After", whole_seconds(retry_after).to_string()));
+        builder.raw_header("pollenlever-retry-after-ms", whole_millis(retry_after).to_string());
+    }
+    let body = match answer.error {
+        None => body,
+        Some(kind) => {
+            builder.raw_header("pollenlever-error", kind.as_str());
+            builder.header(ContentType::JSON);
+            error_json(kind, answer.outcome.as_str(), retry_after)
+        }
+    };
+    builder.sized_body(body.len(), Cursor::new(body)).finalize()
+}
+
+/// The HTTP response for an error of the entry itself.
+pub(super) fn error_response(kind: ErrorKind) -> Response<'static> {
+    let retry_after = match kind.response().come_back {
+        ComeBack::AfterBacklog => {
+            let spread = rand::random_range(0..FULL_RING_SPREAD_MS);
+            Some(FULL_RING_RETRY_AFTER + Duration::from_millis(spread))
+        }
+        ComeBack::Now | ComeBack::Never => None,
+    };
+    answer_response(None, Answer::from_error(kind, retry_after), Bytes::new())
+}
+
+fn retry_after(error: Option<ErrorKind>, asked: Option<Duration>) -> Option<Duration> {
+    let come_back = error.map(|kind| kind.response().come_back);
+    match come_back {
+        Some(ComeBack::Now) => Some(asked.unwrap_or(Duration::ZERO)),
+        _ => asked,
+    }
+}
+
+fn error_json(kind: ErrorKind, outcome: &'static str, retry_after: Option<Duration>) -> Bytes {
+    let message = kind.response().message;
+    let retry_after_ms = retry_after.map(whole_millis);
+    let body = ErrorBody { error: kind.as_str(), message, outcome, retry_after_ms };
+    serde_json::to_vec(&body).map(Bytes::from).unwrap_or_default()
+}
+
+fn whole_seconds(wait: Duration) -> u64 {
+    wait.as_secs() + u64::from(wait.subsec_nanos() > 0)
+}
+
+fn whole_millis(wait: Duration) -> u64 {
+    wait.as_micros().div_ceil(1000) as u64
+}
--- /dev/null
+++ b/crates/pollenlever/src/entry/catcher.rs
@@ -0,0 +1,27 @@
+use pollenlever_core::answer::ErrorKind;
+use rocket::catcher::{self, BoxFuture, Catcher};
+use rocket::http::Status;
+use rocket::{Request, Response};
+
+use super::answer_response::error_response;
+
+/// Answers what no route takes.
+pub(super) fn default_catcher() -> Catcher {
+    Catcher::new(None, answer)
+}
+
+fn answer<'r>(status: Status, _req: &'r Request<'_>) -> BoxFuture<'r> {
+    Box::pin(async move { Ok(uncaught(status)) as catcher::Result<'r> })
+}
+
+fn uncaught(status: Status) -> Response<'static> {
+    let kind = match status.code {
+        404 => ErrorKind::UnknownRequestKind,
+        405 => ErrorKind::MethodNotAllowed,
+        413 => ErrorKind::BodyTooLarge,
+        431 => ErrorKind::HeaderTooLarge,
+        500.. => ErrorKind::Internal,
+        _ => ErrorKind::MalformedRequest,
+    };
+    error_response(kind)
+}
--- /dev/null
+++ b/crates/pollenlever/src/entry/control_routes.rs
@@ -0,0 +1,36 @@
+use std::sync::Arc;
+
+use rocket::State;
+use rocket::http::ContentType;
+use rocket::response::content::{RawJson, RawText};
+use rocket::route::Route;
+use rocket::serde::json::Json;
+
+use super::EntryState;
+use crate::control::ControlStatus;
+
+/// Content type of the text format of metrics.
+const METRICS_TYPE: (&str, &str) = ("application", "openmetrics-text");
+
+/// The routes for operators.
+pub(super) fn control_routes() -> Vec<Route> {
+    rocket::routes![status, burn, metrics]
+}
+
+#[rocket::get("/pollenlever/v1/status")]
+fn status(state: &State<Arc<EntryState>>) -> Json<ControlStatus> {
+    Json(state.control.status())
+}
+
+#[rocket::get("/pollenlever/v1/burn")]
+fn burn(state: &State<Arc<EntryState>>) -> RawJson<String> {
+    RawJson(state.telemetry.burn_json())
+}
+
+#[rocket::get("/metrics")]
+fn metrics(state: &State<Arc<EntryState>>) -> (ContentType, RawText<String>) {
+    let (top, sub) = METRICS_TYPE;
+    let content_type =
+        ContentType::new(top, sub).with_params([("version", "1.0.0"), ("charset", "utf-8")]);
+    (content_type, RawText(state.telemetry.metrics_text()))
+}
--- /dev/null
+++ b/crates/pollenlever/src/entry/key_route.rs
@@ -0,0 +1,81 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pollenlever_core::answer::{Answer, ErrorKind};
+use pollenlever_core::policy::Event;
+use rocket::data::Data;
+use rocket::http::{ContentType, Method};
+use rocket::route::{Handler, Outcome, Route};
+use rocket::{Request, Response};
+use serde::{Deserialize, Serialize};
+
+use super::EntryState;
+use super::answer_response::{answer_response, error_response};
+use crate::node::CallReply;
+
+/// Most keys that one request may take.
+const MAX_KEYS: u32 = 10_000;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TakeKeys {
+    count: u32,
+}
+
+#[derive(Debug, Serialize)]
+struct TakenKeys {
+    keys: Vec<String>,
+}
+
+/// Gives request keys to callers.
+#[derive(Clone)]
+struct KeyHandler {
+    state: Arc<EntryState>,
+}
+
+/// The route `POST /pollenlever/v1/keys`.
+pub(super) fn key_route(state: &Arc<EntryState>) -> Route {
+    let handler = KeyHandler { state: Arc::clone(state) };
+    Route::new(Method::Post, "/pollenlever/v1/keys", handler)
+}
+
+#[rocket::async_trait]
+impl Handler for KeyHandler {
+    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let response = match self.state.take_keys(req, data).await {
+            Ok(response) => response,
+            Err(kind) => error_response(kind),
+        };
+        Outcome::Success(response)
+    }
+}
+
+impl EntryState {
+    async fn take_keys(
+        self: &Arc<EntryState>,
+        req: &Request<'_>,
+        data: Data<'_>,
+    ) -> Result<Response<'static>, ErrorKind> {
+        let body = self.read_body(req, data).await?;
+        let asked: TakeKeys =
+            serde_json::from_slice(&body).map_err(|_| ErrorKind::MalformedRequest)?;
+        if asked.count == 0 || asked.count > MAX_KEYS {
+            return Err(ErrorKind::MalformedRequest);
+        }
+        let (call, reply) = self.calls.register();
+        if self.events.push(Event::TakeKeys { call, count: asked.count }).is_err() {
+            self.calls.forget(call);
+            return Err(ErrorKind::QueueFull);
+        }
+        match self.wait(call, reply).await? {
+            CallReply::Keys(keys) => {
+                let keys = keys.iter().map(ToString::to_string).collect();
+                let json = serde_json::to_vec(&TakenKeys { keys });
+                let json = json.map_err(|_| ErrorKind::Internal)?;
+                let headers = vec![("content-type".to_owned(), ContentType::JSON.to_string())];
+                Ok(answer_response(None, Answer::ran(200, headers), Bytes::from(json)))
+            }
+            CallReply::Answer(chain, answer, body) => Ok(answer_response(chain, answer, body)),
+        }
+    }
+}
--- a/crates/pollenlever/src/gate/mod.rs
+++ b/crates/pollenlever/src/gate/mod.rs
@@ -1,1 +1,11 @@
 //! Requests to the target beside this node.
+
+mod headers;
+mod runs;
+mod target_client;
+mod target_watch;
+
+pub use headers::is_end_to_end;
+pub use runs::{GateCommand, run_gate};
+pub use target_client::{TargetClient, TargetRequest};
+pub use target_watch::TargetWatch;
--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -1,1 +1,21 @@
 //! The daemon: threads and the rings between them.
+
+mod clock;
+mod decision;
+mod no_control;
+mod no_telemetry;
+mod node;
+mod node_error;
+mod policy;
+mod report;
+mod signals;
+mod threads;
+mod waiters;
+
+pub use clock::Clock;
+pub use decision::{CallReply, Decision};
+pub use node::Node;
+pub use node_error::NodeError;
+pub use report::report;
+pub use signals::wait_for_signal;
+pub use waiters::Waiters;
--- /dev/null
+++ b/crates/pollenlever/src/node/node_error.rs
@@ -0,0 +1,35 @@
+use std::net::SocketAddr;
+
+use thiserror::Error;
+
+/// Why a node cannot start.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// A thread or its runtime cannot be started.
+    #[error("cannot start thread {thread}: {source}")]
+    Thread {
+        /// Name of the thread.
+        thread: &'static str,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// An address cannot be bound.
+    #[error("cannot bind {addr}: {source}")]
+    Bind {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// The HTTP server cannot start.
+    #[error("cannot serve callers on {addr}: {reason}")]
+    Entry {
+        /// The address.
+        addr: SocketAddr,
+        /// Why.
+        reason: String,
+    },
+    /// The HTTP client of the target cannot be set up.
+    #[error("cannot set up the client of the target: {0}")]
+    Target(#[from] reqwest::Error),
+}
--- /dev/null
+++ b/crates/pollenlever/src/node/signals.rs
@@ -0,0 +1,22 @@
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{Node, NodeError};
+
+/// Waits for SIGTERM or SIGINT.
+///
+/// # Errors
+///
+/// [`NodeError`] if the node's HTTP server fails first.
+pub fn wait_for_signal(node: &Node) -> Result<(), NodeError> {
+    let thread_error = |source| NodeError::Thread { thread: "signals", source };
+    let runtime = super::threads::runtime("signals", 1)?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(thread_error)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(thread_error)?;
+        tokio::select! {
+            _ = term.recv() => Ok(()),
+            _ = interrupt.recv() => Ok(()),
+            failure = node.entry_failure() => Err(failure),
+        }
+    })
+}
--- /dev/null
+++ b/crates/pollenlever/src/peer/connection.rs
@@ -0,0 +1,87 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use h2::client::{self, SendRequest};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+
+use super::WireError;
+use super::liveness::{Liveness, StreamGuard};
+
+/// Longest wait for a new connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Flow-control window of one stream, in bytes.
+pub(super) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+/// Flow-control window of one connection, in bytes.
+pub(super) const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
+
+/// An open connection to a peer.
+#[derive(Debug, Clone)]
+pub(super) struct Connection {
+    /// Opens streams.
+    pub(super) streams: SendRequest<Bytes>,
+    liveness: Liveness,
+    ended: watch::Receiver<Option<String>>,
+}
+
+impl Connection {
+    /// Connects and starts the tasks that drive the connection and watch for silence.
+    pub(super) async fn open(addr: SocketAddr) -> Result<Connection, WireError> {
+        let io_error = |err: std::io::Error| WireError::Stream(err.to_string());
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let io = connect.map_err(|_| WireError::Stream("connect timed out".to_owned()))?;
+        let io = io.map_err(io_error)?;
+        io.set_nodelay(true).map_err(io_error)?;
+        let liveness = Liveness::new();
+        let handshake = client::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .enable_push(false)
+            .handshake(liveness.watch(io));
+        let (streams, mut driver) = handshake.await.map_err(super::message_io::stream_error)?;
+        let (tx, ended) = watch::channel(None);
+        let pings = driver.ping_pong();
+        let watched = liveness.clone();
+        tokio::spawn(async move {
+            let silence = async {
+                match pings {
+                    Some(pings) => watched.silence(pings).await,
+                    None => std::future::pending().await,
+                }
+            };
+            let reason = tokio::select! {
+                res = driver => match res {
+                    Ok(()) => "connection closed".to_owned(),
+                    Err(err) => err.to_string(),
+                },
+                () = silence => {
+                    log::warn!("connection went silent peer={addr}");
+                    "connection went silent".to_owned()
+                }
+            };
+            let _ = tx.send(Some(reason));
+        });
+        Ok(Connection { streams, liveness, ended })
+    }
+
+    /// Whether new streams may be opened.
+    pub(super) fn is_open(&self) -> bool {
+        self.ended.borrow().is_none() && self.ended.has_changed().is_ok()
+    }
+
+    /// Counts a stream as work of this connection.
+    pub(super) fn open_stream(&self) -> StreamGuard {
+        self.liveness.open_stream()
+    }
+
+    /// Resolves with the reason once the connection has ended or was abandoned.
+    pub(super) async fn ended(&self) -> WireError {
+        let mut ended = self.ended.clone();
+        let reason = match ended.wait_for(Option::is_some).await {
+            Ok(reason) => reason.clone().unwrap_or_default(),
+            Err(_) => "connection dropped".to_owned(),
+        };
+        WireError::Stream(reason)
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/peer/exchanges.rs
@@ -0,0 +1,83 @@
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use pollenlever_core::id::{ExchangeId, NodeId};
+use pollenlever_core::message::PeerRequest;
+use pollenlever_core::policy::Event;
+use tokio::sync::mpsc;
+use tokio::task::AbortHandle;
+
+use super::PeerClient;
+use crate::ring::Ring;
+
+/// What the decision thread asks of the peer thread.
+#[derive(Debug)]
+pub enum PeerCommand {
+    /// Send a request and report its reply.
+    Send {
+        /// Local number of the exchange.
+        exchange: ExchangeId,
+        /// The peer.
+        to: NodeId,
+        /// The request.
+        req: Box<PeerRequest>,
+        /// Its body.
+        body: Bytes,
+    },
+    /// Reset the stream of an exchange.
+    Cancel(ExchangeId),
+}
+
+/// Commands between two sweeps of ended exchanges.
+const SWEEP_EVERY: usize = 256;
+
+/// Carries out commands until the ring is closed.
+pub async fn run_exchanges(
+    mut commands: mpsc::Receiver<PeerCommand>,
+    client: PeerClient,
+    events: Ring<Event>,
+) {
+    let mut tasks: HashMap<ExchangeId, AbortHandle> = HashMap::new();
+    let mut since_sweep = 0;
+    while let Some(command) = commands.recv().await {
+        match command {
+            PeerCommand::Send { exchange, to, req, body } => {
+                let work =
+                    exchange_and_report(client.clone(), events.clone(), exchange, to, *req, body);
+                tasks.insert(exchange, tokio::spawn(work).abort_handle());
+            }
+            PeerCommand::Cancel(exchange) => {
+                if let Some(task) = tasks.remove(&exchange) {
+                    task.abort();
+                }
+            }
+        }
+        since_sweep += 1;
+        if since_sweep >= SWEEP_EVERY {
+            since_sweep = 0;
+            tasks.retain(|_, task| !task.is_finished());
+        }
+    }
+}
+
+async fn exchange_and_report(
+    client: PeerClient,
+    events: Ring<Event>,
+    exchange: ExchangeId,
+    to: NodeId,
+    req: PeerRequest,
+    body: Bytes,
+) {
+    let event = match client.exchange(to, req, body).await {
+        Ok((reply, body)) => Event::Reply(exchange, reply, body),
+        Err(err) => {
+            log::debug!(
+                "exchange failed to={to} failure={:?} reason={:?}",
+                err.failure,
+                err.reason
+            );
+            Event::SendFailed(exchange, err.failure)
+        }
+    };
+    crate::node::report(&events, event).await;
+}
--- /dev/null
+++ b/crates/pollenlever/src/peer/peer_server.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use h2::server;
+use pollenlever_core::id::NodeId;
+use pollenlever_core::message::PeerReply;
+use pollenlever_core::policy::Event;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::connection::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
+use super::liveness::Liveness;
+use super::serve_stream::serve_stream;
+use crate::control::BoxControl;
+use crate::node::Waiters;
+use crate::ring::Ring;
+
+/// Streams that a peer may have open on one connection.
+const MAX_STREAMS: u32 = 4096;
+
+/// Serves requests of peers.
+pub struct PeerServer {
+    /// This node.
+    pub me: NodeId,
+    /// Largest body.
+    pub max_body_bytes: usize,
+    /// Where requests go.
+    pub events: Ring<Event>,
+    /// Streams that wait for a reply of the policy.
+    pub streams: Arc<Waiters<(PeerReply, Bytes)>>,
+    /// Takes gossip and configuration.
+    pub control: BoxControl,
+}
+
+impl PeerServer {
+    /// Accepts connections for ever.
+    pub async fn serve(self: Arc<PeerServer>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((io, peer)) => {
+                    let server = Arc::clone(&self);
+                    tokio::spawn(async move {
+                        if let Err(err) = server.serve_connection(io).await {
+                            log::warn!(
+                                "connection of a peer failed peer={peer} reason={:?}",
+                                err.to_string()
+                            );
+                        }
+                    });
+                }
+                Err(err) => {
+                    log::error!("accept failed reason={:?}", err.to_string());
+                    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_connection(self: Arc<PeerServer>, io: TcpStream) -> Result<(), h2::Error> {
+        let _ = io.set_nodelay(true);
+        let liveness = Liveness::new();
+        let handshake = server::Builder::new()
+            .initial_window_size(STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+            .max_concurrent_streams(MAX_STREAMS)
+            .handshake(liveness.watch(io));
+        let mut connection = handshake.await?;
+        let pings = connection.ping_pong();
+        let silence = async {
+            match pings {
+                Some(pings) => liveness.silence(pings).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::pin!(silence);
+        loop {
+            let accepted = tokio::select! {
+                accepted = connection.accept() => accepted,
+                () = &mut silence => return Ok(()),
+            };
+            let Some(accepted) = accepted else { return Ok(()) };
+            let (req, respond) = accepted?;
+            let work = liveness.open_stream();
+            let server = Arc::clone(&self);
+            tokio::spawn(async move {
+                serve_stream(&server, req, respond).await;
+                drop(work);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/peer/serve_stream.rs
@@ -0,0 +1,100 @@
+use std::future::poll_fn;
+
+use bytes::Bytes;
+use h2::RecvStream;
+use h2::server::SendResponse;
+use http::{Request, Response};
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::id::ANY_INCARNATION;
+use pollenlever_core::message::{PROTOCOL_VERSION, PeerReply, PeerRequest};
+use pollenlever_core::policy::Event;
+
+use super::message_io::{recv_message, send_message, stream_error};
+use super::{PeerServer, ReplyFrame, RequestFrame, WireError};
+use super::{decode_request, encode_reply};
+use crate::control::ControlInput;
+
+/// Reads the request on a stream, has it decided and writes the reply.
+pub(super) async fn serve_stream(
+    server: &PeerServer,
+    req: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let mut stream = req.into_body();
+    let read = recv_message(&mut stream, server.max_body_bytes).await;
+    let decoded = read.and_then(|(head, body)| Ok((decode_request(&head)?, body)));
+    let (reply, body) = match decoded {
+        Ok((frame, body)) => match decide(server, frame, body, &mut respond).await {
+            Some(decided) => decided,
+            None => return,
+        },
+        Err(WireError::Stream(_)) => return,
+        Err(err) => {
+            log::warn!("request of a peer refused reason={:?}", err.to_string());
+            (PeerReply::Refused(err.kind()), Bytes::new())
+        }
+    };
+    if let Err(err) = write_reply(server, &mut respond, reply, body).await {
+        log::debug!("reply to a peer lost reason={:?}", err.to_string());
+    }
+}
+
+/// The reply to a request, or `None` if the peer gave up on it.
+async fn decide(
+    server: &PeerServer,
+    frame: RequestFrame,
+    body: Bytes,
+    respond: &mut SendResponse<Bytes>,
+) -> Option<(PeerReply, Bytes)> {
+    let is_control = matches!(frame.request, PeerRequest::Gossip(_) | PeerRequest::Config(_));
+    let is_for_any = is_control && frame.to == ANY_INCARNATION;
+    if frame.to != server.me.incarnation && !is_for_any {
+        return Some((PeerReply::Refused(ErrorKind::WrongIncarnation), Bytes::new()));
+    }
+    match frame.request {
+        PeerRequest::Gossip(message) => {
+            let reply = server.control.receive(frame.from, ControlInput::Gossip(message));
+            Some((control_reply(reply), Bytes::new()))
+        }
+        PeerRequest::Config(message) => {
+            let reply = server.control.receive(frame.from, ControlInput::Config(message));
+            Some((control_reply(reply), Bytes::new()))
+        }
+        req => {
+            let (stream, reply) = server.streams.register();
+            let event = Event::Request { stream, from: frame.from, req, body };
+            if server.events.push(event).is_err() {
+                server.streams.forget(stream);
+                return Some((PeerReply::Refused(ErrorKind::QueueFull), Bytes::new()));
+            }
+            tokio::select! {
+                biased;
+                reply = reply => reply.ok(),
+                _ = poll_fn(|cx| respond.poll_reset(cx)) => {
+                    server.streams.forget(stream);
+                    crate::node::report(&server.events, Event::RequestCancelled(stream)).await;
+                    None
+                }
+            }
+        }
+    }
+}
+
+fn control_reply(reply: ControlInput) -> PeerReply {
+    match reply {
+        ControlInput::Gossip(message) => PeerReply::Gossip(message),
+        ControlInput::Config(message) => PeerReply::Config(message),
+    }
+}
+
+async fn write_reply(
+    server: &PeerServer,
+    respond: &mut SendResponse<Bytes>,
+    reply: PeerReply,
+    body: Bytes,
+) -> Result<(), WireError> {
+    let frame = ReplyFrame { version: PROTOCOL_VERSION, from: server.me, reply };
+    let head = encode_reply(&frame)?;
+    let mut stream = respond.send_response(Response::new(()), false).map_err(stream_error)?;
+    send_message(&mut stream, &head, body).await
+}
--- a/crates/pollenlever/src/ring/ring.rs
+++ b/crates/pollenlever/src/ring/ring.rs
@@ -25,6 +25,18 @@
         }
     }
 
+    /// Puts an item into the ring without waiting and gives it back if there is no room.
+    ///
+    /// # Errors
+    ///
+    /// The item if the ring is full, `None` if the reader is gone.
+    pub fn try_push(&self, item: T) -> Result<(), Option<T>> {
+        self.tx.try_send(item).map_err(|err| match err {
+            TrySendError::Full(item) => Some(item),
+            TrySendError::Disconnected(_) => None,
+        })
+    }
+
     /// Puts an item into the ring, waiting for room. For events that must not be lost, from
     /// threads that may block.
     ///
