--- /dev/null
+++ b/crates/pollenlever-core/src/admission/limit_kind.rs
@@ -0,0 +1,21 @@
+use super::{BoxLimit, ConcurrencyLimit, GradientLimit};
+
+/// How the concurrency limit of a gate is learned.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LimitKind {
+    /// From the concurrency that successful runs need; see [`ConcurrencyLimit`].
+    #[default]
+    Concurrency,
+    /// From the gradient of latency; see [`GradientLimit`].
+    Gradient,
+}
+
+impl LimitKind {
+    /// A new limit of this kind.
+    pub fn build(self) -> BoxLimit {
+        match self {
+            LimitKind::Concurrency => Box::new(ConcurrencyLimit::default()),
+            LimitKind::Gradient => Box::new(GradientLimit::default()),
+        }
+    }
+}
--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -1,7 +1,32 @@
 //! Admission at the gate: concurrency limit, queue order, shedding.
 
 mod admission;
+mod admission_settings;
+mod chain_hash;
+mod concurrency_limit;
+mod customer_usage;
+mod decayed;
+mod fifo_admission;
+mod gradient_limit;
+mod limit;
+mod limit_kind;
+mod order_kind;
+mod priority_admission;
+mod queue;
+mod recent_shed;
+mod service_times;
+mod shed_level;
 mod ticket;
+mod waiting;
 
 pub use admission::{Admission, BoxAdmission};
+pub use admission_settings::AdmissionSettings;
+pub use chain_hash::{chain_hash, chain_share};
+pub use concurrency_limit::ConcurrencyLimit;
+pub use fifo_admission::FifoAdmission;
+pub use gradient_limit::GradientLimit;
+pub use limit::{BoxLimit, Limit};
+pub use limit_kind::LimitKind;
+pub use order_kind::OrderKind;
+pub use priority_admission::PriorityAdmission;
 pub use ticket::{RunOutcome, Ticket, Verdict};
--- /dev/null
+++ b/crates/pollenlever-core/src/admission/order_kind.rs
@@ -0,0 +1,11 @@
+/// Order of requests of one importance, depth and customer while a gate is overloaded.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum OrderKind {
+    /// By a stable hash of the chain, so that every gate prefers the same chains.
+    #[default]
+    ChainHash,
+    /// Oldest first.
+    Fifo,
+    /// Newest first.
+    Lifo,
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -0,0 +1,253 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::customer_usage::CustomerUsage;
+use super::queue::Queue;
+use super::recent_shed::RecentShed;
+use super::service_times::ServiceTimes;
+use super::shed_level::ShedLevel;
+use super::waiting::Waiting;
+use super::{Admission, AdmissionSettings, BoxLimit, OrderKind, RunOutcome, Ticket, Verdict};
+use crate::Timestamp;
+use crate::answer::ErrorKind;
+use crate::config::Importance;
+use crate::id::StreamId;
+use crate::message::GateLoad;
+use crate::policy::TargetNotice;
+
+/// Admission by importance, depth, customer and chain, within a learned limit.
+///
+/// The queue is short: what cannot make its deadline is shed at once, and while the queue is
+/// standing nothing waits longer than the settings allow. Load that the target reports about
+/// itself is not used.
+///
+/// ```
+/// use std::time::Duration;
+/// use pollenlever_core::admission::{
+///     Admission, AdmissionSettings, PriorityAdmission, Ticket, Verdict,
+/// };
+/// use pollenlever_core::config::Importance;
+/// let mut admission = PriorityAdmission::new(AdmissionSettings::default());
+/// admission.set_slots(Duration::ZERO, 1);
+/// let ticket = Ticket {
+///     id: 7,
+///     service: "charging".into(),
+///     importance: Importance::Critical,
+///     chain: "127.0.0.1:7101@1f~2a".parse().unwrap(),
+///     depth: 0,
+///     customer: "bologna".into(),
+///     deadline: Duration::from_secs(2),
+/// };
+/// let mut verdicts = Vec::new();
+/// admission.offer(Duration::ZERO, ticket, &mut verdicts);
+/// assert_eq!(verdicts, [Verdict::Run(7)]);
+/// ```
+pub struct PriorityAdmission {
+    settings: AdmissionSettings,
+    limit: BoxLimit,
+    queue: Queue,
+    running: BTreeMap<StreamId, (Importance, u8)>,
+    service_times: ServiceTimes,
+    usage: CustomerUsage,
+    recent_shed: RecentShed,
+    shed_level: ShedLevel,
+    standing_since: Option<Timestamp>,
+    next_wakeup: Option<Timestamp>,
+}
+
+impl PriorityAdmission {
+    /// Admission with nothing learned yet.
+    pub fn new(settings: AdmissionSettings) -> PriorityAdmission {
+        PriorityAdmission {
+            limit: settings.limit.build(),
+            queue: Queue::default(),
+            running: BTreeMap::new(),
+            service_times: ServiceTimes::default(),
+            usage: CustomerUsage::new(settings.memory),
+            recent_shed: RecentShed::default(),
+            shed_level: ShedLevel::default(),
+            standing_since: None,
+            next_wakeup: None,
+            settings,
+        }
+    }
+
+    /// Time between two ends of runs while the gate is full.
+    fn pace(&self) -> Duration {
+        self.service_times.mean() / self.limit.get().max(1)
+    }
+
+    fn is_standing(&self, now: Timestamp) -> bool {
+        let since = self.standing_since;
+        since.is_some_and(|it| now.saturating_sub(it) >= self.settings.queue_interval)
+    }
+
+    fn order(&self, now: Timestamp) -> OrderKind {
+        if self.is_standing(now) { self.settings.order } else { OrderKind::Fifo }
+    }
+
+    /// Latest time at which a waiting request may start.
+    fn latest_start(&self, now: Timestamp, waiting: &Waiting, standing: bool) -> Timestamp {
+        let needed = self.service_times.of(now, waiting.class());
+        let latest = waiting.ticket.deadline.saturating_sub(needed);
+        if standing { latest.min(waiting.arrived + self.longest_wait()) } else { latest }
+    }
+
+    /// Longest wait in a standing queue: a share of the service time, so that slow targets still
+    /// keep a request at hand for each slot that becomes free.
+    fn longest_wait(&self) -> Duration {
+        self.settings.queue_delay.max(self.service_times.mean() / 2)
+    }
+
+    fn can_finish(&self, now: Timestamp, waiting: &Waiting) -> bool {
+        let ahead = self.queue.ahead_of(waiting) as u32;
+        now + self.pace() * ahead <= self.latest_start(now, waiting, false)
+    }
+
+    fn shed(
+        &mut self,
+        now: Timestamp,
+        waiting: &Waiting,
+        error: ErrorKind,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        self.recent_shed.add(now, &self.settings);
+        self.shed_level.shed(now, waiting.ticket.importance);
+        let retry_after = self.recent_shed.retry_after(
+            now,
+            &self.settings,
+            self.queue.len(),
+            self.pace(),
+            waiting.ticket.chain,
+        );
+        verdicts.push(Verdict::Shed { id: waiting.ticket.id, error, retry_after });
+    }
+
+    fn shed_late(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        let standing = self.is_standing(now);
+        let mut late = std::mem::take(&mut self.queue);
+        let shed = late.take_late(|it| self.latest_start(now, it, standing) < now);
+        self.queue = late;
+        for waiting in shed {
+            let no_time = self.latest_start(now, &waiting, false) < now;
+            let error = if no_time { ErrorKind::DeadlineTooShort } else { ErrorKind::Overloaded };
+            self.shed(now, &waiting, error, verdicts);
+        }
+    }
+
+    fn shed_excess(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        while self.queue.len() > self.max_queue(now) {
+            let order = self.settings.order;
+            let Some(worst) = self.queue.pop_worst(now, &self.usage, order) else { return };
+            self.shed(now, &worst, ErrorKind::Overloaded, verdicts);
+        }
+    }
+
+    /// Requests that may wait: while the queue is standing, as many as start in the longest wait.
+    fn max_queue(&self, now: Timestamp) -> usize {
+        let pace = self.pace();
+        if !self.is_standing(now) || pace.is_zero() {
+            return self.settings.max_queue;
+        }
+        let starts = self.longest_wait().as_secs_f64() / pace.as_secs_f64();
+        (starts.ceil() as usize).clamp(1, self.settings.max_queue)
+    }
+
+    fn start(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        while self.running.len() < self.limit.get().max(1) as usize {
+            let order = self.order(now);
+            let Some(best) = self.queue.pop_best(now, &self.usage, order) else { return };
+            let Ticket { id, importance, customer, .. } = &best.ticket;
+            self.usage.add(now, *importance, customer);
+            self.running.insert(*id, best.class());
+            verdicts.push(Verdict::Run(*id));
+        }
+    }
+
+    fn advance(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        self.shed_late(now, verdicts);
+        self.start(now, verdicts);
+        self.shed_excess(now, verdicts);
+        self.note_queue(now);
+    }
+
+    fn note_queue(&mut self, now: Timestamp) {
+        if self.queue.is_empty() {
+            self.standing_since = None;
+        } else {
+            self.standing_since.get_or_insert(now);
+        }
+        self.shed_level.update(now, !self.queue.is_empty());
+        let standing = self.is_standing(now);
+        let late = self.queue.iter().map(|it| self.latest_start(now, it, standing)).min();
+        let turns_standing = self.standing_since.map(|it| it + self.settings.queue_interval);
+        let turns_standing = turns_standing.filter(|it| *it > now);
+        // A request is late once its latest start has passed, not when it is reached.
+        let late = late.map(|it| it.max(now) + Duration::from_millis(1));
+        self.next_wakeup = [late, turns_standing].into_iter().flatten().min();
+    }
+}
+
+impl Admission for PriorityAdmission {
+    fn set_slots(&mut self, _now: Timestamp, slots: u32) {
+        self.limit.set_slots(slots);
+    }
+
+    fn offer(&mut self, now: Timestamp, ticket: Ticket, verdicts: &mut Vec<Verdict>) {
+        self.shed_level.offered(now, ticket.importance);
+        let waiting = Waiting::new(now, ticket);
+        if self.can_finish(now, &waiting) {
+            self.queue.push(waiting);
+        } else {
+            self.shed(now, &waiting, ErrorKind::DeadlineTooShort, verdicts);
+        }
+        self.advance(now, verdicts);
+    }
+
+    fn remove(&mut self, now: Timestamp, id: StreamId) -> bool {
+        let removed = self.queue.remove(id).is_some();
+        self.note_queue(now);
+        removed
+    }
+
+    fn finished(
+        &mut self,
+        now: Timestamp,
+        id: StreamId,
+        service_time: Duration,
+        outcome: RunOutcome,
+        verdicts: &mut Vec<Verdict>,
+    ) {
+        let in_flight = self.running.len() as u32;
+        if let Some(class) = self.running.remove(&id) {
+            self.limit.finished(now, service_time, outcome, in_flight);
+            let too_slow =
+                outcome == RunOutcome::Failed && service_time > self.service_times.mean();
+            if outcome == RunOutcome::Answered || too_slow {
+                self.service_times.sample(now, class, service_time);
+            }
+        }
+        self.advance(now, verdicts);
+    }
+
+    fn notice(&mut self, _now: Timestamp, _notice: &TargetNotice) {}
+
+    fn tick(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
+        self.advance(now, verdicts);
+    }
+
+    fn next_wakeup(&self) -> Option<Timestamp> {
+        self.next_wakeup
+    }
+
+    fn load(&self, _now: Timestamp) -> GateLoad {
+        GateLoad {
+            in_flight: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            limit: self.limit.get(),
+            shed_below: self.shed_level.get(),
+            backlog: self.pace() * self.queue.len() as u32,
+            ..GateLoad::default()
+        }
+    }
+}
--- a/crates/pollenlever-core/src/routing/mod.rs
+++ b/crates/pollenlever-core/src/routing/mod.rs
@@ -1,7 +1,21 @@
 //! Choice of a target for an attempt.
 
+mod byte_budget;
+mod choice;
+mod choice_kind;
+mod peer;
+mod peers;
+mod probe_timer;
+mod round_robin;
 mod route_request;
 mod routing;
+mod routing_settings;
+mod tier;
+mod two_choices;
 
+pub use choice_kind::ChoiceKind;
+pub use round_robin::RoundRobin;
 pub use route_request::{NoRoute, RouteRequest};
 pub use routing::{BoxRouting, Routing};
+pub use routing_settings::RoutingSettings;
+pub use two_choices::TwoChoices;
--- /dev/null
+++ b/crates/pollenlever-core/src/routing/round_robin.rs
@@ -0,0 +1,71 @@
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{NoRoute, RouteRequest, Routing};
+use crate::Timestamp;
+use crate::answer::ErrorKind;
+use crate::config::ServiceConfig;
+use crate::id::{NodeId, ServiceName};
+use crate::membership::{Member, TargetState};
+use crate::message::GateLoad;
+
+/// Time after which a caller that found no target may come back.
+const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
+
+/// Each target in turn, whatever its load or distance.
+///
+/// ```
+/// use pollenlever_core::routing::RoundRobin;
+/// let routing = RoundRobin::default();
+/// ```
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    nodes: HashMap<ServiceName, BTreeSet<NodeId>>,
+    turn: usize,
+}
+
+impl Routing for RoundRobin {
+    fn configure(&mut self, _cfg: Arc<ServiceConfig>) {}
+
+    fn members_up(&mut self, _now: Timestamp, members: &[Member]) {
+        for member in members {
+            let Some(service) = &member.service else { continue };
+            let nodes = self.nodes.entry(service.clone()).or_default();
+            match member.state {
+                TargetState::Ready | TargetState::Cold => nodes.insert(member.node),
+                TargetState::Absent | TargetState::Leaving => nodes.remove(&member.node),
+            };
+        }
+    }
+
+    fn members_gone(&mut self, _now: Timestamp, gone: &[NodeId]) {
+        for nodes in self.nodes.values_mut() {
+            nodes.retain(|it| !gone.contains(it));
+        }
+    }
+
+    fn choose(&mut self, _now: Timestamp, req: &RouteRequest<'_>) -> Result<NodeId, NoRoute> {
+        let nodes = self.nodes.get(req.service).filter(|it| !it.is_empty());
+        let none = NoRoute { error: ErrorKind::NoTarget, retry_after: NO_TARGET_RETRY };
+        let nodes = nodes.ok_or(none)?;
+        self.turn = self.turn.wrapping_add(1);
+        nodes.iter().nth(self.turn % nodes.len()).copied().ok_or(none)
+    }
+
+    fn sent(&mut self, _now: Timestamp, _node: NodeId, _bytes: u64) {}
+
+    fn replied(
+        &mut self,
+        _now: Timestamp,
+        _node: NodeId,
+        _latency: Duration,
+        _load: &GateLoad,
+        _bytes: u64,
+    ) {
+    }
+
+    fn failed(&mut self, _now: Timestamp, _node: NodeId) {}
+
+    fn cancelled(&mut self, _now: Timestamp, _node: NodeId) {}
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/routing/tier.rs
@@ -0,0 +1,14 @@
+/// Distance to a target; nearer ones are preferred.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Tier {
+    /// In this node's availability zone.
+    Zone,
+    /// In another zone of this node's region.
+    Region,
+    /// In another region.
+    Other,
+}
+
+impl Tier {
+    pub(super) const ALL: [Tier; 3] = [Tier::Zone, Tier::Region, Tier::Other];
+}
--- a/crates/pollenlever/src/settings/ini/document.rs
+++ b/crates/pollenlever/src/settings/ini/document.rs
@@ -60,7 +60,7 @@
         return true;
     }
     if let Some(name) = section_name(line) {
-        sections.push(Section { name: name.to_owned(), line: number, entries: Vec::new() });
+        sections.push(Section { name, line: number, entries: Vec::new() });
         return true;
     }
     let (Some(key), false) = (entry_key(line), line.starts_with('[')) else {
@@ -75,8 +75,10 @@
     true
 }
 
-fn section_name(line: &str) -> Option<&str> {
-    let name = line.strip_prefix('[')?.strip_suffix(']')?.trim();
+/// The name between brackets, with single spaces.
+fn section_name(line: &str) -> Option<String> {
+    let inner = line.strip_prefix('[')?.strip_suffix(']')?;
+    let name = inner.split_whitespace().collect::<Vec<_>>().join(" ");
     let plain = !name.is_empty() && !name.contains(['[', ']', '\\']);
     plain.then_some(name)
 }
--- a/crates/pollenlever/src/store/mod.rs
+++ b/crates/pollenlever/src/store/mod.rs
@@ -1,1 +1,32 @@
 //! Client of the platform's object API.
+
+mod kind_object;
+mod object;
+mod object_api;
+mod objective_object;
+mod peers_object;
+mod service_object;
+mod store_client;
+mod store_error;
+mod submit;
+
+pub use kind_object::KindObject;
+pub use object::{NamedObject, Object, ObjectList};
+pub use object_api::{BoxObjectApi, ObjectApi, StoreFuture};
+pub use objective_object::ObjectiveObject;
+pub use peers_object::PeersObject;
+pub use service_object::{ObjectFault, ServiceObject};
+pub use store_client::StoreClient;
+pub use store_error::StoreError;
+pub use submit::{Accepted, SubmitError, SubmitSettings, submit};
+
+use pollenlever_core::config::ConfigVersion;
+
+/// Kind of the objects that carry a [`ServiceObject`], named by service.
+pub const SERVICES_KIND: &str = "services";
+/// Kind of the objects that carry a [`PeersObject`], named by region.
+pub const PEERS_KIND: &str = "peers";
+/// Position in the store's sequence of updates.
+pub type Revision = u64;
+/// Version of an object that does not exist.
+pub const ABSENT: ConfigVersion = 0;
--- /dev/null
+++ b/crates/pollenlever/src/telemetry/kind_burn.rs
@@ -0,0 +1,16 @@
+use serde::{Deserialize, Serialize};
+
+use super::{KindObjective, WindowCounts};
+
+/// Counts of one kind of request on one node.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct KindBurn {
+    /// Service.
+    pub service: String,
+    /// Kind of request.
+    pub kind: String,
+    /// Declared objective, if the node has the configuration of the service.
+    pub objective: Option<KindObjective>,
+    /// Counts by window, from the shortest to the longest.
+    pub windows: Vec<WindowCounts>,
+}
--- /dev/null
+++ b/crates/pollenlever/src/telemetry/kind_series.rs
@@ -0,0 +1,79 @@
+use std::sync::{Mutex, OnceLock, PoisonError};
+use std::time::Duration;
+
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::histogram::Histogram;
+
+use super::call_metrics::CallMetrics;
+use super::labels::{CallLabels, KindLabels};
+use super::{KindBurn, KindObjective, Reason, Verdict, WindowedCounts};
+
+/// Counters and windows of one kind of request; the labels are looked up once.
+#[derive(Debug)]
+pub(super) struct KindSeries {
+    labels: KindLabels,
+    metrics: CallMetrics,
+    latency: Histogram,
+    good: OnceLock<Counter>,
+    bad: [OnceLock<Counter>; Reason::COUNT],
+    invalid: [OnceLock<Counter>; Reason::COUNT],
+    state: Mutex<KindState>,
+}
+
+#[derive(Debug, Default)]
+struct KindState {
+    counts: WindowedCounts,
+    objective: Option<KindObjective>,
+}
+
+impl KindSeries {
+    /// Starts the series of a kind.
+    pub(super) fn new(service: &str, kind: &str, metrics: &CallMetrics) -> KindSeries {
+        let labels = KindLabels { service: service.to_owned(), kind: kind.to_owned() };
+        KindSeries {
+            latency: metrics.latencies.get_or_create_owned(&labels),
+            labels,
+            metrics: metrics.clone(),
+            good: OnceLock::new(),
+            bad: [const { OnceLock::new() }; Reason::COUNT],
+            invalid: [const { OnceLock::new() }; Reason::COUNT],
+            state: Mutex::default(),
+        }
+    }
+
+    /// Counts one call that ended at `now`.
+    pub(super) fn add(&self, now: Duration, verdict: Verdict, latency: Duration) {
+        self.counter(verdict).inc();
+        self.latency.observe(latency.as_secs_f64());
+        self.with_state(|it| it.counts.add(now, verdict));
+    }
+
+    /// Takes the declared objective.
+    pub(super) fn set_objective(&self, objective: KindObjective) {
+        self.with_state(|it| it.objective = Some(objective));
+    }
+
+    /// The counts as shown to operators.
+    pub(super) fn burn(&self, now: Duration) -> KindBurn {
+        let (windows, objective) = self.with_state(|it| (it.counts.windows(now), it.objective));
+        let KindLabels { service, kind } = self.labels.clone();
+        KindBurn { service, kind, objective, windows }
+    }
+
+    fn counter(&self, verdict: Verdict) -> &Counter {
+        let (slot, reason) = match verdict {
+            Verdict::Good => (&self.good, ""),
+            Verdict::Invalid(kind) => (&self.invalid[Reason::Error(kind).index()], kind.as_str()),
+            Verdict::Bad(reason) => (&self.bad[reason.index()], reason.as_str()),
+        };
+        slot.get_or_init(|| {
+            let KindLabels { service, kind } = self.labels.clone();
+            let labels = CallLabels { service, kind, verdict: verdict.as_str(), reason };
+            self.metrics.calls.get_or_create_owned(&labels)
+        })
+    }
+
+    fn with_state<T>(&self, run: impl FnOnce(&mut KindState) -> T) -> T {
+        run(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
--- a/crates/pollenlever/src/telemetry/telemetry.rs
+++ b/crates/pollenlever/src/telemetry/telemetry.rs
@@ -1,9 +1,16 @@
 use std::sync::Arc;
 
+use pollenlever_core::config::ServiceConfig;
 use pollenlever_core::policy::Observation;
 
 /// Counts ended calls and shows the counts.
 pub trait Telemetry: Send + Sync {
+    /// Takes the objectives of a service whose configuration is in force on this node, for the burn
+    /// report.
+    fn configure(&self, cfg: &ServiceConfig) {
+        let _ = cfg;
+    }
+
     /// Counts an ended call.
     fn observe(&self, observation: &Observation);
 
--- /dev/null
+++ b/crates/pollenlever/src/telemetry/verdict.rs
@@ -0,0 +1,56 @@
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::policy::Observation;
+
+use super::Reason;
+
+const FIRST_SERVER_ERROR: u16 = 500;
+
+/// How an ended call counts for the objective of its kind.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The whole answer came within the deadline.
+    Good,
+    /// The caller's own mistake; it counts neither way.
+    Invalid(ErrorKind),
+    /// It uses up the error budget.
+    Bad(Reason),
+}
+
+impl Verdict {
+    /// Judges an ended call.
+    pub fn of(call: &Observation) -> Verdict {
+        match call.error {
+            Some(kind) if is_callers_mistake(kind) => Verdict::Invalid(kind),
+            Some(kind) => Verdict::Bad(Reason::Error(kind)),
+            None if call.status >= FIRST_SERVER_ERROR => Verdict::Bad(Reason::TargetError),
+            None if call.good => Verdict::Good,
+            None => Verdict::Bad(Reason::Late),
+        }
+    }
+
+    /// Label in metrics: `good`, `invalid` or `bad`.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Verdict::Good => "good",
+            Verdict::Invalid(_) => "invalid",
+            Verdict::Bad(_) => "bad",
+        }
+    }
+}
+
+fn is_callers_mistake(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::MalformedRequest
+            | ErrorKind::UnknownService
+            | ErrorKind::UnknownRequestKind
+            | ErrorKind::MethodNotAllowed
+            | ErrorKind::BodyTooLarge
+            | ErrorKind::HeaderTooLarge
+            | ErrorKind::KeyRequired
+            | ErrorKind::KeyMalformed
+            | ErrorKind::KeyForeign
+            | ErrorKind::KeyReused
+            | ErrorKind::CallerKeyUnsupported
+    )
+}
--- /dev/null
+++ b/crates/pollenlever/tests/report_counts.rs
@@ -0,0 +1,114 @@
+//! Metrics and windowed counts of a node.
+
+use std::time::Duration;
+
+use pollenlever::telemetry::{NodeBurn, NodeTelemetry, Telemetry, Verdict, WindowedCounts};
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::config::{RequestKind, ServiceConfig};
+use pollenlever_core::policy::Observation;
+
+fn call() -> Observation {
+    Observation {
+        service: "balance".into(),
+        kind: "check".into(),
+        customer: "ateneo".into(),
+        status: 200,
+        error: None,
+        latency: Duration::from_millis(3),
+        good: true,
+    }
+}
+
+fn refused(error: ErrorKind) -> Observation {
+    Observation { status: error.response().status, error: Some(error), good: false, ..call() }
+}
+
+fn telemetry() -> NodeTelemetry {
+    NodeTelemetry::new("lombardia", "lombardia-a", "127.0.0.1:7101@1f".parse().unwrap())
+}
+
+/// Declares a test for each case: a call and the verdict and reason under which it is counted.
+macro_rules! verdicts {
+    ($($name:ident: $call:expr => $verdict:literal $reason:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let telemetry = telemetry();
+            telemetry.observe(&$call);
+            let text = telemetry.metrics_text();
+            let counted = format!("verdict=\"{}\",reason=\"{}\"}} 1", $verdict, $reason);
+            assert!(text.contains(&counted), "{text}");
+        }
+    )*};
+}
+
+verdicts! {
+    whole_answer_in_time_is_good: call() => "good" "";
+    late_answer_is_bad: Observation { good: false, ..call() } => "bad" "late";
+    server_error_of_target_is_bad: Observation { status: 500, ..call() } => "bad" "target-error";
+    shed_call_is_bad: refused(ErrorKind::Overloaded) => "bad" "overloaded";
+    cancelled_call_is_bad: refused(ErrorKind::Cancelled) => "bad" "cancelled";
+    callers_mistake_counts_neither_way: refused(ErrorKind::KeyRequired) => "invalid" "key-required";
+}
+
+/// Declares a test for each case: ages of good calls in seconds, and the sums by window.
+macro_rules! windows {
+    ($($name:ident: $ages:expr => $sums:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let now = Duration::from_secs(10 * 24 * 3600);
+            let mut counts = WindowedCounts::default();
+            for age in $ages {
+                counts.add(now - Duration::from_secs(age), Verdict::Good);
+            }
+            let sums: Vec<u64> = counts.windows(now).iter().map(|it| it.good).collect();
+            assert_eq!(sums, $sums);
+        }
+    )*};
+}
+
+windows! {
+    recent_call_is_in_every_window: [1] => [1, 1, 1, 1];
+    old_calls_leave_the_short_windows: [5 * 3600, 1800, 200] => [1, 2, 3, 3];
+    calls_older_than_all_windows_are_gone: [4 * 24 * 3600] => [0, 0, 0, 0];
+    reused_buckets_start_from_zero: [(3 + 1) * 24 * 3600, 360, 1] => [1, 2, 2, 2];
+}
+
+#[test]
+fn made_up_names_are_not_kept() {
+    let telemetry = telemetry();
+    for number in 0..100 {
+        let service = format!("made-up-{number}").into();
+        telemetry.observe(&Observation { service, ..refused(ErrorKind::UnknownService) });
+        let kind = format!("made-up-{number}").into();
+        telemetry.observe(&Observation { kind, ..refused(ErrorKind::UnknownRequestKind) });
+    }
+    let kinds = telemetry.burn().kinds;
+    let names: Vec<_> = kinds.iter().map(|it| (&*it.service, &*it.kind)).collect();
+    assert_eq!(names, [("balance", "undeclared"), ("undeclared", "undeclared")]);
+}
+
+#[test]
+fn number_of_kinds_is_bounded() {
+    let telemetry = telemetry();
+    for number in 0..4200 {
+        telemetry.observe(&Observation { kind: format!("k{number}").into(), ..call() });
+    }
+    let kinds = telemetry.burn().kinds;
+    assert_eq!(kinds.len(), 4097);
+    let other = kinds.iter().find(|it| it.service == "other").unwrap();
+    assert_eq!(other.windows[0].good, 104);
+}
+
+#[test]
+fn declared_kinds_are_reported_before_their_first_call() {
+    let telemetry = telemetry();
+    let kinds = vec![RequestKind { name: "check".into(), ..RequestKind::default() }];
+    telemetry.configure(&ServiceConfig {
+        service: "balance".into(),
+        kinds,
+        ..ServiceConfig::default()
+    });
+    let burn: NodeBurn = serde_json::from_str(&telemetry.burn_json()).unwrap();
+    assert_eq!(burn.kinds[0].objective.unwrap().good_ratio, 0.999);
+    assert_eq!(burn.kinds[0].windows[0].total(), 0);
+}
