--- a/crates/pollenlever/src/manifest/values.rs
+++ b/crates/pollenlever/src/manifest/values.rs
@@ -74,7 +74,7 @@
 }
 
 pub(super) fn window(text: &str) -> Result<Duration, Expected> {
-    let days = text.parse().ok().filter(|it| (1..=MAX_WINDOW_DAYS).contains(it));
+    let days = text.parse::<u64>().ok().filter(|it| (1..=MAX_WINDOW_DAYS).contains(it));
     days.map(|it| Duration::from_secs(it * SECONDS_A_DAY))
         .ok_or_else(|| Expected::from(format!("days from 1 to {MAX_WINDOW_DAYS}")))
 }
--- a/crates/pollenlever/src/node/decision.rs
+++ b/crates/pollenlever/src/node/decision.rs
@@ -71,6 +71,9 @@
             if event == Event::Tick {
                 last_tick = Some(now);
             }
+            if let Event::Config(cfg) = &event {
+                self.telemetry.configure(cfg);
+            }
             self.policy.handle(now, event, &mut actions);
             self.carry_out(&mut actions);
         }
--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -3,7 +3,6 @@
 mod clock;
 mod decision;
 mod no_control;
-mod no_telemetry;
 mod node;
 mod node_error;
 mod policy;
--- a/crates/pollenlever/src/node/node.rs
+++ b/crates/pollenlever/src/node/node.rs
@@ -10,7 +10,6 @@
 use tokio::sync::{mpsc, watch};
 
 use super::no_control::NoControl;
-use super::no_telemetry::NoTelemetry;
 use super::policy::policy;
 use super::threads::{runtime, spawn};
 use super::{Clock, Decision, NodeError, Waiters};
@@ -20,6 +19,7 @@
 use crate::peer::{PeerClient, PeerServer, run_exchanges};
 use crate::ring::{Ring, ring};
 use crate::settings::Settings;
+use crate::telemetry::NodeTelemetry;
 
 /// Threads that serve callers.
 const ENTRY_WORKERS: usize = 2;
@@ -58,7 +58,7 @@
         let (left_tx, left) = bounded(1);
         let calls = Arc::new(Waiters::default());
         let streams = Arc::new(Waiters::default());
-        let telemetry = Arc::new(NoTelemetry);
+        let telemetry = Arc::new(NodeTelemetry::new(&cfg.region, &cfg.zone, me));
 
         let peer_runtime = runtime("peer", PEER_WORKERS)?;
         let client = PeerClient::new(me, cfg.max_body_bytes, peer_runtime.handle().clone());
