--- a/crates/pollenlever-standins/src/cluster/cluster.rs
+++ b/crates/pollenlever-standins/src/cluster/cluster.rs
@@ -49,7 +49,7 @@
         let relay = start_relay(&spec, &slots)?;
         let place = Place { region: 1, zone: 1 };
         let store_addr = place.addr(STORE_NUMBER, spec.ports.store());
-        let args = [format!("--listen={store_addr}")];
+        let args = ["--listen".to_owned(), store_addr.to_string()];
         let store = Program::start("pollenlever-store", &args, &folder.join("store.log"))?;
         let client = reqwest::blocking::Client::builder()
             .timeout(REQUEST_TIMEOUT)
--- a/crates/pollenlever-standins/src/cluster/machine.rs
+++ b/crates/pollenlever-standins/src/cluster/machine.rs
@@ -130,20 +130,18 @@
     listen: SocketAddr,
     run_log: &Path,
 ) -> Vec<String> {
-    let mut args = vec![
-        format!("--listen={listen}"),
-        format!("--node={node}"),
-        format!("--service={}", service.config.service),
-        format!("--slots={}", service.config.slots),
-        format!("--connections={}", service.config.connections),
-        format!("--service-ms={}", service.service_time.as_millis()),
-        format!("--retries={}", service.retries),
-        format!("--cold-ms={}", service.cold_time.as_millis()),
-        format!("--cold-factor={}", service.cold_factor),
-        format!("--log={}", run_log.display()),
+    let flags = [
+        ("--listen", listen.to_string()),
+        ("--node", node.to_string()),
+        ("--service", service.config.service.to_string()),
+        ("--slots", service.config.slots.to_string()),
+        ("--connections", service.config.connections.to_string()),
+        ("--service-ms", service.service_time.as_millis().to_string()),
+        ("--retries", service.retries.to_string()),
+        ("--cold-ms", service.cold_time.as_millis().to_string()),
+        ("--cold-factor", service.cold_factor.to_string()),
+        ("--log", run_log.display().to_string()),
     ];
-    for call in &service.calls {
-        args.push(format!("--call={} {}", call.method, call.path));
-    }
-    args
+    let calls = service.calls.iter().map(|it| ("--call", format!("{} {}", it.method, it.path)));
+    flags.into_iter().chain(calls).flat_map(|(name, value)| [name.to_owned(), value]).collect()
 }
