Watch peers' connections and callers for silence and hang-ups

Cause: a stream that ends by its deadline stopped the clock of silence, so requests shorter than 500 ms could keep a dead connection for ever; rocket runs a handler on after its caller has hung up and tells it nothing. Ruled out: a guard in the handler alone (rocket spawns it apart from the connection); netlink socket diagnosis (needs a new crate).

--- a/crates/pollenlever/src/entry/call_guard.rs
+++ b/crates/pollenlever/src/entry/call_guard.rs
@@ -19,6 +19,7 @@
 
 impl Drop for CallGuard {
     fn drop(&mut self) {
+        self.state.hangups.remove(self.call);
         if self.state.calls.forget(self.call) {
             let _ = self.state.events.push_wait(Event::CallCancelled(self.call));
         }
--- a/crates/pollenlever/src/entry/call_route.rs
+++ b/crates/pollenlever/src/entry/call_route.rs
@@ -47,6 +47,7 @@
 #[rocket::async_trait]
 impl Handler for CallHandler {
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let _open = self.state.open_work.enter();
         let response = match self.state.take_call(req, data).await {
             Ok(response) => response,
             Err(kind) => error_response(kind),
@@ -68,6 +69,9 @@
             self.telemetry.count("event_ring_full");
             return Err(ErrorKind::QueueFull);
         }
+        if let Some(caller) = req.remote() {
+            self.hangups.add(id, caller);
+        }
         match self.wait(id, reply).await? {
             CallReply::Answer(chain, answer, body) => Ok(answer_response(chain, answer, body)),
             CallReply::Keys(_) => Err(ErrorKind::Internal),
--- a/crates/pollenlever/src/entry/entry_server.rs
+++ b/crates/pollenlever/src/entry/entry_server.rs
@@ -13,7 +13,9 @@
 use super::target_routes::target_routes;
 
 /// Seconds that rocket gives open connections after the node has left.
-const SHUTDOWN_GRACE_S: u32 = 1;
+const SHUTDOWN_GRACE_S: u32 = 3;
+/// Seconds that rocket then gives them to close.
+const SHUTDOWN_MERCY_S: u32 = 1;
 /// Seconds after which an unused connection of a caller is closed.
 const KEEP_ALIVE_S: u32 = 60;
 
@@ -65,7 +67,7 @@
         #[cfg(unix)]
         signals: Default::default(),
         grace: SHUTDOWN_GRACE_S,
-        mercy: SHUTDOWN_GRACE_S,
+        mercy: SHUTDOWN_MERCY_S,
         force: false,
         ..Shutdown::default()
     };
--- a/crates/pollenlever/src/entry/key_route.rs
+++ b/crates/pollenlever/src/entry/key_route.rs
@@ -42,6 +42,7 @@
 #[rocket::async_trait]
 impl Handler for KeyHandler {
     async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let _open = self.state.open_work.enter();
         let response = match self.state.take_keys(req, data).await {
             Ok(response) => response,
             Err(kind) => error_response(kind),
--- a/crates/pollenlever/src/node/node.rs
+++ b/crates/pollenlever/src/node/node.rs
@@ -12,11 +12,11 @@
 use super::no_control::NoControl;
 use super::policy::policy;
 use super::threads::{runtime, spawn};
-use super::{Clock, Decision, NodeError, Waiters};
+use super::{Clock, Decision, NodeError, OpenWork, Waiters};
 use crate::control::BoxControl;
-use crate::entry::{EntryServer, EntryState};
+use crate::entry::{EntryServer, EntryState, HangupWatch};
 use crate::gate::{TargetClient, TargetWatch, run_gate};
-use crate::peer::{PeerClient, PeerServer, run_exchanges};
+use crate::peer::{PeerClient, PeerOptions, PeerServer, run_exchanges};
 use crate::ring::{Ring, ring};
 use crate::settings::Settings;
 use crate::telemetry::NodeTelemetry;
@@ -27,7 +27,10 @@
 const PEER_WORKERS: usize = 1;
 /// Threads that talk to the target.
 const TARGET_WORKERS: usize = 1;
-/// Wait for tasks that still write answers once the policy has left.
+/// Bytes by which a body between nodes may be over the limit for callers, for records that are
+/// handed over.
+const PEER_BODY_MARGIN_BYTES: usize = 1 << 20;
+/// Wait for the kernel to take the last answers once they are written.
 const WRITE_GRACE: Duration = Duration::from_millis(200);
 
 /// A running node.
@@ -37,6 +40,7 @@
     events: Ring<Event>,
     control: BoxControl,
     left: Receiver<()>,
+    open_work: OpenWork,
     shutdown: rocket::Shutdown,
     entry: JoinHandle<()>,
     entry_addr: SocketAddr,
@@ -58,16 +62,19 @@
         let (left_tx, left) = bounded(1);
         let calls = Arc::new(Waiters::default());
         let streams = Arc::new(Waiters::default());
+        let open_work = OpenWork::default();
         let telemetry = Arc::new(NodeTelemetry::new(&cfg.region, &cfg.zone, me));
 
         let peer_runtime = runtime("peer", PEER_WORKERS)?;
-        let client = PeerClient::new(me, cfg.max_body_bytes, peer_runtime.handle().clone());
+        let options = peer_options(cfg);
+        let client = PeerClient::new(me, options, peer_runtime.handle().clone());
         let control: BoxControl = Arc::new(NoControl { me });
         let listener = peer_runtime.block_on(tokio::net::TcpListener::bind(cfg.peer));
         let listener = listener.map_err(|source| NodeError::Bind { addr: cfg.peer, source })?;
         let server = PeerServer {
             me,
-            max_body_bytes: cfg.max_body_bytes,
+            max_body_bytes: options.max_body_bytes,
+            open_work: open_work.clone(),
             events: events.clone(),
             streams: Arc::clone(&streams),
             control: Arc::clone(&control),
@@ -104,11 +111,16 @@
             control: Arc::clone(&control),
             telemetry,
             target: watch,
+            hangups: HangupWatch::new(cfg.entry),
+            open_work: open_work.clone(),
             max_body_bytes: cfg.max_body_bytes,
             max_header_bytes: cfg.max_header_bytes,
         };
         let entry_runtime = runtime("entry", ENTRY_WORKERS)?;
-        let server = EntryServer::new(cfg.entry, ENTRY_WORKERS, Arc::new(state));
+        let state = Arc::new(state);
+        let watching = Arc::clone(&state);
+        entry_runtime.spawn(async move { watching.watch_hangups().await });
+        let server = EntryServer::new(cfg.entry, ENTRY_WORKERS, state);
         let server = entry_runtime.block_on(server);
         let server = server.map_err(|err| entry_error(cfg, &err))?;
         let shutdown = server.shutdown();
@@ -128,6 +140,7 @@
             events,
             control,
             left,
+            open_work,
             shutdown,
             entry,
             entry_addr: cfg.entry,
@@ -159,6 +172,7 @@
         let _ = self.events.push_wait(Event::Leave);
         self.control.leave();
         let all_ended = self.left.recv_timeout(self.drain_timeout).is_ok();
+        self.open_work.wait_idle(self.drain_timeout.saturating_sub(started.elapsed()));
         std::thread::sleep(WRITE_GRACE);
         self.shutdown.notify();
         let _ = self.entry.join();
@@ -184,3 +198,8 @@
         }
     }
 }
+
+fn peer_options(cfg: &Settings) -> PeerOptions {
+    let local_ip = Some(cfg.peer.ip()).filter(|it| !it.is_unspecified());
+    PeerOptions { local_ip, max_body_bytes: cfg.max_body_bytes + PEER_BODY_MARGIN_BYTES }
+}
--- a/crates/pollenlever/src/peer/connection.rs
+++ b/crates/pollenlever/src/peer/connection.rs
@@ -1,9 +1,9 @@
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
 use h2::client::{self, SendRequest};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
 
 use super::WireError;
@@ -27,9 +27,12 @@
 
 impl Connection {
     /// Connects and starts the tasks that drive the connection and watch for silence.
-    pub(super) async fn open(addr: SocketAddr) -> Result<Connection, WireError> {
+    pub(super) async fn open(
+        addr: SocketAddr,
+        local_ip: Option<IpAddr>,
+    ) -> Result<Connection, WireError> {
         let io_error = |err: std::io::Error| WireError::Stream(err.to_string());
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, connect(addr, local_ip)).await;
         let io = connect.map_err(|_| WireError::Stream("connect timed out".to_owned()))?;
         let io = io.map_err(io_error)?;
         io.set_nodelay(true).map_err(io_error)?;
@@ -46,7 +49,7 @@
         tokio::spawn(async move {
             let silence = async {
                 match pings {
-                    Some(pings) => watched.silence(pings).await,
+                    Some(pings) => watched.until_unusable(pings).await,
                     None => std::future::pending().await,
                 }
             };
@@ -55,9 +58,9 @@
                     Ok(()) => "connection closed".to_owned(),
                     Err(err) => err.to_string(),
                 },
-                () = silence => {
-                    log::warn!("connection went silent peer={addr}");
-                    "connection went silent".to_owned()
+                unusable = silence => {
+                    log::log!(unusable.log_level(), "connection closed peer={addr} reason={unusable:?}");
+                    format!("connection was {unusable:?}").to_lowercase()
                 }
             };
             let _ = tx.send(Some(reason));
@@ -85,3 +88,11 @@
         WireError::Stream(reason)
     }
 }
+
+async fn connect(addr: SocketAddr, local_ip: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(ip) = local_ip.filter(|it| it.is_ipv4() == addr.is_ipv4()) {
+        socket.bind(SocketAddr::new(ip, 0))?;
+    }
+    socket.connect(addr).await
+}
--- a/crates/pollenlever/src/peer/liveness.rs
+++ b/crates/pollenlever/src/peer/liveness.rs
@@ -12,9 +12,32 @@
 const PING_AFTER: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a ping.
 const PONG_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without work and signs of life after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Stands for a connection on which no stream waits.
+const NOT_WAITING: u64 = u64::MAX;
 /// Interval at which connections are checked for silence.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Why a connection is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Unusable {
+    /// It had work but no sign of life from the peer.
+    Silent,
+    /// It had no work for long.
+    Idle,
+}
+
+impl Unusable {
+    /// Level at which the end of the connection is logged.
+    pub(super) fn log_level(self) -> log::Level {
+        match self {
+            Unusable::Silent => log::Level::Warn,
+            Unusable::Idle => log::Level::Debug,
+        }
+    }
+}
+
 /// When a connection last carried something from its peer, and how much work waits on it.
 #[derive(Debug, Clone)]
 pub(super) struct Liveness {
@@ -24,7 +47,9 @@
 #[derive(Debug)]
 struct State {
     start: Instant,
-    last_sign_ms: AtomicU64,
+    last_read_ms: AtomicU64,
+    /// Since when a stream has waited for a sign of life; [`NOT_WAITING`] if none does.
+    waiting_since_ms: AtomicU64,
     streams: AtomicUsize,
 }
 
@@ -36,16 +61,20 @@
 
 impl Liveness {
     pub(super) fn new() -> Liveness {
-        let last_sign_ms = AtomicU64::new(0);
-        let streams = AtomicUsize::new(0);
-        Liveness { state: Arc::new(State { start: Instant::now(), last_sign_ms, streams }) }
+        let state = State {
+            start: Instant::now(),
+            last_read_ms: AtomicU64::new(0),
+            waiting_since_ms: AtomicU64::new(NOT_WAITING),
+            streams: AtomicUsize::new(0),
+        };
+        Liveness { state: Arc::new(state) }
     }
 
-    /// Counts a stream; the clock of silence starts with the first.
+    /// Counts a stream. The clock of silence starts unless it runs already; only a sign of life
+    /// stops it, not the end of the stream.
     pub(super) fn open_stream(&self) -> StreamGuard {
-        if self.state.streams.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.state.touch();
-        }
+        self.state.streams.fetch_add(1, Ordering::Relaxed);
+        self.state.start_waiting();
         StreamGuard { state: Arc::clone(&self.state) }
     }
 
@@ -54,33 +83,59 @@
         WatchedIo { io, state: Arc::clone(&self.state) }
     }
 
-    /// Resolves once the connection has work but no sign of life and no answer to a ping.
-    pub(super) async fn silence(&self, mut pings: PingPong) {
+    /// Resolves once the connection has work but no sign of life and no answer to a ping, or once
+    /// it has had no work for long.
+    pub(super) async fn until_unusable(&self, mut pings: PingPong) -> Unusable {
         loop {
             tokio::time::sleep(CHECK_INTERVAL).await;
-            if self.state.streams.load(Ordering::Relaxed) == 0 {
-                continue;
+            if self.state.has_streams() {
+                self.state.start_waiting();
             }
-            if self.state.since_sign() < PING_AFTER {
-                continue;
+            match self.state.waiting() {
+                Some(waiting) if waiting >= PING_AFTER => {}
+                Some(_) => continue,
+                None if self.state.since_read() > IDLE_TIMEOUT => return Unusable::Idle,
+                None => continue,
             }
             let pong = pings.ping(h2::Ping::opaque());
             match tokio::time::timeout(PONG_TIMEOUT, pong).await {
-                Ok(Ok(_)) => self.state.touch(),
-                Ok(Err(_)) | Err(_) => return,
+                Ok(Ok(_)) => self.state.note_sign(),
+                Ok(Err(_)) | Err(_) => return Unusable::Silent,
             }
         }
     }
 }
 
 impl State {
-    fn touch(&self) {
-        self.last_sign_ms.store(self.start.elapsed().as_millis() as u64, Ordering::Relaxed);
+    fn now_ms(&self) -> u64 {
+        self.start.elapsed().as_millis() as u64
+    }
+
+    fn has_streams(&self) -> bool {
+        self.streams.load(Ordering::Relaxed) > 0
+    }
+
+    fn start_waiting(&self) {
+        let now = self.now_ms();
+        let order = Ordering::Relaxed;
+        let _ = self.waiting_since_ms.compare_exchange(NOT_WAITING, now, order, order);
+    }
+
+    fn note_sign(&self) {
+        let now = self.now_ms();
+        self.last_read_ms.store(now, Ordering::Relaxed);
+        let waiting_since = if self.has_streams() { now } else { NOT_WAITING };
+        self.waiting_since_ms.store(waiting_since, Ordering::Relaxed);
+    }
+
+    fn waiting(&self) -> Option<Duration> {
+        let since = self.waiting_since_ms.load(Ordering::Relaxed);
+        (since != NOT_WAITING).then(|| Duration::from_millis(self.now_ms().saturating_sub(since)))
     }
 
-    fn since_sign(&self) -> Duration {
-        let last_sign = Duration::from_millis(self.last_sign_ms.load(Ordering::Relaxed));
-        self.start.elapsed().saturating_sub(last_sign)
+    fn since_read(&self) -> Duration {
+        let last_read = self.last_read_ms.load(Ordering::Relaxed);
+        Duration::from_millis(self.now_ms().saturating_sub(last_read))
     }
 }
 
@@ -106,7 +161,7 @@
         let before = buf.filled().len();
         let res = Pin::new(&mut self.io).poll_read(cx, buf);
         if buf.filled().len() > before {
-            self.state.touch();
+            self.state.note_sign();
         }
         res
     }
--- a/crates/pollenlever/src/peer/peer_client.rs
+++ b/crates/pollenlever/src/peer/peer_client.rs
@@ -1,7 +1,9 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use h2::client::SendRequest;
 use http::Request;
 use pollenlever_core::id::NodeId;
 use pollenlever_core::message::{PROTOCOL_VERSION, PeerReply, PeerRequest};
@@ -9,27 +11,32 @@
 use tokio::runtime::Handle;
 use tokio::task::JoinHandle;
 
+use super::connection::Connection;
 use super::message_io::{recv_message, send_message, stream_error};
 use super::pool::Pool;
-use super::{PeerError, PeerFuture, PeerSender, RequestFrame, WireError};
+use super::{PeerError, PeerFuture, PeerOptions, PeerSender, RequestFrame, WireError};
 use super::{decode_reply, encode_request};
 
 /// Sends requests to peers, one stream each, over pooled connections.
 #[derive(Debug, Clone)]
 pub struct PeerClient {
     me: NodeId,
-    max_body_bytes: usize,
+    options: PeerOptions,
     pool: Arc<Pool>,
     runtime: Handle,
 }
 
+/// Connections that are tried before a request fails untouched.
+const CONNECTION_TRIES: usize = 2;
+
 /// A failure with how far the request got.
 type Failed = (SendFailure, WireError);
 
 impl PeerClient {
     /// Client of the node `me` whose connections are driven by `runtime`.
-    pub fn new(me: NodeId, max_body_bytes: usize, runtime: Handle) -> PeerClient {
-        PeerClient { me, max_body_bytes, pool: Arc::default(), runtime }
+    pub fn new(me: NodeId, options: PeerOptions, runtime: Handle) -> PeerClient {
+        let pool = Arc::new(Pool::new(options.local_ip));
+        PeerClient { me, options, pool, runtime }
     }
 
     /// Sends `req` and waits for the reply. Dropping the future resets the stream.
@@ -57,23 +64,38 @@
         let frame =
             RequestFrame { version: PROTOCOL_VERSION, from: self.me, to: to.incarnation, request };
         let head = encode_request(&frame).map_err(untouched)?;
-        let connection = self.pool.connection(to.addr).await.map_err(untouched)?;
+        let (connection, streams) = self.ready_connection(to.addr).await.map_err(untouched)?;
         let _work = connection.open_stream();
-        let streams = tokio::select! {
-            ready = connection.streams.clone().ready() => {
-                ready.map_err(|err| untouched(stream_error(err)))?
-            }
-            err = connection.ended() => return Err(untouched(err)),
-        };
         tokio::select! {
             res = self.exchange_on(streams, &head, body) => res,
             err = connection.ended() => Err((SendFailure::Lost, err)),
         }
     }
 
+    /// A connection on which a stream can be opened. A pooled one that turns out to be closing is
+    /// replaced once; nothing was sent on it.
+    async fn ready_connection(
+        &self,
+        addr: SocketAddr,
+    ) -> Result<(Connection, SendRequest<Bytes>), WireError> {
+        let mut last_err = None;
+        for _ in 0..CONNECTION_TRIES {
+            let connection = self.pool.connection(addr).await?;
+            let _work = connection.open_stream();
+            tokio::select! {
+                ready = connection.streams.clone().ready() => match ready {
+                    Ok(streams) => return Ok((connection, streams)),
+                    Err(err) => last_err = Some(stream_error(err)),
+                },
+                err = connection.ended() => last_err = Some(err),
+            }
+        }
+        Err(last_err.unwrap_or_else(|| WireError::Stream("no connection".to_owned())))
+    }
+
     async fn exchange_on(
         &self,
-        mut streams: h2::client::SendRequest<Bytes>,
+        mut streams: SendRequest<Bytes>,
         head: &Bytes,
         body: Bytes,
     ) -> Result<(PeerReply, Bytes), Failed> {
@@ -89,7 +111,8 @@
             Err(err) => return Err(lost(sent.err().unwrap_or(stream_error(err)))),
         };
         let mut reply = response.into_body();
-        let (head, body) = recv_message(&mut reply, self.max_body_bytes).await.map_err(lost)?;
+        let (head, body) =
+            recv_message(&mut reply, self.options.max_body_bytes).await.map_err(lost)?;
         let frame = decode_reply(&head).map_err(lost)?;
         Ok((frame.reply, body))
     }
--- /dev/null
+++ b/crates/pollenlever/src/peer/peer_options.rs
@@ -0,0 +1,22 @@
+use std::net::IpAddr;
+
+/// Options of the streams to other nodes.
+///
+/// ```
+/// use pollenlever::peer::PeerOptions;
+/// let options = PeerOptions { max_body_bytes: 1 << 10, ..PeerOptions::default() };
+/// assert_eq!(options.local_ip, None);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerOptions {
+    /// Address from which connections are opened; chosen by the system if absent.
+    pub local_ip: Option<IpAddr>,
+    /// Largest body of a request or a reply.
+    pub max_body_bytes: usize,
+}
+
+impl Default for PeerOptions {
+    fn default() -> PeerOptions {
+        PeerOptions { local_ip: None, max_body_bytes: 2 << 20 }
+    }
+}
--- a/crates/pollenlever/src/peer/peer_server.rs
+++ b/crates/pollenlever/src/peer/peer_server.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 use super::liveness::Liveness;
 use super::serve_stream::serve_stream;
 use crate::control::BoxControl;
-use crate::node::Waiters;
+use crate::node::{OpenWork, Waiters};
 use crate::ring::Ring;
 
 /// Streams that a peer may have open on one connection.
@@ -27,6 +28,8 @@
     pub events: Ring<Event>,
     /// Streams that wait for a reply of the policy.
     pub streams: Arc<Waiters<(PeerReply, Bytes)>>,
+    /// Replies that are not yet written.
+    pub open_work: OpenWork,
     /// Takes gossip and configuration.
     pub control: BoxControl,
 }
@@ -39,7 +42,7 @@
                 Ok((io, peer)) => {
                     let server = Arc::clone(&self);
                     tokio::spawn(async move {
-                        if let Err(err) = server.serve_connection(io).await {
+                        if let Err(err) = server.serve_connection(io, peer).await {
                             log::warn!(
                                 "connection of a peer failed peer={peer} reason={:?}",
                                 err.to_string()
@@ -55,7 +58,11 @@
         }
     }
 
-    async fn serve_connection(self: Arc<PeerServer>, io: TcpStream) -> Result<(), h2::Error> {
+    async fn serve_connection(
+        self: Arc<PeerServer>,
+        io: TcpStream,
+        peer: SocketAddr,
+    ) -> Result<(), h2::Error> {
         let _ = io.set_nodelay(true);
         let liveness = Liveness::new();
         let handshake = server::Builder::new()
@@ -67,7 +74,7 @@
         let pings = connection.ping_pong();
         let silence = async {
             match pings {
-                Some(pings) => liveness.silence(pings).await,
+                Some(pings) => liveness.until_unusable(pings).await,
                 None => std::future::pending().await,
             }
         };
@@ -75,13 +82,18 @@
         loop {
             let accepted = tokio::select! {
                 accepted = connection.accept() => accepted,
-                () = &mut silence => return Ok(()),
+                unusable = &mut silence => {
+                    log::log!(unusable.log_level(), "connection closed peer={peer} reason={unusable:?}");
+                    return Ok(());
+                }
             };
             let Some(accepted) = accepted else { return Ok(()) };
             let (req, respond) = accepted?;
             let work = liveness.open_stream();
             let server = Arc::clone(&self);
+            let open = self.open_work.enter();
             tokio::spawn(async move {
+                let _open = open;
                 serve_stream(&server, req, respond).await;
                 drop(work);
             });
--- a/crates/pollenlever/src/peer/pool.rs
+++ b/crates/pollenlever/src/peer/pool.rs
@@ -1,5 +1,5 @@
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
@@ -11,6 +11,7 @@
 /// Open connections by address of the peer.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
+    local_ip: Option<IpAddr>,
     slots: Mutex<HashMap<SocketAddr, Arc<Slot>>>,
 }
 
@@ -26,6 +27,10 @@
 }
 
 impl Pool {
+    pub(super) fn new(local_ip: Option<IpAddr>) -> Pool {
+        Pool { local_ip, ..Pool::default() }
+    }
+
     /// The open connection to `addr`, or a new one. Callers that wait together share one attempt.
     pub(super) async fn connection(&self, addr: SocketAddr) -> Result<Connection, WireError> {
         let asked_at = Instant::now();
@@ -39,7 +44,7 @@
         {
             return Err(err.clone());
         }
-        match Connection::open(addr).await {
+        match Connection::open(addr, self.local_ip).await {
             Ok(connection) => {
                 state.connection = Some(connection.clone());
                 Ok(connection)
