Decide as entry, origin, home and gate: first whole version

Cause: the daemon needs the real policy to switch to. Ruled out: one budget copied down the chain, which multiplies at each fan-out. Change: node::Node with chain ledger, key mint, home table, seal table, suspicion.

--- /dev/null
+++ b/crates/pollenlever-core/src/node/forwards.rs
@@ -0,0 +1,77 @@
+use bytes::Bytes;
+
+use super::cx::Cx;
+use super::exchange::Exchange;
+use super::node::Node;
+use super::open_call::CallStage;
+use super::request::Request;
+use crate::answer::{Answer, ErrorKind};
+use crate::id::{CallId, RequestKey, StreamId};
+use crate::message::{ForwardHead, PeerReply, PeerRequest};
+use crate::once::Waiter;
+use crate::policy::Action;
+
+/// Keyed requests between the entry and the home.
+impl Node {
+    /// Takes a keyed call to its home.
+    pub(super) fn forward(&mut self, cx: &mut Cx<'_>, id: CallId, key: RequestKey, req: &Request) {
+        let head = PeerRequest::Forward(req.forward_head(cx.now, key));
+        let exchange = self.send(cx, Exchange::Forward(id), key.home, head, req.body.clone());
+        self.set_call_stage(id, CallStage::Forwarded(exchange));
+    }
+
+    pub(super) fn on_forward_reply(
+        &mut self,
+        cx: &mut Cx<'_>,
+        id: CallId,
+        reply: PeerReply,
+        body: Bytes,
+    ) {
+        match reply {
+            PeerReply::Forward(answer) => self.answer_call(cx, id, answer, body),
+            _ => self.on_forward_failed(cx, id),
+        }
+    }
+
+    /// An earlier send of the same request may have reached the home, so the outcome is unknown
+    /// even if this one has not.
+    pub(super) fn on_forward_failed(&mut self, cx: &mut Cx<'_>, id: CallId) {
+        let answer = Answer::from_error(ErrorKind::HomeGone, None);
+        self.answer_call(cx, id, answer, Bytes::new());
+    }
+
+    /// Decides as home about a request that another entry forwards.
+    pub(super) fn on_forward(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+        head: ForwardHead,
+        body: Bytes,
+    ) {
+        let cfg = self.services.get(&head.service);
+        let kind = cfg.and_then(|it| it.kind_of(&head.method, &head.path).ok());
+        let Some(kind) = kind else {
+            return cx.reply(stream, PeerReply::Refused(ErrorKind::NoConfiguration));
+        };
+        let key = head.key;
+        let req = Request::from_forward(cx.now, head, kind, body);
+        self.forwards.insert(stream, key);
+        self.decide(cx, Waiter::Stream(stream), key, req);
+    }
+
+    pub(super) fn answer_waiter(
+        &mut self,
+        cx: &mut Cx<'_>,
+        waiter: Waiter,
+        answer: Answer,
+        body: Bytes,
+    ) {
+        match waiter {
+            Waiter::Call(id) => self.answer_call(cx, id, answer, body),
+            Waiter::Stream(stream) => {
+                self.forwards.remove(&stream);
+                cx.push(Action::Reply(stream, PeerReply::Forward(answer), body));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/node/gates.rs
@@ -0,0 +1,323 @@
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use super::cx::Cx;
+use super::gate_attempt::{GateAttempt, GateStage};
+use super::node::{Node, TargetStage};
+use crate::Timestamp;
+use crate::admission::{RunOutcome, Ticket, Verdict};
+use crate::answer::{Answer, ErrorKind};
+use crate::id::{AttemptId, RunId, StreamId};
+use crate::message::{AttemptHead, GateLoad, PeerReply};
+use crate::once::{Fate, Waiter};
+use crate::policy::{Action, RunResult};
+
+/// Status by which a target says that it sheds a request itself.
+const SHED_STATUSES: [u16; 2] = [429, 503];
+
+/// Gate: attempts for the target beside this node.
+impl Node {
+    pub(super) fn on_attempt(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+        head: AttemptHead,
+        body: Bytes,
+    ) {
+        if let Err(fate) = self.seals.begin(head.id) {
+            return self.repeat_fate(cx, stream, fate);
+        }
+        let id = head.id;
+        let deadline = cx.now + head.time_left;
+        let attempt = GateAttempt {
+            head,
+            body,
+            deadline,
+            stage: GateStage::Queued,
+            reply_wanted: true,
+            children: BTreeSet::new(),
+            open_calls: BTreeSet::new(),
+        };
+        let refusal = self.refusal(cx.now, &attempt);
+        self.streams.insert(stream, attempt);
+        self.attempts.insert(id, stream);
+        match refusal {
+            Some(err) => self.refuse_attempt(cx, stream, err, None),
+            None => self.queue_attempt(cx, stream),
+        }
+    }
+
+    /// Answers an attempt that was seen or sealed before; it is not started.
+    fn repeat_fate(&mut self, cx: &mut Cx<'_>, stream: StreamId, fate: Fate) {
+        let (answer, body) = match fate {
+            Fate::Sealed(err) => (Answer::from_error(err, None), Bytes::new()),
+            Fate::Ended(answer, body) => (answer, body),
+            Fate::Waiting | Fate::Running | Fate::Lost => {
+                (Answer::from_error(ErrorKind::OutcomeUnknown, None), Bytes::new())
+            }
+        };
+        let load = self.gate_load(cx.now, 0);
+        cx.push(Action::Reply(stream, PeerReply::Attempt(answer, load), body));
+    }
+
+    /// Why an attempt gets no place at the gate.
+    fn refusal(&self, now: Timestamp, attempt: &GateAttempt) -> Option<ErrorKind> {
+        if self.leaving || self.target == TargetStage::Leaving {
+            return Some(ErrorKind::Leaving);
+        }
+        if self.target == TargetStage::Gone {
+            return Some(ErrorKind::TargetUnreachable);
+        }
+        if attempt.deadline <= now {
+            return Some(ErrorKind::DeadlineTooShort);
+        }
+        let max_crashes = self.max_crashes_of(&attempt.head);
+        let crashes = self.suspicion.crashes(attempt.head.digest).max(attempt.head.crashes);
+        (crashes >= max_crashes).then_some(ErrorKind::Suspect)
+    }
+
+    fn queue_attempt(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        if self.park_suspect(cx, stream) {
+            return;
+        }
+        self.offer(cx, stream);
+    }
+
+    pub(super) fn offer(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        let Some(attempt) = self.streams.get_mut(&stream) else { return };
+        attempt.stage = GateStage::Queued;
+        let ticket = Ticket {
+            id: stream,
+            service: attempt.head.service.clone(),
+            importance: attempt.head.importance,
+            chain: attempt.head.chain,
+            depth: attempt.head.depth,
+            customer: attempt.head.customer.clone(),
+            deadline: attempt.deadline,
+        };
+        let mut verdicts = Vec::new();
+        self.admission.offer(cx.now, ticket, &mut verdicts);
+        self.apply(cx, verdicts);
+    }
+
+    /// Carries out verdicts of admission, and those that follow from them.
+    fn apply(&mut self, cx: &mut Cx<'_>, verdicts: Vec<Verdict>) {
+        let mut queue = VecDeque::from(verdicts);
+        while let Some(verdict) = queue.pop_front() {
+            match verdict {
+                Verdict::Run(stream) if self.is_startable(cx.now, stream) => self.start(cx, stream),
+                Verdict::Run(stream) => {
+                    let mut more = Vec::new();
+                    let cancelled = RunOutcome::Cancelled;
+                    self.admission.finished(cx.now, stream, Duration::ZERO, cancelled, &mut more);
+                    queue.extend(more);
+                    self.refuse_attempt(cx, stream, ErrorKind::DeadlineTooShort, None);
+                }
+                Verdict::Shed { id, error, retry_after } => {
+                    self.refuse_attempt(cx, id, error, Some(retry_after));
+                }
+            }
+        }
+    }
+
+    fn is_startable(&self, now: Timestamp, stream: StreamId) -> bool {
+        self.streams.get(&stream).is_some_and(|it| now < it.deadline)
+    }
+
+    fn start(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        let run = self.draw_id();
+        let Some(attempt) = self.streams.get_mut(&stream) else { return };
+        attempt.stage = GateStage::Running { run, started: cx.now };
+        let head = &attempt.head;
+        self.seals.set(head.id, Fate::Running);
+        self.runs.insert(run, stream);
+        cx.push(Action::Run {
+            run,
+            attempt: head.id,
+            method: head.method.clone(),
+            path: head.path.clone(),
+            headers: head.headers.clone(),
+            body: attempt.body.clone(),
+            time_left: attempt.deadline.saturating_sub(cx.now),
+        });
+    }
+
+    pub(super) fn on_run_ended(&mut self, cx: &mut Cx<'_>, run: RunId, result: RunResult) {
+        let Some(stream) = self.runs.remove(&run) else { return };
+        let Some(attempt) = self.streams.get(&stream) else { return };
+        let digest = attempt.head.digest;
+        let GateStage::Running { started, .. } = attempt.stage else { return };
+        let outcome = outcome_of(&result);
+        let service_time = cx.now.saturating_sub(started);
+        match result {
+            RunResult::Answered { status, headers, body } => {
+                self.suspicion.clear(digest);
+                self.end_run(cx, stream, Answer::ran(status, headers), body);
+            }
+            RunResult::Unreachable => {
+                self.refuse_attempt(cx, stream, ErrorKind::TargetUnreachable, None);
+            }
+            RunResult::Crashed => {
+                self.blame(cx, stream);
+                self.fail_run(cx, stream, ErrorKind::TargetCrashed);
+            }
+            RunResult::Cut | RunResult::TooLarge => {
+                self.fail_run(cx, stream, ErrorKind::AnswerCut);
+            }
+            RunResult::TimedOut => self.fail_run(cx, stream, ErrorKind::DeadlinePassed),
+        }
+        self.free_slot(cx, stream, service_time, outcome);
+    }
+
+    fn free_slot(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+        service_time: Duration,
+        outcome: RunOutcome,
+    ) {
+        let mut verdicts = Vec::new();
+        self.admission.finished(cx.now, stream, service_time, outcome, &mut verdicts);
+        self.apply(cx, verdicts);
+    }
+
+    fn fail_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, err: ErrorKind) {
+        self.end_run(cx, stream, Answer::from_error(err, None), Bytes::new());
+    }
+
+    /// Ends an attempt that was handed to the target.
+    fn end_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, answer: Answer, body: Bytes) {
+        let Some(attempt) = self.remove_attempt(cx, stream) else { return };
+        if attempt.head.key.is_some() {
+            self.seals.keep_answer(attempt.head.id, answer.clone(), body.clone());
+        } else {
+            self.seals.set(attempt.head.id, Fate::Lost);
+        }
+        self.reply_attempt(cx, stream, &attempt, answer, body);
+    }
+
+    /// Seals an attempt that has not run and says so.
+    pub(super) fn refuse_attempt(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+        err: ErrorKind,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(attempt) = self.remove_attempt(cx, stream) else { return };
+        self.seals.set(attempt.head.id, Fate::Sealed(err));
+        let answer = Answer::from_error(err, retry_after);
+        self.reply_attempt(cx, stream, &attempt, answer, Bytes::new());
+    }
+
+    fn reply_attempt(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+        attempt: &GateAttempt,
+        answer: Answer,
+        body: Bytes,
+    ) {
+        if attempt.reply_wanted {
+            let load = self.gate_load(cx.now, self.suspicion.crashes(attempt.head.digest));
+            cx.push(Action::Reply(stream, PeerReply::Attempt(answer, load), body));
+        }
+    }
+
+    fn gate_load(&self, now: Timestamp, crashes: u32) -> GateLoad {
+        let leaving = self.leaving || self.target == TargetStage::Leaving;
+        GateLoad { leaving, crashes, ..self.admission.load(now) }
+    }
+
+    /// Forgets an attempt and gives up on the calls that its target made inside it.
+    fn remove_attempt(&mut self, cx: &mut Cx<'_>, stream: StreamId) -> Option<GateAttempt> {
+        let attempt = self.streams.remove(&stream)?;
+        self.attempts.remove(&attempt.head.id);
+        self.parked.remove(&stream);
+        for &call in &attempt.open_calls {
+            self.on_call_deadline(cx, call);
+        }
+        if self.lone_suspect == Some(stream) {
+            self.lone_suspect = None;
+            self.release_suspect(cx);
+        }
+        Some(attempt)
+    }
+
+    pub(super) fn on_request_cancelled(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        if let Some(key) = self.forwards.remove(&stream) {
+            return self.remove_waiter(key, Waiter::Stream(stream));
+        }
+        let Some(attempt) = self.streams.get_mut(&stream) else { return };
+        attempt.reply_wanted = false;
+        let is_once = attempt.head.key.is_some();
+        match attempt.stage {
+            GateStage::Parked | GateStage::Queued => self.refuse_queued(cx, stream),
+            GateStage::Running { run, started } if !is_once => {
+                self.cancel_run(cx, stream, run, started);
+            }
+            GateStage::Running { .. } => {}
+        }
+    }
+
+    fn cancel_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, run: RunId, started: Timestamp) {
+        self.runs.remove(&run);
+        cx.push(Action::CancelRun(run));
+        self.fail_run(cx, stream, ErrorKind::Cancelled);
+        let service_time = cx.now.saturating_sub(started);
+        self.free_slot(cx, stream, service_time, RunOutcome::Cancelled);
+    }
+
+    /// Refuses an attempt that waits, if it still does.
+    pub(super) fn refuse_waiting(&mut self, cx: &mut Cx<'_>, id: AttemptId) {
+        let Some(&stream) = self.attempts.get(&id) else { return };
+        let waits = self.streams.get(&stream).is_some_and(|it| !it.is_running());
+        if waits {
+            self.refuse_queued(cx, stream);
+        }
+    }
+
+    fn refuse_queued(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        self.admission.remove(cx.now, stream);
+        self.refuse_attempt(cx, stream, ErrorKind::Overloaded, None);
+    }
+
+    /// Refuses what still waits at a gate whose target is leaving.
+    pub(super) fn refuse_queue(&mut self, cx: &mut Cx<'_>) {
+        if !self.leaving && self.target != TargetStage::Leaving {
+            return;
+        }
+        let waiting = self.streams.iter().filter(|(_, it)| !it.is_running());
+        let waiting: Vec<StreamId> = waiting.map(|(stream, _)| *stream).collect();
+        for stream in waiting {
+            self.admission.remove(cx.now, stream);
+            self.refuse_attempt(cx, stream, ErrorKind::Leaving, None);
+        }
+    }
+
+    pub(super) fn on_parked_deadline(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
+        if self.parked.contains(&stream) {
+            self.refuse_attempt(cx, stream, ErrorKind::DeadlineTooShort, None);
+        }
+    }
+
+    pub(super) fn tick_admission(&mut self, cx: &mut Cx<'_>) {
+        if self.admission.next_wakeup().is_some_and(|at| at <= cx.now) {
+            let mut verdicts = Vec::new();
+            self.admission.tick(cx.now, &mut verdicts);
+            self.apply(cx, verdicts);
+        }
+    }
+}
+
+fn outcome_of(result: &RunResult) -> RunOutcome {
+    match result {
+        RunResult::Answered { status, .. } if SHED_STATUSES.contains(status) => {
+            RunOutcome::ShedByTarget
+        }
+        RunResult::Answered { .. } => RunOutcome::Answered,
+        _ => RunOutcome::Failed,
+    }
+}
--- a/crates/pollenlever-core/src/node/mod.rs
+++ b/crates/pollenlever-core/src/node/mod.rs
@@ -1,1 +1,24 @@
-//! The node's policy, composed of the other modules.
+//! The policy of a node: entry, origin, home and gate in one state machine.
+
+mod attempts;
+mod calls;
+mod cx;
+mod delivery;
+mod exchange;
+mod forwards;
+mod gate_attempt;
+mod gates;
+mod grants;
+mod homes;
+mod lineage;
+mod node;
+mod node_settings;
+mod open_call;
+mod request;
+mod seals;
+mod suspects;
+mod suspicion_table;
+mod timers;
+
+pub use node::Node;
+pub use node_settings::NodeSettings;
--- /dev/null
+++ b/crates/pollenlever-core/src/node/request.rs
@@ -0,0 +1,120 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::Timestamp;
+use crate::config::{Importance, RequestKind};
+use crate::id::{AttemptId, ChainId, ContentDigest, CustomerId, KindName, RequestKey, ServiceName};
+use crate::message::{AttemptHead, ForwardHead};
+use crate::policy::Call;
+
+/// A request with what its kind and its chain say about it.
+#[derive(Debug, Clone)]
+pub(super) struct Request {
+    pub(super) chain: ChainId,
+    pub(super) key: Option<RequestKey>,
+    pub(super) service: ServiceName,
+    pub(super) kind: KindName,
+    pub(super) method: String,
+    pub(super) path: String,
+    pub(super) headers: Vec<(String, String)>,
+    pub(super) body: Bytes,
+    pub(super) customer: CustomerId,
+    pub(super) importance: Importance,
+    pub(super) depth: u8,
+    pub(super) deadline: Timestamp,
+    pub(super) digest: ContentDigest,
+    pub(super) max_crashes: u32,
+}
+
+impl Request {
+    /// The request of a forwarded head.
+    pub(super) fn from_forward(
+        now: Timestamp,
+        head: ForwardHead,
+        kind: &RequestKind,
+        body: Bytes,
+    ) -> Request {
+        Request {
+            chain: head.chain,
+            key: Some(head.key),
+            service: head.service,
+            kind: kind.name.clone(),
+            method: head.method,
+            path: head.path,
+            headers: head.headers,
+            body,
+            customer: head.customer,
+            importance: head.importance,
+            depth: head.depth,
+            deadline: now + head.time_left,
+            digest: head.digest,
+            max_crashes: kind.max_crashes,
+        }
+    }
+
+    /// Head of an attempt to run the request.
+    pub(super) fn attempt_head(
+        &self,
+        now: Timestamp,
+        id: AttemptId,
+        is_retry: bool,
+        crashes: u32,
+    ) -> AttemptHead {
+        AttemptHead {
+            id,
+            chain: self.chain,
+            key: self.key,
+            service: self.service.clone(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            customer: self.customer.clone(),
+            importance: self.importance,
+            depth: self.depth,
+            time_left: self.time_left(now),
+            digest: self.digest,
+            is_retry,
+            crashes,
+        }
+    }
+
+    /// Head that takes the request to the home of its key.
+    pub(super) fn forward_head(&self, now: Timestamp, key: RequestKey) -> ForwardHead {
+        ForwardHead {
+            key,
+            chain: self.chain,
+            service: self.service.clone(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            customer: self.customer.clone(),
+            importance: self.importance,
+            depth: self.depth,
+            time_left: self.time_left(now),
+            digest: self.digest,
+        }
+    }
+
+    pub(super) fn time_left(&self, now: Timestamp) -> Duration {
+        self.deadline.saturating_sub(now)
+    }
+}
+
+/// Hash of customer, service, method, path and body of a call.
+pub(super) fn content_digest(call: &Call) -> ContentDigest {
+    let mut hasher = Xxh3::new();
+    let parts = [
+        call.customer.as_bytes(),
+        call.service.as_bytes(),
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ];
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/node/suspicion_table.rs
@@ -0,0 +1,60 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::Timestamp;
+use crate::id::ContentDigest;
+use crate::message::Suspicion;
+
+/// Crashes of targets, counted against the requests that were in flight.
+#[derive(Debug)]
+pub(super) struct SuspicionTable {
+    ttl: Duration,
+    capacity: usize,
+    counts: BTreeMap<ContentDigest, (u32, Timestamp)>,
+    order: BTreeSet<(Timestamp, ContentDigest)>,
+}
+
+impl SuspicionTable {
+    pub(super) fn new(ttl: Duration, capacity: usize) -> SuspicionTable {
+        SuspicionTable { ttl, capacity, counts: BTreeMap::new(), order: BTreeSet::new() }
+    }
+
+    /// Crashes counted against a request.
+    pub(super) fn crashes(&self, digest: ContentDigest) -> u32 {
+        self.counts.get(&digest).map_or(0, |(crashes, _)| *crashes)
+    }
+
+    /// Raises the count to that of a peer. Returns whether it was news.
+    pub(super) fn raise(&mut self, now: Timestamp, news: Suspicion) -> bool {
+        let known = self.crashes(news.digest);
+        if news.crashes <= known {
+            return false;
+        }
+        self.clear(news.digest);
+        if self.counts.len() >= self.capacity
+            && let Some((_, oldest)) = self.order.pop_first()
+        {
+            self.counts.remove(&oldest);
+        }
+        self.counts.insert(news.digest, (news.crashes, now));
+        self.order.insert((now, news.digest));
+        true
+    }
+
+    /// Forgets the crashes of a request that has run.
+    pub(super) fn clear(&mut self, digest: ContentDigest) {
+        if let Some((_, noted)) = self.counts.remove(&digest) {
+            self.order.remove(&(noted, digest));
+        }
+    }
+
+    /// Forgets crashes that are older than the time to live.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        while let Some(&(noted, digest)) = self.order.first() {
+            if noted + self.ttl > now {
+                break;
+            }
+            self.clear(digest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/once/home_table.rs
@@ -0,0 +1,57 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::HomeRecord;
+use super::RecordState;
+use crate::Timestamp;
+use crate::id::{RequestKey, ServiceName};
+
+/// The keyed requests whose home is this node.
+///
+/// A record that is dropped raises the watermark of its service: keys minted at or before it that
+/// have no record are refused, so a longer retention time never revives a dropped key.
+#[derive(Debug, Default)]
+pub(crate) struct HomeTable {
+    records: BTreeMap<RequestKey, HomeRecord>,
+    expiries: BTreeSet<(Timestamp, RequestKey)>,
+    dropped_ms: BTreeMap<ServiceName, u64>,
+}
+
+impl HomeTable {
+    /// The record of a key.
+    pub(crate) fn get_mut(&mut self, key: RequestKey) -> Option<&mut HomeRecord> {
+        self.records.get_mut(&key)
+    }
+
+    /// Adds the record of a key that has none.
+    pub(crate) fn insert(&mut self, key: RequestKey, record: HomeRecord) {
+        self.expiries.insert((record.expires, key));
+        self.records.insert(key, record);
+    }
+
+    /// Whether a record as old as the key was dropped for the service.
+    pub(crate) fn is_dropped(&self, service: &ServiceName, key: RequestKey) -> bool {
+        self.dropped_ms.get(service).is_some_and(|it| key.minted_ms <= *it)
+    }
+
+    /// Drops ended records that have expired.
+    pub(crate) fn expire(&mut self, now: Timestamp, retry_at: Timestamp) {
+        while let Some(&(at, key)) = self.expiries.first() {
+            if at > now {
+                break;
+            }
+            self.expiries.pop_first();
+            self.drop_ended(key, retry_at);
+        }
+    }
+
+    fn drop_ended(&mut self, key: RequestKey, retry_at: Timestamp) {
+        let Some(record) = self.records.get(&key) else { return };
+        if matches!(record.state, RecordState::Running) {
+            self.expiries.insert((retry_at, key));
+            return;
+        }
+        let watermark = self.dropped_ms.entry(record.service.clone()).or_default();
+        *watermark = key.minted_ms.max(*watermark);
+        self.records.remove(&key);
+    }
+}
