--- a/crates/pollenlever-core/src/node/node.rs
+++ b/crates/pollenlever-core/src/node/node.rs
@@ -77,6 +77,23 @@
 
 impl Node {
     /// The policy of the node `me`, which stands in `region` and `zone`.
+    ///
+    /// ```
+    /// use pollenlever_core::admission::FifoAdmission;
+    /// use pollenlever_core::node::{Node, NodeSettings};
+    /// use pollenlever_core::policy::{Action, Event, Policy};
+    /// use pollenlever_core::routing::RoundRobin;
+    ///
+    /// let me = "127.0.0.1:7101@1f".parse().unwrap();
+    /// let cfg = NodeSettings { seed: 7, ..NodeSettings::default() };
+    /// let admission = Box::new(FifoAdmission::default());
+    /// let routing = Box::new(RoundRobin::default());
+    /// let mut node = Node::new(me, "veneto".into(), "veneto-a".into(), cfg, admission, routing);
+    ///
+    /// let mut actions = Vec::new();
+    /// node.handle(std::time::Duration::ZERO, Event::TakeKeys { call: 1, count: 2 }, &mut actions);
+    /// assert!(matches!(&actions[..], [Action::Keys(1, keys)] if keys.len() == 2));
+    /// ```
     pub fn new(
         me: NodeId,
         _region: RegionName,
