Run the node's own policy with its admission and routing

Change: `[policy] name` selects between the node policy, with priority admission and two-choice routing, and the naive one.

--- a/crates/pollenlever/src/node/policy.rs
+++ b/crates/pollenlever/src/node/policy.rs
@@ -1,12 +1,26 @@
+use pollenlever_core::admission::{AdmissionSettings, PriorityAdmission};
 use pollenlever_core::id::NodeId;
 use pollenlever_core::naive::NaivePolicy;
+use pollenlever_core::node::{Node, NodeSettings};
 use pollenlever_core::policy::BoxPolicy;
+use pollenlever_core::routing::{RoutingSettings, TwoChoices};
 
 use crate::settings::{PolicyName, Settings};
 
 /// The policy that the settings name.
 pub(super) fn policy(cfg: &Settings, me: NodeId) -> BoxPolicy {
     match cfg.policy {
-        PolicyName::Naive | PolicyName::Pollenlever => Box::new(NaivePolicy::new(me)),
+        PolicyName::Naive => Box::new(NaivePolicy::new(me)),
+        PolicyName::Pollenlever => Box::new(node_policy(cfg, me)),
     }
 }
+
+fn node_policy(cfg: &Settings, me: NodeId) -> Node {
+    let seed = cfg.seed.unwrap_or_else(rand::random);
+    let (region, zone) = (cfg.region.as_str(), cfg.zone.as_str());
+    let settings = NodeSettings { seed, ..NodeSettings::default() };
+    let admission = PriorityAdmission::new(AdmissionSettings::default());
+    let routing_settings = RoutingSettings { seed, ..RoutingSettings::default() };
+    let routing = TwoChoices::new(me, region.into(), zone.into(), routing_settings);
+    Node::new(me, region.into(), zone.into(), settings, Box::new(admission), Box::new(routing))
+}
