--- a/crates/pollenlever-core/src/membership/member.rs
+++ b/crates/pollenlever-core/src/membership/member.rs
@@ -38,3 +38,19 @@
     /// Requests that the target runs at once; 0 if unknown.
     pub slots: u32,
 }
+
+impl Member {
+    /// A member without region, zone or target, serving callers at its peer address.
+    pub fn new(node: NodeId) -> Member {
+        Member {
+            node,
+            entry: node.addr,
+            version: 0,
+            region: "".into(),
+            zone: "".into(),
+            service: None,
+            state: TargetState::Absent,
+            slots: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/membership/member_table.rs
@@ -0,0 +1,99 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::{BucketId, Change, Digest, Health, Member};
+use crate::Timestamp;
+use crate::id::NodeId;
+
+/// What merging a change did to the table.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Merged {
+    /// The table holds this change already.
+    Known,
+    /// The table holds a later change.
+    Older(Change),
+    /// The change stands now; this one stood before.
+    Stands(Option<Change>),
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    change: Change,
+    since: Timestamp,
+}
+
+/// All members by address, with a digest kept up to date.
+#[derive(Debug, Clone, Default)]
+pub struct MemberTable {
+    entries: BTreeMap<SocketAddr, Entry>,
+    digest: Digest,
+}
+
+impl MemberTable {
+    /// Lets the later of `change` and the entry at its address stand.
+    pub fn merge(&mut self, now: Timestamp, change: Change) -> Merged {
+        let addr = change.addr();
+        let before = self.entries.get(&addr).map(|it| &it.change);
+        if let Some(before) = before {
+            if before.stamp() == change.stamp() {
+                return Merged::Known;
+            }
+            if before.stamp() > change.stamp() {
+                return Merged::Older(before.clone());
+            }
+        }
+        self.digest.toggle(&change);
+        let before = self.entries.insert(addr, Entry { change, since: now });
+        if let Some(before) = &before {
+            self.digest.toggle(&before.change);
+        }
+        Merged::Stands(before.map(|it| it.change))
+    }
+
+    /// The entry at an address.
+    pub fn get(&self, addr: SocketAddr) -> Option<&Change> {
+        self.entries.get(&addr).map(|it| &it.change)
+    }
+
+    /// Whether this process is believed to serve, suspect or not.
+    pub fn is_live(&self, node: NodeId) -> bool {
+        self.get(node.addr).is_some_and(|it| it.member.node == node && it.health != Health::Gone)
+    }
+
+    /// Members that are not gone, in order of address.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        let changes = self.entries.values().map(|it| &it.change);
+        changes.filter(|it| it.health != Health::Gone).map(|it| &it.member)
+    }
+
+    /// Addresses of members that are gone, in order.
+    pub fn gone(&self) -> impl Iterator<Item = SocketAddr> {
+        let gone = self.entries.iter().filter(|(_, it)| it.change.health == Health::Gone);
+        gone.map(|(addr, _)| *addr)
+    }
+
+    /// Forgets members that have been gone since `before` or longer.
+    pub fn forget_gone(&mut self, before: Timestamp) {
+        self.entries.retain(|_, it| it.change.health != Health::Gone || it.since > before);
+    }
+
+    /// Digest of the members that are not gone.
+    pub fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// All entries of the buckets, those that are gone included.
+    pub fn entries_in(&self, buckets: &[BucketId]) -> Vec<Change> {
+        let changes = self.entries.values().map(|it| &it.change);
+        changes.filter(|it| buckets.contains(&Digest::bucket(it.addr()))).cloned().collect()
+    }
+
+    /// Entries a bucket, those that are gone included.
+    pub fn bucket_sizes(&self) -> BTreeMap<BucketId, usize> {
+        let mut sizes = BTreeMap::new();
+        for addr in self.entries.keys() {
+            *sizes.entry(Digest::bucket(*addr)).or_default() += 1;
+        }
+        sizes
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/membership/rendezvous.rs
@@ -0,0 +1,28 @@
+use std::cmp::Reverse;
+
+use super::digest::hash_addr;
+use crate::id::NodeId;
+
+/// The `count` nodes with the highest scores under `seed`, highest first (rendezvous hashing).
+///
+/// A node that comes or goes changes the choice only if it is or was chosen itself.
+///
+/// ```
+/// use pollenlever_core::id::NodeId;
+/// use pollenlever_core::membership::highest_scores;
+/// let nodes: Vec<NodeId> =
+///     (1..9).map(|port| format!("127.0.0.1:{port}@1").parse().unwrap()).collect();
+/// let chosen = highest_scores(nodes.iter().copied(), 7, 2);
+/// let without_last = nodes.iter().copied().filter(|it| *it != chosen[1]);
+/// assert_eq!(highest_scores(without_last, 7, 1), [chosen[0]]);
+/// ```
+pub fn highest_scores(
+    nodes: impl IntoIterator<Item = NodeId>,
+    seed: u64,
+    count: usize,
+) -> Vec<NodeId> {
+    let mut scored: Vec<(u64, NodeId)> =
+        nodes.into_iter().map(|node| (hash_addr(node.addr, seed), node)).collect();
+    scored.sort_unstable_by_key(|it| Reverse(*it));
+    scored.into_iter().take(count).map(|(_, node)| node).collect()
+}
