--- a/crates/pollenlever/src/control/cell.rs
+++ b/crates/pollenlever/src/control/cell.rs
@@ -34,31 +34,26 @@
         }
     }
 
-    /// Reports an event and returns the first action that `immediate` picks. The others wait for
-    /// the thread that acts.
-    pub(super) fn report<T>(
+    /// Reports an event and returns the first action that `is_immediate` picks. The others wait
+    /// for the thread that acts.
+    pub(super) fn report(
         &self,
         event: P::Event,
-        immediate: impl Fn(P::Action) -> Result<T, P::Action>,
-    ) -> Option<T> {
+        is_immediate: impl Fn(&P::Action) -> bool,
+    ) -> Option<P::Action> {
         let mut inner = self.lock();
         let mut actions = Vec::new();
         inner.machine.handle(self.start.elapsed(), event, &mut actions);
-        let mut picked = None;
-        for action in actions {
-            match immediate(action) {
-                Ok(it) => picked = picked.or(Some(it)),
-                Err(action) => inner.actions.push(action),
-            }
-        }
+        let picked = actions.iter().position(is_immediate).map(|at| actions.remove(at));
+        inner.actions.append(&mut actions);
         drop(inner);
         self.wake.notify_one();
         picked
     }
 
-    /// Reports an event that is answered by no action at once.
+    /// Reports an event that needs no action at once.
     pub(super) fn notify(&self, event: P::Event) {
-        self.report(event, Err::<(), _>);
+        self.report(event, |_| false);
     }
 
     /// Reports that time passed and takes all actions that wait.
--- a/crates/pollenlever/src/control/control.rs
+++ b/crates/pollenlever/src/control/control.rs
@@ -79,13 +79,19 @@
         match input {
             ControlInput::Gossip(message) => {
                 let event = MembershipEvent::Message(from, message);
-                let reply = self.members.report(event, gossip_reply);
-                ControlInput::Gossip(reply.unwrap_or_default())
+                let is_reply = |it: &_| matches!(it, MembershipAction::Reply(_));
+                match self.members.report(event, is_reply) {
+                    Some(MembershipAction::Reply(reply)) => ControlInput::Gossip(reply),
+                    _ => ControlInput::Gossip(GossipMessage::default()),
+                }
             }
             ControlInput::Config(message) => {
                 let event = RolloutEvent::Message(from, message);
-                let reply = self.rollout.report(event, config_reply);
-                ControlInput::Config(reply.unwrap_or_default())
+                let is_reply = |it: &_| matches!(it, RolloutAction::Reply(_));
+                match self.rollout.report(event, is_reply) {
+                    Some(RolloutAction::Reply(reply)) => ControlInput::Config(reply),
+                    _ => ControlInput::Config(ConfigMessage::default()),
+                }
             }
         }
     }
@@ -141,20 +147,6 @@
     Ok(())
 }
 
-fn gossip_reply(action: MembershipAction) -> Result<GossipMessage, MembershipAction> {
-    match action {
-        MembershipAction::Reply(reply) => Ok(reply),
-        other => Err(other),
-    }
-}
-
-fn config_reply(action: RolloutAction) -> Result<ConfigMessage, RolloutAction> {
-    match action {
-        RolloutAction::Reply(reply) => Ok(reply),
-        other => Err(other),
-    }
-}
-
 fn member_status(member: &Member) -> MemberStatus {
     let state = match member.state {
         TargetState::Absent => "absent",
--- a/crates/pollenlever/src/control/seed_publisher.rs
+++ b/crates/pollenlever/src/control/seed_publisher.rs
@@ -41,10 +41,9 @@
     pub(super) async fn run(self) {
         let mut interval = FIRST_INTERVAL;
         while !self.members.is_stopped() {
-            if !self.has_joined() || self.is_publisher() {
-                if let Err(err) = self.look().await {
-                    log::warn!("cannot read or write the peers in the store error=\"{err}\"");
-                }
+            let is_concerned = !self.has_joined() || self.is_publisher();
+            if is_concerned && let Err(err) = self.look().await {
+                log::warn!("cannot read or write the peers in the store error=\"{err}\"");
             }
             let jitter = rand::rng().random_range(0.75..1.25);
             sleep(interval.mul_f64(jitter)).await;
