Test the node as a process: bad input, answers, silence

Change: test files that start pollenleverd beside a stub target and act as caller and peer. Configurations come from the test as a peer's.

--- /dev/null
+++ b/crates/pollenlever/tests/support/stub_target.rs
@@ -0,0 +1,107 @@
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Body that the target answers with.
+pub(crate) const BODY: &str = "the whole answer";
+
+/// A target whose answer depends on the last segment of the path.
+#[derive(Debug, Clone)]
+pub(crate) struct StubTarget {
+    pub(crate) addr: SocketAddr,
+    heads: Arc<Mutex<Vec<String>>>,
+    hung_up: Arc<AtomicUsize>,
+}
+
+impl StubTarget {
+    pub(crate) fn start() -> StubTarget {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+        let addr = listener.local_addr().unwrap();
+        let target = StubTarget { addr, heads: Arc::default(), hung_up: Arc::default() };
+        let served = target.clone();
+        std::thread::spawn(move || {
+            for io in listener.incoming().flatten() {
+                let target = served.clone();
+                std::thread::spawn(move || target.serve(io));
+            }
+        });
+        target
+    }
+
+    /// Heads of the requests that arrived so far.
+    pub(crate) fn heads(&self) -> Vec<String> {
+        self.heads.lock().unwrap().clone()
+    }
+
+    /// Requests whose connection was closed while they ran.
+    pub(crate) fn hung_up(&self) -> usize {
+        self.hung_up.load(Ordering::SeqCst)
+    }
+
+    fn serve(&self, io: TcpStream) {
+        let mut rx = BufReader::new(io.try_clone().unwrap());
+        while let Some(head) = read_request(&mut rx) {
+            self.heads.lock().unwrap().push(head.clone());
+            let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
+            if !self.answer(&io, &path) {
+                return;
+            }
+        }
+    }
+
+    /// Answers a request. Returns whether the connection goes on.
+    fn answer(&self, mut io: &TcpStream, path: &str) -> bool {
+        let length = BODY.len();
+        let text = match path.rsplit('/').next().unwrap_or_default() {
+            "cut" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{BODY}", length + 1),
+            "unmarked" => format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{BODY}"),
+            "cut-chunk" => format!(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n"
+            ),
+            "chunked" => format!(
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n0\r\n\r\n"
+            ),
+            "large" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", 1 << 30),
+            "crash" => String::new(),
+            "slow" => {
+                if is_closed_within(io, Duration::from_millis(1500)) {
+                    self.hung_up.fetch_add(1, Ordering::SeqCst);
+                    return false;
+                }
+                whole_answer()
+            }
+            _ => whole_answer(),
+        };
+        let is_whole = text == whole_answer() || path.ends_with("/chunked");
+        io.write_all(text.as_bytes()).is_ok() && is_whole
+    }
+}
+
+fn whole_answer() -> String {
+    let length = BODY.len();
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nx-colour: blue\r\n\r\n{BODY}")
+}
+
+fn read_request(rx: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if rx.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    let lengths = head.lines().filter_map(|line| line.strip_prefix("content-length: "));
+    let length = lengths.map(|it| it.trim().parse().unwrap_or(0)).next().unwrap_or(0);
+    let mut body = vec![0; length];
+    rx.read_exact(&mut body).ok()?;
+    Some(head)
+}
+
+fn is_closed_within(io: &TcpStream, wait: Duration) -> bool {
+    io.set_read_timeout(Some(wait)).unwrap();
+    let mut buf = [0];
+    let closed = matches!(io.peek(&mut buf), Ok(0));
+    io.set_read_timeout(None).unwrap();
+    closed
+}
--- /dev/null
+++ b/crates/pollenlever/tests/support/test_node.rs
@@ -0,0 +1,190 @@
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use pollenlever::control::ControlStatus;
+use pollenlever::settings::Settings;
+use pollenlever_core::config::{PathPattern, RequestKind, ServiceConfig};
+use pollenlever_core::id::NodeId;
+
+use super::{StubTarget, TestPeer};
+
+/// Longest wait for a node to do what it is asked.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
+
+/// A running `pollenleverd`, ended when dropped.
+pub(crate) struct TestNode {
+    pub(crate) cfg: Settings,
+    pub(crate) target: StubTarget,
+    process: Child,
+    file: PathBuf,
+}
+
+/// An HTTP answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: BTreeMap<String, String>,
+    pub(crate) body: String,
+}
+
+impl Reply {
+    /// Value of a header, or an empty string.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map(String::as_str).unwrap_or_default()
+    }
+
+    /// Status, error and outcome in one line.
+    pub(crate) fn summary(&self) -> String {
+        let (error, outcome) =
+            (self.header("pollenlever-error"), self.header("pollenlever-outcome"));
+        format!("{} {error} {outcome}", self.status)
+    }
+}
+
+impl TestNode {
+    /// Starts a node beside a target that has announced itself for the service `balance`.
+    pub(crate) fn start() -> TestNode {
+        let target = StubTarget::start();
+        let ports = free_ports();
+        let cfg = Settings {
+            entry: ports[0],
+            peer: ports[1],
+            target: target.addr,
+            store: ports[2],
+            region: "lombardia".to_owned(),
+            zone: "lombardia-a".to_owned(),
+            seed: Some(1),
+            log_level: "debug".to_owned(),
+            ..Settings::default()
+        };
+        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
+        let name = format!("pollenlever-node-{}-{number}.ini", std::process::id());
+        let file = std::env::temp_dir().join(name);
+        std::fs::write(&file, cfg.to_ini()).unwrap();
+        let process = Command::new(env!("CARGO_BIN_EXE_pollenleverd"))
+            .arg("--settings")
+            .arg(&file)
+            .stderr(Stdio::inherit())
+            .spawn()
+            .unwrap();
+        let node = TestNode { cfg, target, process, file };
+        node.wait_for("start", || node.try_status().is_some());
+        node.configure();
+        node.post("/pollenlever/v1/target/announce", r#"{"service":"balance","slots":4}"#);
+        node.wait_for("announcement", || {
+            let status = node.status();
+            status.members.iter().any(|it| it.service.as_deref() == Some("balance"))
+                && status.configs.contains_key("balance")
+        });
+        node.wait_for("first answer", || node.get("/call/balance/read/ok").status == 200);
+        node
+    }
+
+    fn configure(&self) {
+        let peer = TestPeer::new();
+        peer.send_config(self.cfg.peer, config());
+    }
+
+    /// The node's id.
+    pub(crate) fn id(&self) -> NodeId {
+        self.status().node.parse().unwrap()
+    }
+
+    /// What the node says about members and configurations.
+    pub(crate) fn status(&self) -> ControlStatus {
+        self.try_status().expect("the node goes on")
+    }
+
+    fn try_status(&self) -> Option<ControlStatus> {
+        let url = format!("http://{}/pollenlever/v1/status", self.cfg.entry);
+        reqwest::blocking::get(url).ok()?.json().ok()
+    }
+
+    pub(crate) fn get(&self, path: &str) -> Reply {
+        self.request("GET", path, &[], "")
+    }
+
+    pub(crate) fn post(&self, path: &str, body: &str) -> Reply {
+        self.request("POST", path, &[], body)
+    }
+
+    pub(crate) fn request(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let url = format!("http://{}{path}", self.cfg.entry);
+        let client = reqwest::blocking::Client::new();
+        let mut builder = client.request(method.parse().unwrap(), url).body(body.to_owned());
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let response = builder.send().unwrap();
+        let status = response.status().as_u16();
+        let named = response.headers().iter();
+        let text = |value: &reqwest::header::HeaderValue| value.to_str().unwrap().to_owned();
+        let headers = named.map(|(name, value)| (name.to_string(), text(value))).collect();
+        Reply { status, headers, body: response.text().unwrap() }
+    }
+
+    /// Waits until `done` holds.
+    pub(crate) fn wait_for(&self, what: &str, done: impl Fn() -> bool) {
+        let start = Instant::now();
+        while !done() {
+            assert!(start.elapsed() < PATIENCE, "no {what} of {}", self.cfg.entry);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Asks the process to leave.
+    pub(crate) fn terminate(&self) {
+        let pid = self.process.id().to_string();
+        assert!(Command::new("kill").arg("-TERM").arg(pid).status().unwrap().success());
+    }
+
+    /// Waits for the end of the process.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        self.process.wait().unwrap()
+    }
+}
+
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// Ports that were free a moment ago: entry, peer and an unused one for the store.
+fn free_ports() -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
+    listeners.map(|it| it.local_addr().unwrap())
+}
+
+fn config() -> ServiceConfig {
+    let read = RequestKind {
+        name: "read".into(),
+        path: PathPattern::from("/read/**"),
+        deadline: Duration::from_secs(5),
+        retry_budget: 0,
+        ..RequestKind::default()
+    };
+    let charge = RequestKind {
+        name: "charge".into(),
+        method: "POST".to_owned(),
+        path: PathPattern::from("/charge"),
+        idempotent: false,
+        ..RequestKind::default()
+    };
+    let kinds = vec![read, charge];
+    ServiceConfig { service: "balance".into(), version: 1, kinds, ..ServiceConfig::default() }
+}
