Join the control threads to the node; test it as a process

Cause: control landed; the node stood alone until now. Ruled out: testing dot segments with reqwest, which resolves them before it sends; the case writes its request by hand instead.

--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -2,7 +2,6 @@
 
 mod clock;
 mod decision;
-mod no_control;
 mod node;
 mod node_error;
 mod open_work;
--- a/crates/pollenlever/src/node/node.rs
+++ b/crates/pollenlever/src/node/node.rs
@@ -9,11 +9,10 @@
 use tokio::runtime::Runtime;
 use tokio::sync::{mpsc, watch};
 
-use super::no_control::NoControl;
 use super::policy::policy;
 use super::threads::{runtime, spawn};
 use super::{Clock, Decision, NodeError, OpenWork, Waiters};
-use crate::control::BoxControl;
+use crate::control::{BoxControl, Control};
 use crate::entry::{EntryServer, EntryState, HangupWatch};
 use crate::gate::{TargetClient, TargetWatch, run_gate};
 use crate::peer::{PeerClient, PeerOptions, PeerServer, run_exchanges};
@@ -68,7 +67,8 @@
         let peer_runtime = runtime("peer", PEER_WORKERS)?;
         let options = peer_options(cfg);
         let client = PeerClient::new(me, options, peer_runtime.handle().clone());
-        let control: BoxControl = Arc::new(NoControl { me });
+        let sender = Arc::new(client.clone());
+        let control = Control::spawn(cfg, me, sender, events.clone())?;
         let listener = peer_runtime.block_on(tokio::net::TcpListener::bind(cfg.peer));
         let listener = listener.map_err(|source| NodeError::Bind { addr: cfg.peer, source })?;
         let server = PeerServer {
--- a/crates/pollenlever/src/node/node_error.rs
+++ b/crates/pollenlever/src/node/node_error.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::control::ControlError;
+
 /// Why a node cannot start.
 #[derive(Debug, Error)]
 pub enum NodeError {
@@ -29,6 +31,9 @@
         /// Why.
         reason: String,
     },
+    /// The control threads cannot start.
+    #[error(transparent)]
+    Control(#[from] ControlError),
     /// The HTTP client of the target cannot be set up.
     #[error("cannot set up the client of the target: {0}")]
     Target(#[from] reqwest::Error),
--- a/crates/pollenlever/tests/node_bad_input.rs
+++ b/crates/pollenlever/tests/node_bad_input.rs
@@ -30,7 +30,6 @@
     unknown_path: "GET" "/call/balance/nothing", None => "404 unknown-request-kind not-run";
     wrong_method: "DELETE" "/call/balance/read/ok", None => "405 method-not-allowed not-run";
     path_outside_calls: "GET" "/nothing", None => "404 unknown-request-kind not-run";
-    dot_segments: "GET" "/call/balance/read/%2e%2E/charge", None => "400 malformed-request not-run";
     key_missing: "POST" "/call/balance/charge", None => "428 key-required not-run";
     key_malformed: "POST" "/call/balance/charge",
         Some(("pollenlever-key", "order 7")) => "400 key-malformed not-run";
@@ -91,6 +90,16 @@
     node.status();
 }
 
+#[test]
+fn dot_segments() {
+    let node = TestNode::start();
+    let mut io = TcpStream::connect(node.cfg.entry).unwrap();
+    // Written by hand, as HTTP clients resolve the segments themselves.
+    io.write_all(b"GET /call/balance/read/%2e%2E/charge HTTP/1.1\r\nhost: node\r\n\r\n").unwrap();
+    let answer = read_some(&mut io);
+    assert!(answer.starts_with("HTTP/1.1 400") && answer.contains("malformed-request"));
+}
+
 #[test]
 fn bytes_that_are_not_http() {
     let node = TestNode::start();
