Operator tool: check, apply, status, drain, keys and the burn report

Cause: operators could not check or apply a manifest, see or drain targets, take keys or see burn. Change: cli/ holds all options with a sentence each; tool/command a file a command behind Command; tool/burn merges counts of all nodes, works out burn rates, budget left and outlook, and renders table, JSON and a page with an SVG plot. Nodes and regions that did not answer are named, and no kind counts as holding while any is missing. Series of a kind start at its first call, and at most 2048 kinds are counted apart.

--- /dev/null
+++ b/crates/pollenlever/src/cli/tool_options.rs
@@ -0,0 +1,89 @@
+use std::net::SocketAddr;
+use std::process;
+use std::time::Duration;
+
+use super::tool_flags::{self, PollenleverCmd, ReportCmd};
+use super::{ApplyOptions, ToolCommand};
+use crate::tool::Format;
+
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+const DEFAULT_DRAIN_WAIT: Duration = Duration::from_secs(5);
+
+/// Options of `pollenlever`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ToolOptions {
+    /// Form of the result.
+    pub format: Format,
+    /// HTTP address of a node.
+    pub node: Option<SocketAddr>,
+    /// Longest wait for an answer of a node.
+    pub timeout: Duration,
+    /// What to do.
+    pub command: ToolCommand,
+}
+
+impl ToolOptions {
+    /// Reads the command line. Prints and exits for `--help`, `--version` and wrong options.
+    pub fn from_env_or_exit() -> ToolOptions {
+        if std::env::args().skip(1).any(|it| it == "--version") {
+            println!("pollenlever {}", env!("CARGO_PKG_VERSION"));
+            process::exit(0);
+        }
+        ToolOptions::from(tool_flags::Pollenlever::from_env_or_exit())
+    }
+}
+
+impl Default for ToolOptions {
+    fn default() -> ToolOptions {
+        ToolOptions {
+            format: Format::Table,
+            node: None,
+            timeout: DEFAULT_TIMEOUT,
+            command: ToolCommand::Status,
+        }
+    }
+}
+
+impl From<tool_flags::Pollenlever> for ToolOptions {
+    fn from(flags: tool_flags::Pollenlever) -> ToolOptions {
+        let base = ToolOptions::default();
+        ToolOptions {
+            format: flags.format.unwrap_or(base.format),
+            node: flags.node,
+            timeout: flags.timeout_ms.map_or(base.timeout, Duration::from_millis),
+            command: flags.subcommand.into(),
+        }
+    }
+}
+
+impl From<PollenleverCmd> for ToolCommand {
+    fn from(cmd: PollenleverCmd) -> ToolCommand {
+        match cmd {
+            PollenleverCmd::Check(it) => ToolCommand::Check { file: it.file },
+            PollenleverCmd::Apply(it) => ToolCommand::Apply(it.into()),
+            PollenleverCmd::Status(_) => ToolCommand::Status,
+            PollenleverCmd::Drain(it) => ToolCommand::Drain {
+                target: it.target,
+                wait: it.wait_ms.map_or(DEFAULT_DRAIN_WAIT, Duration::from_millis),
+            },
+            PollenleverCmd::Keys(it) => ToolCommand::Keys { count: it.count.unwrap_or(1) },
+            PollenleverCmd::Report(it) => match it.subcommand {
+                ReportCmd::Burn(it) => ToolCommand::ReportBurn { manifest: it.manifest },
+            },
+        }
+    }
+}
+
+impl From<tool_flags::Apply> for ApplyOptions {
+    fn from(flags: tool_flags::Apply) -> ApplyOptions {
+        let base = ApplyOptions::new(flags.file, flags.store);
+        ApplyOptions {
+            overwrite: flags.overwrite,
+            wait: match flags.no_wait {
+                true => None,
+                false => flags.wait_ms.map(Duration::from_millis).or(base.wait),
+            },
+            ..base
+        }
+    }
+}
--- a/crates/pollenlever/src/manifest/values.rs
+++ b/crates/pollenlever/src/manifest/values.rs
@@ -63,18 +63,23 @@
 /// A share of requests in percent, as a ratio. All of them would leave no budget to burn.
 pub(super) fn good_percent(text: &str) -> Result<f64, Expected> {
     let percent = f64::from_str(text).ok().filter(|it| *it > 0.0 && *it < 100.0);
-    percent
-        .map(|it| it / 100.0)
-        .ok_or_else(|| "a number above 0 and below 100, such as 99.9".into())
+    let ratio = percent.map(|it| rounded(it / 100.0)).filter(|it| *it > 0.0 && *it < 1.0);
+    ratio.ok_or_else(|| "a number above 0 and below 100, such as 99.9".into())
 }
 
 pub(super) fn ratio(text: &str) -> Result<f64, Expected> {
     let found = f64::from_str(text).ok().filter(|it| (0.0..=1.0).contains(it));
-    found.ok_or_else(|| "a number from 0 to 1, such as 0.1".into())
+    found.map(rounded).ok_or_else(|| "a number from 0 to 1, such as 0.1".into())
+}
+
+/// Rounds to nine decimals, which the store gives back unchanged.
+fn rounded(ratio: f64) -> f64 {
+    const SCALE: f64 = 1e9;
+    (ratio * SCALE).round() / SCALE
 }
 
 pub(super) fn window(text: &str) -> Result<Duration, Expected> {
-    let days = text.parse().ok().filter(|it| (1..=MAX_WINDOW_DAYS).contains(it));
+    let days = text.parse::<u64>().ok().filter(|it| (1..=MAX_WINDOW_DAYS).contains(it));
     days.map(|it| Duration::from_secs(it * SECONDS_A_DAY))
         .ok_or_else(|| Expected::from(format!("days from 1 to {MAX_WINDOW_DAYS}")))
 }
--- a/crates/pollenlever/src/telemetry/kind_burn.rs
+++ b/crates/pollenlever/src/telemetry/kind_burn.rs
@@ -11,6 +11,7 @@
     pub kind: String,
     /// Declared objective, if the node has the configuration of the service.
     pub objective: Option<KindObjective>,
-    /// Counts by window, from the shortest to the longest.
+    /// Counts by window, from the shortest to the longest; empty before the first call.
+    #[serde(default)]
     pub windows: Vec<WindowCounts>,
 }
--- a/crates/pollenlever/src/telemetry/kind_series.rs
+++ b/crates/pollenlever/src/telemetry/kind_series.rs
@@ -8,12 +8,13 @@
 use super::labels::{CallLabels, KindLabels};
 use super::{KindBurn, KindObjective, Reason, Verdict, WindowedCounts};
 
-/// Counters and windows of one kind of request; the labels are looked up once.
+/// Counters and windows of one kind of request, made at its first call. The labels are looked up
+/// once.
 #[derive(Debug)]
 pub(super) struct KindSeries {
     labels: KindLabels,
     metrics: CallMetrics,
-    latency: Histogram,
+    latency: OnceLock<Histogram>,
     good: OnceLock<Counter>,
     bad: [OnceLock<Counter>; Reason::COUNT],
     invalid: [OnceLock<Counter>; Reason::COUNT],
@@ -22,7 +23,7 @@
 
 #[derive(Debug, Default)]
 struct KindState {
-    counts: WindowedCounts,
+    counts: Option<Box<WindowedCounts>>,
     objective: Option<KindObjective>,
 }
 
@@ -31,8 +32,8 @@
     pub(super) fn new(service: &str, kind: &str, metrics: &CallMetrics) -> KindSeries {
         let labels = KindLabels { service: service.to_owned(), kind: kind.to_owned() };
         KindSeries {
-            latency: metrics.latencies.get_or_create_owned(&labels),
             labels,
+            latency: OnceLock::new(),
             metrics: metrics.clone(),
             good: OnceLock::new(),
             bad: [const { OnceLock::new() }; Reason::COUNT],
@@ -44,8 +45,8 @@
     /// Counts one call that ended at `now`.
     pub(super) fn add(&self, now: Duration, verdict: Verdict, latency: Duration) {
         self.counter(verdict).inc();
-        self.latency.observe(latency.as_secs_f64());
-        self.with_state(|it| it.counts.add(now, verdict));
+        self.histogram().observe(latency.as_secs_f64());
+        self.with_state(|it| it.counts.get_or_insert_default().add(now, verdict));
     }
 
     /// Takes the declared objective.
@@ -55,11 +56,18 @@
 
     /// The counts as shown to operators.
     pub(super) fn burn(&self, now: Duration) -> KindBurn {
-        let (windows, objective) = self.with_state(|it| (it.counts.windows(now), it.objective));
+        let (windows, objective) = self.with_state(|it| {
+            let windows = it.counts.as_ref().map(|it| it.windows(now));
+            (windows.unwrap_or_default(), it.objective)
+        });
         let KindLabels { service, kind } = self.labels.clone();
         KindBurn { service, kind, objective, windows }
     }
 
+    fn histogram(&self) -> &Histogram {
+        self.latency.get_or_init(|| self.metrics.latencies.get_or_create_owned(&self.labels))
+    }
+
     fn counter(&self, verdict: Verdict) -> &Counter {
         let (slot, reason) = match verdict {
             Verdict::Good => (&self.good, ""),
--- a/crates/pollenlever/src/telemetry/series_table.rs
+++ b/crates/pollenlever/src/telemetry/series_table.rs
@@ -7,7 +7,7 @@
 use super::kind_series::KindSeries;
 
 /// Most kinds of request that are counted apart; the rest share one series.
-const MAX_KINDS: usize = 4096;
+const MAX_KINDS: usize = 2048;
 /// Name of service and kind of the shared series.
 const OTHER: &str = "other";
 
--- /dev/null
+++ b/crates/pollenlever/src/tool/command/apply/apply.rs
@@ -0,0 +1,68 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollenlever_core::config::ConfigVersion;
+
+use super::apply_report::ApplyReport;
+use super::service_result::{Outcome, ServiceResult};
+use super::submitter::Submitter;
+use crate::cli::ApplyOptions;
+use crate::control::ControlStatus;
+use crate::manifest::Manifest;
+use crate::store::StoreClient;
+use crate::tool::ToolError;
+use crate::tool::command::Command;
+use crate::tool::node::{NodeClient, Spread, SpreadWatch};
+use crate::tool::output::BoxReport;
+
+/// `pollenlever apply`.
+pub(crate) struct Apply {
+    pub(crate) client: NodeClient,
+    /// Node that names the others; absent without a wait.
+    pub(crate) node: Option<SocketAddr>,
+    pub(crate) options: ApplyOptions,
+}
+
+impl Command for Apply {
+    fn run(&self) -> Result<BoxReport, ToolError> {
+        let manifest = Manifest::load(&self.options.file)?;
+        let addr = self.options.store;
+        let store_error = |source| ToolError::Store { addr, source };
+        let api = Arc::new(StoreClient::new(addr).map_err(store_error)?);
+        let submitter = Submitter { api, overwrite: self.options.overwrite };
+        let services = submitter.submit_all(manifest.services)?.map_err(store_error)?;
+        let in_force = match (self.node, self.options.wait) {
+            (Some(node), Some(wait)) => Some(self.wait_in_force(node, wait, &services)),
+            _ => None,
+        };
+        Ok(Box::new(ApplyReport { services, in_force }))
+    }
+}
+
+impl Apply {
+    fn wait_in_force(
+        &self,
+        node: SocketAddr,
+        wait: Duration,
+        services: &[ServiceResult],
+    ) -> Spread {
+        let settled = services.iter().filter(|it| is_in_store(it.outcome));
+        let wanted: BTreeMap<&str, ConfigVersion> =
+            settled.filter_map(|it| Some((it.service.as_str(), it.version?))).collect();
+        let ask = |addr: &str| Ok(has_versions(&self.client.own_status(addr)?, &wanted));
+        SpreadWatch::new(&self.client, node, &ask).wait(wait)
+    }
+}
+
+fn is_in_store(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Unchanged | Outcome::Accepted | Outcome::Replaced)
+}
+
+/// Whether a node has every wanted version or a later one in force.
+fn has_versions(status: &ControlStatus, wanted: &BTreeMap<&str, ConfigVersion>) -> bool {
+    wanted.iter().all(|(service, version)| {
+        status.configs.get(*service).is_some_and(|in_force| in_force >= version)
+    })
+}
--- /dev/null
+++ b/crates/pollenlever/src/tool/command/apply/service_result.rs
@@ -0,0 +1,61 @@
+use pollenlever_core::config::ConfigVersion;
+use serde::Serialize;
+
+use crate::tool::Exit;
+
+/// What became of one service of a manifest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub(super) enum Outcome {
+    /// The store held the same configuration already.
+    Unchanged,
+    /// The conditional update took effect.
+    Accepted,
+    /// The update took effect and another submission has replaced it since.
+    Replaced,
+    /// Another submission came first; this one did not take effect.
+    Overtaken,
+    /// The store refused; the submission did not take effect.
+    Refused,
+    /// The store's answers were lost.
+    Unknown,
+}
+
+impl Outcome {
+    /// Word in tables.
+    pub(super) fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Unchanged => "unchanged",
+            Outcome::Accepted => "accepted",
+            Outcome::Replaced => "replaced",
+            Outcome::Overtaken => "overtaken",
+            Outcome::Refused => "refused",
+            Outcome::Unknown => "unknown",
+        }
+    }
+
+    /// Exit code if this is the worst outcome.
+    pub(super) fn exit(self) -> Exit {
+        match self {
+            Outcome::Unchanged | Outcome::Accepted => Exit::Done,
+            Outcome::Replaced | Outcome::Overtaken => Exit::Overtaken,
+            Outcome::Refused => Exit::Failed,
+            Outcome::Unknown => Exit::Unknown,
+        }
+    }
+}
+
+/// One service of a manifest after the command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub(super) struct ServiceResult {
+    /// Service.
+    pub(super) service: String,
+    /// What became of it.
+    pub(super) outcome: Outcome,
+    /// Version in the store, if known.
+    pub(super) version: Option<ConfigVersion>,
+    /// Id of the submission, if one was sent.
+    pub(super) submission: Option<String>,
+    /// What the operator should know or do.
+    pub(super) note: String,
+}
--- /dev/null
+++ b/crates/pollenlever/src/tool/command/apply/submitter.rs
@@ -0,0 +1,185 @@
+use std::sync::Arc;
+
+use pollenlever_core::config::{ConfigVersion, ServiceConfig};
+use tokio::runtime::Builder;
+use tokio::task::JoinSet;
+
+use super::service_result::{Outcome, ServiceResult};
+use crate::store::{
+    ABSENT, BoxObjectApi, NamedObject, SERVICES_KIND, ServiceObject, StoreError, SubmitError,
+    SubmitSettings, submit,
+};
+use crate::tool::ToolError;
+
+/// Submissions that are on their way at once.
+const MAX_IN_FLIGHT: usize = 8;
+/// Submissions of others that one of ours is put over, before it gives up.
+const MAX_RACES: u32 = 10;
+
+/// Submits the services of a manifest that differ from what the store holds.
+pub(super) struct Submitter {
+    pub(super) api: BoxObjectApi,
+    pub(super) overwrite: bool,
+}
+
+/// A service that differs from what the store holds.
+struct Change {
+    cfg: ServiceConfig,
+    seen: ConfigVersion,
+}
+
+impl Submitter {
+    /// Submits all services and waits for their fate.
+    ///
+    /// # Errors
+    ///
+    /// The error of the store if it cannot be read, so that nothing was submitted.
+    pub(super) fn submit_all(
+        self,
+        services: Vec<ServiceConfig>,
+    ) -> Result<Result<Vec<ServiceResult>, StoreError>, ToolError> {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|err| ToolError::Start(err.to_string()))?;
+        Ok(runtime.block_on(self.run(services)))
+    }
+
+    async fn run(self, services: Vec<ServiceConfig>) -> Result<Vec<ServiceResult>, StoreError> {
+        let held = self.api.list(SERVICES_KIND).await?.objects;
+        let mut results = Vec::new();
+        let mut changes = Vec::new();
+        for cfg in services {
+            let object = held.iter().find(|it| it.name == *cfg.service);
+            match object.filter(|it| holds(it, &cfg)) {
+                Some(it) => results.push(unchanged(&cfg, it.version)),
+                None => {
+                    let seen = object.map_or(ABSENT, |it| it.version);
+                    changes.push(Change { cfg, seen });
+                }
+            }
+        }
+        results.extend(self.submit_changes(changes).await);
+        results.sort_by(|a, b| a.service.cmp(&b.service));
+        Ok(results)
+    }
+
+    async fn submit_changes(self, changes: Vec<Change>) -> Vec<ServiceResult> {
+        let submitter = Arc::new(self);
+        let mut tasks = JoinSet::new();
+        let mut results = Vec::new();
+        for change in changes {
+            if tasks.len() >= MAX_IN_FLIGHT {
+                results.extend(tasks.join_next().await.and_then(Result::ok));
+            }
+            let submitter = Arc::clone(&submitter);
+            tasks.spawn(async move { submitter.submit_one(change).await });
+        }
+        results.extend(tasks.join_all().await);
+        results
+    }
+
+    async fn submit_one(&self, change: Change) -> ServiceResult {
+        let id = format!("{:032x}", rand::random::<u128>());
+        let seen = (!self.overwrite).then_some(change.seen);
+        let settings = SubmitSettings { expected: seen, ..SubmitSettings::default() };
+        let mut races = 0;
+        loop {
+            let sent = submit(self.api.as_ref(), &change.cfg, &id, &settings).await;
+            let err = match sent {
+                Ok(accepted) => {
+                    return accepted_result(
+                        &change,
+                        id,
+                        accepted.version,
+                        accepted.replaced,
+                        races,
+                    );
+                }
+                Err(err) => err,
+            };
+            let SubmitError::Conflict(version) = err else {
+                return failed_result(&change, id, err);
+            };
+            if !self.overwrite || races == MAX_RACES {
+                return self.overtaken(&change, id, version).await;
+            }
+            races += 1;
+        }
+    }
+
+    /// Another submission came first, perhaps with the same configuration.
+    async fn overtaken(
+        &self,
+        change: &Change,
+        id: String,
+        version: ConfigVersion,
+    ) -> ServiceResult {
+        let read = self.api.get(SERVICES_KIND, &change.cfg.service).await;
+        if let Ok(Some(object)) = read {
+            let named = NamedObject {
+                name: change.cfg.service.to_string(),
+                version: object.version,
+                value: object.value,
+            };
+            if holds(&named, &change.cfg) {
+                return unchanged(&change.cfg, named.version);
+            }
+        }
+        let note = format!(
+            "another submission made version {version} while this ran and was left as it is; look \
+             at it and apply again, or use --overwrite"
+        );
+        result(change, Some(id), Outcome::Overtaken, Some(version), note)
+    }
+}
+
+/// Whether the store holds `cfg`, whichever its version.
+fn holds(object: &NamedObject, cfg: &ServiceConfig) -> bool {
+    let held = ServiceObject::from_value(&object.value).and_then(|it| it.to_config(cfg.version));
+    held.is_ok_and(|it| it == *cfg)
+}
+
+fn unchanged(cfg: &ServiceConfig, version: ConfigVersion) -> ServiceResult {
+    ServiceResult {
+        service: cfg.service.to_string(),
+        outcome: Outcome::Unchanged,
+        version: Some(version),
+        submission: None,
+        note: String::new(),
+    }
+}
+
+fn accepted_result(
+    change: &Change,
+    id: String,
+    version: ConfigVersion,
+    replaced: bool,
+    races: u32,
+) -> ServiceResult {
+    let note = match (replaced, races) {
+        (true, _) => "took effect, then another submission replaced it".to_owned(),
+        (false, 0) => String::new(),
+        (false, races) => format!("put over {races} submissions of others that came first"),
+    };
+    let outcome = if replaced { Outcome::Replaced } else { Outcome::Accepted };
+    result(change, Some(id), outcome, Some(version), note)
+}
+
+fn failed_result(change: &Change, id: String, err: SubmitError) -> ServiceResult {
+    let outcome = match &err {
+        SubmitError::Unknown(_) => Outcome::Unknown,
+        SubmitError::Refused(_) | SubmitError::Conflict(_) => Outcome::Refused,
+    };
+    let advice = "apply the manifest again; what was accepted already stays unchanged";
+    result(change, Some(id), outcome, None, format!("{err}; {advice}"))
+}
+
+fn result(
+    change: &Change,
+    submission: Option<String>,
+    outcome: Outcome,
+    version: Option<ConfigVersion>,
+    note: String,
+) -> ServiceResult {
+    let service = change.cfg.service.to_string();
+    ServiceResult { service, outcome, version, submission, note }
+}
--- /dev/null
+++ b/crates/pollenlever/src/tool/output/mod.rs
@@ -0,0 +1,9 @@
+//! Forms of results.
+
+mod report;
+mod table;
+mod text;
+
+pub use report::{BoxReport, Report};
+pub use table::Table;
+pub use text::{duration_text, to_json};
--- /dev/null
+++ b/crates/pollenlever/tests/cli.rs
@@ -0,0 +1,168 @@
+//! Both programs as operators run them, against small fakes of a node and of the store.
+
+mod cli_support;
+
+use std::path::PathBuf;
+
+use cli_support::{FakeHttp, FakeNode, FakeStore, Output, Reply, pollenlever, pollenleverd};
+
+const MANIFEST: &str = "ferraresi/manifest.ini";
+/// An address on which nothing listens.
+const CLOSED: &str = "127.0.0.1:9";
+
+/// Declares a test for each case: a run whose exit code and text are kept as a snapshot.
+macro_rules! outputs {
+    ($($name:ident: $run:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            insta::assert_snapshot!(stringify!($name), $run.text());
+        }
+    )*};
+}
+
+outputs! {
+    help_of_tool: pollenlever(&["--help"]);
+    help_of_daemon: pollenleverd(&["--help"]);
+    daemon_without_settings: pollenleverd(&[]);
+    daemon_checks_settings: pollenleverd(&["--check", "--settings", "ferraresi/manifest.ini"]);
+    unknown_option: pollenlever(&["status", "--colour"]);
+    unknown_format: pollenlever(&["status", "--format", "yaml"]);
+    command_without_node: pollenlever(&["status"]);
+    node_that_is_down: pollenlever(&["status", "--node", CLOSED]);
+    check_of_good_manifest: pollenlever(&["check", MANIFEST]);
+    check_of_good_manifest_as_json: pollenlever(&["check", MANIFEST, "--format", "json"]);
+    check_of_bad_manifest: pollenlever(&["check", "ferraresi/node.ini"]);
+    check_of_absent_manifest: pollenlever(&["check", "absent.ini"]);
+    apply_with_store_down: pollenlever(&["apply", MANIFEST, "--store", CLOSED, "--no-wait"]);
+    html_of_check: pollenlever(&["check", MANIFEST, "--format", "html"]);
+}
+
+fn apply(store: &FakeStore, node: &FakeNode, more: &[&str]) -> Output {
+    let (store, node) = (store.http.addr.to_string(), node.addr());
+    let args = ["apply", MANIFEST, "--store", &store, "--node", &node, "--wait-ms", "300"];
+    pollenlever(&[args.as_slice(), more].concat())
+}
+
+fn node() -> FakeNode {
+    FakeNode::start("lombardia", "{}")
+}
+
+#[test]
+fn apply_is_done_once_in_force_and_changes_nothing_twice() {
+    let (store, node) = (FakeStore::start(), node());
+    let first = apply(&store, &node, &[]);
+    assert_eq!(first.code, Some(6), "{}", first.text());
+    assert!(first.stdout.contains("NOT in force everywhere"), "{}", first.stdout);
+    node.set_configs(store.versions());
+    let second = apply(&store, &node, &[]);
+    assert_eq!(second.code, Some(0), "{}", second.text());
+    assert!(second.stdout.contains("0 services changed, 4 unchanged"), "{}", second.stdout);
+    assert!(store.versions().values().all(|it| *it == 1));
+}
+
+#[test]
+fn lost_answer_is_read_back_and_not_written_twice() {
+    let (store, node) = (FakeStore::start(), node());
+    store.lose_next_answer();
+    let output = apply(&store, &node, &["--no-wait"]);
+    assert_eq!(output.code, Some(0), "{}", output.text());
+    assert!(output.stdout.contains("4 services changed"), "{}", output.stdout);
+    assert!(store.versions().values().all(|it| *it == 1));
+}
+
+#[test]
+fn submission_that_came_first_is_left_as_it_is() {
+    let (store, node) = (FakeStore::start(), node());
+    store.race_next_update();
+    let output = apply(&store, &node, &["--no-wait"]);
+    assert_eq!(output.code, Some(4), "{}", output.text());
+    assert!(output.stdout.contains("overtaken"), "{}", output.stdout);
+    let slots = ["balance", "charging", "history", "topup"].map(|it| store.field(it, "slots"));
+    assert_eq!(slots.iter().filter(|it| **it == 99).count(), 1);
+}
+
+#[test]
+fn overwrite_puts_the_manifest_over_another_submission() {
+    let (store, node) = (FakeStore::start(), node());
+    store.race_next_update();
+    let output = apply(&store, &node, &["--no-wait", "--overwrite"]);
+    assert_eq!(output.code, Some(0), "{}", output.text());
+    assert!(output.stdout.contains("put over 1 submissions"), "{}", output.stdout);
+    assert_eq!(store.field("charging", "slots"), 5);
+}
+
+#[test]
+fn refused_manifest_is_not_sent() {
+    let (store, node) = (FakeStore::start(), node());
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("refused.ini");
+    std::fs::write(&path, "[manifest]\nregions = veneto\n[service a]\nslots = 0\n").unwrap();
+    let (file, store_addr) = (path.display().to_string(), store.http.addr.to_string());
+    let output = pollenlever(&["apply", &file, "--store", &store_addr, "--node", &node.addr()]);
+    assert_eq!(output.code, Some(3));
+    assert!(output.stderr.starts_with("2 faults in "), "{}", output.stderr);
+    assert!(store.versions().is_empty());
+}
+
+#[test]
+fn node_that_does_not_answer_keeps_a_change_from_being_in_force() {
+    let (store, node) = (FakeStore::start(), node());
+    node.add_member(CLOSED, "veneto");
+    apply(&store, &node, &["--no-wait"]);
+    node.set_configs(store.versions());
+    let output = apply(&store, &node, &[]);
+    assert_eq!(output.code, Some(6), "{}", output.text());
+    assert!(output.stdout.contains(CLOSED), "{}", output.stdout);
+}
+
+#[test]
+fn keys_are_printed_one_a_line() {
+    let output = pollenlever(&["keys", "--count", "2", "--node", &node().addr()]);
+    assert_eq!((output.code, output.stdout.as_str()), (Some(0), "key-1\nkey-2\n"));
+}
+
+#[test]
+fn status_shows_members() {
+    let node = node();
+    let output = pollenlever(&["status", "--node", &node.addr()]);
+    let text = output.text().replace(&node.addr(), "NODE");
+    assert!(text.contains("lombardia-a  balance  ready  36"), "{text}");
+}
+
+#[test]
+fn drain_waits_until_nodes_know() {
+    let node = node();
+    let output = pollenlever(&["drain", &node.addr(), "--node", &node.addr()]);
+    assert_eq!(output.code, Some(0), "{}", output.text());
+    assert!(output.stdout.contains("every node knows"), "{}", output.stdout);
+}
+
+#[test]
+fn drain_of_unknown_target_names_where_to_look() {
+    let output = pollenlever(&["drain", CLOSED, "--node", &node().addr()]);
+    assert_eq!(output.code, Some(2), "{}", output.text());
+    assert!(output.stderr.contains("pollenlever status"), "{}", output.stderr);
+}
+
+#[test]
+fn answer_of_another_form_is_an_error() {
+    let server = FakeHttp::start(|_| Reply::ok("<html>"));
+    let output = pollenlever(&["status", "--node", &server.addr.to_string()]);
+    assert_eq!(output.code, Some(1), "{}", output.text());
+    assert!(output.stderr.contains("unexpected answer"), "{}", output.stderr);
+}
+
+#[test]
+fn burn_report_names_nodes_that_it_could_not_reach() {
+    let burn = serde_json::json!({
+        "node": "n", "region": "lombardia", "zone": "a", "uptime_s": 9, "kinds": []
+    });
+    let node = FakeNode::start("lombardia", burn);
+    node.add_member(CLOSED, "veneto");
+    let args = ["report", "burn", "--manifest", MANIFEST, "--node", &node.addr()];
+    let output = pollenlever(&args);
+    assert_eq!(output.code, Some(7), "{}", output.text());
+    assert!(output.stdout.contains("1 of 2 nodes answered"), "{}", output.stdout);
+    assert!(output.stdout.contains(&format!("NOT REACHED: {CLOSED}")), "{}", output.stdout);
+    assert!(output.stdout.contains("NO ANSWER FROM REGION: emilia"), "{}", output.stdout);
+    assert!(!output.stdout.contains("holding"), "{}", output.stdout);
+}
--- /dev/null
+++ b/crates/pollenlever/tests/report_burn.rs
@@ -0,0 +1,149 @@
+//! The burn report: sums, rates, outlook, and what is missing.
+
+use std::collections::BTreeMap;
+
+use pollenlever::control::MemberStatus;
+use pollenlever::telemetry::{KindBurn, KindObjective, NodeBurn, WindowCounts, WindowedCounts};
+use pollenlever::tool::Exit;
+use pollenlever::tool::burn::{BurnReport, Declared, NodeAnswer, Outlook, merge};
+use pollenlever::tool::node::NodeError;
+use pollenlever::tool::output::Report;
+
+const DAY_S: u64 = 24 * 3600;
+const OBJECTIVE: KindObjective = KindObjective { good_ratio: 0.999, window_s: 30 * DAY_S };
+
+fn member(entry: &str, region: &str) -> MemberStatus {
+    MemberStatus {
+        node: format!("{entry}@1"),
+        entry: entry.to_owned(),
+        region: region.to_owned(),
+        zone: format!("{region}-a"),
+        service: Some("balance".to_owned()),
+        state: "ready".to_owned(),
+        slots: 36,
+    }
+}
+
+/// Counts of a node that has run for longer than all windows: good and shed calls by window.
+fn kind(service: &str, kind: &str, counts: [(u64, u64); 4]) -> KindBurn {
+    let windows = WindowedCounts::WINDOWS_S.into_iter().zip(counts);
+    let windows = windows.map(|(window_s, (good, shed))| {
+        let bad = BTreeMap::from([("overloaded".to_owned(), shed)]);
+        let bad = if shed > 0 { bad } else { BTreeMap::new() };
+        WindowCounts { window_s, covered_s: window_s, good, invalid: 0, bad }
+    });
+    KindBurn {
+        service: service.to_owned(),
+        kind: kind.to_owned(),
+        objective: Some(OBJECTIVE),
+        windows: windows.collect(),
+    }
+}
+
+fn answer(entry: &str, region: &str, kinds: Vec<KindBurn>) -> NodeAnswer {
+    let burn = NodeBurn { kinds, ..NodeBurn::default() };
+    NodeAnswer { member: member(entry, region), burn: Ok(burn) }
+}
+
+fn missing(entry: &str, region: &str) -> NodeAnswer {
+    let burn = Err(NodeError { node: entry.to_owned(), reason: "connection refused".to_owned() });
+    NodeAnswer { member: member(entry, region), burn }
+}
+
+fn report(answers: &[NodeAnswer]) -> BurnReport {
+    merge(answers, &Declared::default())
+}
+
+/// Declares a test for each case: counts by window on one node and the outlook.
+macro_rules! outlooks {
+    ($($name:ident: $counts:expr => $outlook:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let report = report(&[answer("10.0.0.1:7000", "veneto", vec![kind("a", "b", $counts)])]);
+            assert_eq!(report.rows[0].outlook, $outlook);
+        }
+    )*};
+}
+
+outlooks! {
+    all_good_holds: [(100, 0); 4] => Outlook::Holding;
+    no_calls_are_not_good: [(0, 0); 4] => Outlook::NoCalls;
+    pace_within_budget_holds: [(9_995, 5); 4] => Outlook::Holding;
+    spike_that_has_healed_holds: [(1000, 0), (900, 100), (9_000, 100), (99_900, 100)] => Outlook::Holding;
+    lasting_burn_breaches: [(990, 10), (990, 10), (9_990, 10), (99_990, 10)]
+        => Outlook::Breaching { in_s: 256_608 };
+    overdrawn_budget_is_breached: [(500, 500); 4] => Outlook::Breached;
+}
+
+#[test]
+fn counts_of_nodes_are_summed() {
+    let counts = [(990, 10), (990, 10), (990, 10), (990, 10)];
+    let answers = ["10.0.0.1:7000", "10.0.0.2:7000"]
+        .map(|it| answer(it, "veneto", vec![kind("balance", "check", counts)]));
+    let report = report(&answers);
+    let window = &report.rows[0].windows[0];
+    assert_eq!((window.good, window.bad, window.bad_by_reason["overloaded"]), (1980, 20, 20));
+    assert!((window.burn_rate.unwrap() - 10.0).abs() < 1e-6);
+    assert_eq!(report.exit(), Exit::Done);
+}
+
+#[test]
+fn missing_node_makes_good_kinds_unknown_and_keeps_breaches() {
+    let good = kind("balance", "check", [(100, 0); 4]);
+    let bad = kind("charging", "charge", [(500, 500); 4]);
+    let report = report(&[
+        answer("10.0.0.1:7000", "veneto", vec![good, bad]),
+        missing("10.0.0.2:7000", "veneto"),
+    ]);
+    let outlooks: Vec<Outlook> = report.rows.iter().map(|it| it.outlook).collect();
+    assert_eq!(outlooks, [Outlook::Breached, Outlook::Incomplete]);
+    assert_eq!(report.exit(), Exit::Incomplete);
+}
+
+#[test]
+fn region_without_an_answer_is_named() {
+    let declared = Declared { regions: vec!["veneto".into(), "emilia".into()], kinds: vec![] };
+    let good = kind("balance", "check", [(100, 0); 4]);
+    let report = merge(&[answer("10.0.0.1:7000", "veneto", vec![good])], &declared);
+    assert_eq!(report.regions_without_answer, ["emilia"]);
+    assert_eq!(report.rows[0].outlook, Outlook::Incomplete);
+}
+
+#[test]
+fn no_nodes_at_all_is_incomplete() {
+    assert_eq!(report(&[]).exit(), Exit::Incomplete);
+}
+
+fn example() -> BurnReport {
+    let lasting = [(990, 10), (11_880, 120), (71_900, 200), (863_000, 400)];
+    let slight = [(1200, 0), (14_390, 10), (86_300, 30), (1_036_000, 100)];
+    report(&[
+        answer("10.0.0.1:7000", "lombardia", vec![kind("charging", "charge", lasting)]),
+        answer("10.0.0.2:7000", "veneto", vec![kind("balance", "check", slight)]),
+        missing("10.0.0.3:7000", "emilia"),
+        answer("10.0.0.4:7000", "emilia", vec![kind("<history>", "list", [(0, 0); 4])]),
+    ])
+}
+
+/// Declares a test for each form of the example report, kept as a snapshot.
+macro_rules! forms {
+    ($($name:ident: $render:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            insta::assert_snapshot!(stringify!($name), $render);
+        }
+    )*};
+}
+
+forms! {
+    example_as_table: example().table();
+    example_as_json: example().json();
+    example_as_html: example().html().unwrap();
+}
+
+#[test]
+fn page_needs_no_other_file_and_escapes_names() {
+    let page = example().html().unwrap();
+    assert!(!page.contains("<history>") && page.contains("&lt;history&gt;"));
+    assert!(!page.contains("src=") && !page.contains("href=") && !page.contains("url("));
+}
