--- /dev/null
+++ b/crates/pollenlever-core/tests/membership.rs
@@ -0,0 +1,169 @@
+//! Membership on a virtual clock: joins, failures, pauses, cuts and losses.
+
+mod membership_net;
+
+use std::time::Duration;
+
+use membership_net::{Net, addr, node_id};
+use pollenlever_core::membership::{MembershipEvent, MembershipSettings, TargetState};
+use pollenlever_core::policy::TargetNotice;
+
+/// Names a case and runs its body on a settled net of so many nodes, once for each seed.
+macro_rules! case {
+    ($name:ident, $count:literal, |$net:ident| $body:block) => {
+        #[test]
+        fn $name() {
+            for seed in 1..=3 {
+                let mut $net = Net::settled($count, seed);
+                $body
+            }
+        }
+    };
+}
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn no_one_is_gone(net: &Net) -> bool {
+    net.nodes.values().all(|it| it.gone.is_empty())
+}
+
+case!(a_quiet_net_takes_no_one_off, 30, |net| {
+    net.run(secs(120));
+    assert!(no_one_is_gone(&net));
+});
+
+case!(losses_take_no_one_off, 30, |net| {
+    net.loss = 0.05;
+    net.run(secs(120));
+    assert!(no_one_is_gone(&net));
+});
+
+#[test]
+fn losses_take_members_off_without_probes_and_suspicion() {
+    let cfg = MembershipSettings {
+        indirect_probes: 0,
+        indirect_timeout: Duration::ZERO,
+        suspicion_timeout: Duration::ZERO,
+        ..MembershipSettings::default()
+    };
+    let mut net = Net::settled_with(cfg, 30, 1);
+    net.loss = 0.05;
+    net.run(secs(10));
+    assert!(!no_one_is_gone(&net), "the case above would not show a failure");
+}
+
+#[test]
+fn undelivered_news_is_sent_again_without_digests() {
+    let never = Duration::from_secs(1 << 20);
+    let cfg = MembershipSettings { sync_interval: never, ..MembershipSettings::default() };
+    let mut net = Net::settled_with(cfg, 30, 1);
+    net.is_cut = |a, b| a.region != b.region;
+    net.report(addr(3), MembershipEvent::Leave);
+    net.run(secs(60));
+    net.is_cut = |_, _| false;
+    net.run_until("news after the cut", 10, |net| {
+        net.all_see(3, |it| it.is_some_and(|it| it.state == TargetState::Leaving))
+    });
+}
+
+/// Largest encoding of a digest, all of whose buckets are in use.
+const MAX_DIGEST_BYTES: u64 = 256 * 9 + 3;
+
+#[test]
+fn a_quiet_net_costs_a_node_the_same_at_any_size() {
+    let cost_per_node = |count: u16| {
+        let mut net = Net::settled(count, 1);
+        (net.bytes, net.messages) = (0, 0);
+        net.run(secs(60));
+        (net.bytes / u64::from(count), net.messages / u64::from(count))
+    };
+    let (small, large) = (cost_per_node(30), cost_per_node(120));
+    assert!(large.1 * 10 < small.1 * 11, "{small:?} messages a node grew to {large:?}");
+    let syncs = 60 / 7; // at least 7.5 s apart
+    assert!(large.0 < small.0 + syncs * MAX_DIGEST_BYTES, "{small:?} bytes grew to {large:?}");
+}
+
+case!(a_killed_node_is_gone_within_ten_seconds, 60, |net| {
+    net.kill(7);
+    net.run_until("gone", 10, |net| net.all_see(7, |it| it.is_none()));
+    net.run(secs(30));
+    assert!(net.nodes.values().all(|it| it.view.len() == 59), "no one else is taken off");
+});
+
+case!(half_a_region_is_gone_within_a_minute, 60, |net| {
+    for number in (0..30).step_by(3) {
+        net.kill(number);
+    }
+    net.run_until("gone", 60, |net| net.nodes.values().all(|it| it.view.len() == 50));
+});
+
+case!(a_leaving_target_is_known_everywhere_within_two_seconds, 90, |net| {
+    net.report(addr(11), MembershipEvent::Leave);
+    net.run_until("leaving", 2, |net| {
+        net.all_see(11, |it| it.is_some_and(|it| it.state == TargetState::Leaving))
+    });
+    let cold = TargetNotice::Announce { service: "balance".into(), slots: None, cold: true };
+    net.report(addr(11), MembershipEvent::Target(cold));
+    net.run(secs(2));
+    let is_leaving = |it: Option<&_>| {
+        it.is_some_and(|it: &pollenlever_core::membership::Member| it.state == TargetState::Leaving)
+    };
+    assert!(net.all_see(11, is_leaving), "a node that leaves does not come back");
+    net.kill(11);
+    net.run_until("gone without suspicion", 5, |net| net.all_see(11, |it| it.is_none()));
+});
+
+case!(a_paused_node_comes_back_under_its_incarnation, 30, |net| {
+    net.node(7).paused = true;
+    net.run_until("gone", 15, |net| net.all_see(7, |it| it.is_none()));
+    net.run(secs(15));
+    net.resume(7);
+    net.run_until("back", 15, |net| {
+        net.all_see(7, |it| it.is_some_and(|it| it.node == node_id(7, 1)))
+    });
+    net.run(secs(10));
+    assert!(net.nodes.values().all(|it| it.view.len() == 30), "its pause took no one off");
+});
+
+case!(a_restarted_node_replaces_its_old_process, 30, |net| {
+    net.kill(7);
+    net.start(7, 2, 1000);
+    net.run_until("replaced", 3, |net| {
+        net.all_see(7, |it| it.is_some_and(|it| it.node == node_id(7, 2)))
+    });
+    let gone_once = |net: &Net| {
+        let others = net.nodes.iter().filter(|(at, _)| **at != addr(7));
+        others.into_iter().all(|(_, it)| it.gone == [node_id(7, 1)])
+    };
+    net.run(secs(20));
+    assert!(gone_once(&net));
+});
+
+case!(a_restarted_node_with_a_slow_clock_replaces_its_old_process, 30, |net| {
+    net.kill(7);
+    net.start(7, 2, 0);
+    net.run_until("replaced", 20, |net| {
+        net.all_see(7, |it| it.is_some_and(|it| it.node == node_id(7, 2)))
+    });
+});
+
+case!(a_cut_between_regions_takes_no_one_off, 30, |net| {
+    net.is_cut = |a, b| a.region != b.region;
+    net.run(secs(180));
+    assert!(no_one_is_gone(&net));
+    net.report(addr(3), MembershipEvent::Leave);
+    net.run(secs(1));
+    net.is_cut = |_, _| false;
+    net.run_until("news after the cut", 30, |net| {
+        net.all_see(3, |it| it.is_some_and(|it| it.state == TargetState::Leaving))
+    });
+});
+
+case!(a_cut_between_zones_heals, 24, |net| {
+    net.is_cut = |a, b| a.region == b.region && a.zone != b.zone;
+    net.run(secs(60));
+    net.is_cut = |_, _| false;
+    net.run_until("all back", 180, |net| net.nodes.values().all(|it| it.view.len() == 24));
+});
