--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -2,9 +2,9 @@
 
 mod clock;
 mod decision;
-mod no_control;
 mod node;
 mod node_error;
+mod open_work;
 mod policy;
 mod report;
 mod signals;
@@ -15,6 +15,7 @@
 pub use decision::{CallReply, Decision};
 pub use node::Node;
 pub use node_error::NodeError;
+pub use open_work::{OpenWork, OpenWorkGuard};
 pub use report::report;
 pub use signals::wait_for_signal;
 pub use waiters::Waiters;
