Give each node of a test its own loopback address

Ruled out: a slow start (the wait is 20 s and the node had ended at its bind). Change: fixed ports on an address made from process id and test number.

--- a/crates/pollenlever/tests/support/test_node.rs
+++ b/crates/pollenlever/tests/support/test_node.rs
@@ -1,5 +1,5 @@
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -15,7 +15,7 @@
 /// Longest wait for a node to do what it is asked.
 const PATIENCE: Duration = Duration::from_secs(20);
 
-static NEXT_FILE: AtomicUsize = AtomicUsize::new(0);
+static NEXT_NODE: AtomicUsize = AtomicUsize::new(0);
 
 /// A running `pollenleverd`, ended when dropped.
 pub(crate) struct TestNode {
@@ -51,19 +51,19 @@
     /// Starts a node beside a target that has announced itself for the service `balance`.
     pub(crate) fn start() -> TestNode {
         let target = StubTarget::start();
-        let ports = free_ports();
+        let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
+        let addr = |port| SocketAddr::from((own_ip(number), port));
         let cfg = Settings {
-            entry: ports[0],
-            peer: ports[1],
+            entry: addr(7000),
+            peer: addr(7100),
             target: target.addr,
-            store: ports[2],
+            store: addr(7300),
             region: "lombardia".to_owned(),
             zone: "lombardia-a".to_owned(),
             seed: Some(1),
             log_level: "debug".to_owned(),
             ..Settings::default()
         };
-        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
         let name = format!("pollenlever-node-{}-{number}.ini", std::process::id());
         let file = std::env::temp_dir().join(name);
         std::fs::write(&file, cfg.to_ini()).unwrap();
@@ -164,10 +164,11 @@
     }
 }
 
-/// Ports that were free a moment ago: entry, peer and an unused one for the store.
-fn free_ports() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap());
-    listeners.map(|it| it.local_addr().unwrap())
+/// An address of this node alone, so that no other socket of the machine can hold its ports.
+fn own_ip(number: usize) -> Ipv4Addr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let number = u8::try_from(number + 1).expect("at most 255 nodes a test process");
+    Ipv4Addr::new(127, 128 | high, low, number)
 }
 
 fn config() -> ServiceConfig {
