--- a/crates/pollenlever-standins/src/cluster/cluster.rs
+++ b/crates/pollenlever-standins/src/cluster/cluster.rs
@@ -11,6 +11,7 @@
 use super::publish::publish;
 use super::{ClusterError, ClusterSpec, Machine, Program};
 use crate::relay::{Links, Place, Relay};
+use crate::store::Faults as StoreFaults;
 use crate::target::{Faults, RunLog, RunRecord};
 
 /// Time between two looks at a condition that is waited for.
@@ -110,6 +111,19 @@
             .map_err(|err| ClusterError::request("set faults", err))
     }
 
+    /// Sets the faults of the store.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the store does not answer.
+    pub fn set_store_faults(&self, faults: &StoreFaults) -> Result<(), ClusterError> {
+        let url = format!("http://{}/v1/faults", self.store_addr);
+        let sent = self.client.post(url).json(faults).send();
+        sent.and_then(|it| it.error_for_status())
+            .map(drop)
+            .map_err(|err| ClusterError::request("set faults of the store", err))
+    }
+
     /// Members and configurations as a machine's node sees them.
     ///
     /// # Errors
--- a/crates/pollenlever-standins/src/lib.rs
+++ b/crates/pollenlever-standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for what pollenlever meets: the platform's store, targets, callers and links.
 
+pub mod caller;
 pub mod cluster;
 pub mod demo;
 pub mod load;
--- a/crates/pollenlever-standins/src/measure/catalog.rs
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -1,4 +1,5 @@
 use super::Measurement;
+use super::promises::Promises;
 
 /// All measurements, in the order of `scripts/measure list`.
-pub static CATALOG: &[&dyn Measurement] = &[];
+pub static CATALOG: &[&dyn Measurement] = &[&Promises];
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/promises/config_history.rs
@@ -0,0 +1,78 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use pollenlever::control::ControlStatus;
+use pollenlever::store::{StoreClient, SubmitSettings, submit};
+use pollenlever_core::config::{ConfigVersion, ServiceConfig};
+
+/// Time between two submissions.
+const SUBMIT_INTERVAL: Duration = Duration::from_millis(900);
+/// Time between two looks at every node.
+const WATCH_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for a node's status.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Versions of configuration that a run accepted and that nodes had in force.
+#[derive(Debug, Default)]
+pub(super) struct ConfigHistory {
+    /// Newest version of each service in force on each node, as seen so far.
+    newest: BTreeMap<(SocketAddr, String), ConfigVersion>,
+    /// Times that a node had an older version in force than before.
+    pub(super) reverts: u64,
+}
+
+impl ConfigHistory {
+    /// Looks at every node until `stop` is set.
+    pub(super) fn watch(entries: &[SocketAddr], stop: &AtomicBool) -> ConfigHistory {
+        let mut history = ConfigHistory::default();
+        let client = reqwest::blocking::Client::builder().timeout(STATUS_TIMEOUT).build();
+        let Ok(client) = client else { return history };
+        while !stop.load(Ordering::Relaxed) {
+            for &entry in entries {
+                let url = format!("http://{entry}/pollenlever/v1/status");
+                let status = client.get(url).send().and_then(|it| it.json::<ControlStatus>());
+                if let Ok(status) = status {
+                    history.note(entry, &status);
+                }
+            }
+            std::thread::sleep(WATCH_INTERVAL);
+        }
+        history
+    }
+
+    fn note(&mut self, entry: SocketAddr, status: &ControlStatus) {
+        for (service, &version) in &status.configs {
+            let newest = self.newest.entry((entry, service.clone())).or_default();
+            if version < *newest {
+                println!("revert of {service} on {entry} from {newest} to {version}");
+                self.reverts += 1;
+            }
+            *newest = version.max(*newest);
+        }
+    }
+}
+
+/// Submits changes of one service until `stop` is set. Returns the newest accepted version.
+pub(super) fn submit_changes(
+    store: SocketAddr,
+    cfg: &ServiceConfig,
+    stop: &AtomicBool,
+) -> Option<ConfigVersion> {
+    let api = StoreClient::new(store).ok()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().ok()?;
+    let settings = SubmitSettings::default();
+    let mut accepted = None;
+    for n in 0_u64.. {
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let cfg = ServiceConfig { connections: 300 + (n % 2) as u32, ..cfg.clone() };
+        let submission = format!("change-{n}");
+        let result = runtime.block_on(submit(&api, &cfg, &submission, &settings));
+        accepted = result.ok().map(|it| it.version).or(accepted);
+        std::thread::sleep(SUBMIT_INTERVAL);
+    }
+    accepted
+}
