Test the tables and one node event by event

Cause: histories do not say which rule failed. Ruled out: Left waiting for attempts whose gate does not answer; it took up to the retention time. Change: cases for keys, seals, resends, chains, cancellation, drain; chains fan out in histories.

--- a/crates/pollenlever-core/src/node/delivery.rs
+++ b/crates/pollenlever-core/src/node/delivery.rs
@@ -40,6 +40,11 @@
         }
     }
 
+    /// Whether the gate is being asked what became of the last attempt.
+    pub(super) fn is_asking_seal(&self) -> bool {
+        matches!(self.stage, DeliveryStage::AskingSeal(_) | DeliveryStage::SealPause)
+    }
+
     /// Whether the request may run at most once.
     pub(super) fn is_once(&self) -> bool {
         matches!(self.owner, Owner::Record(_))
--- a/crates/pollenlever-core/src/node/lineage.rs
+++ b/crates/pollenlever-core/src/node/lineage.rs
@@ -86,6 +86,9 @@
             self.resends.retain(|_, bucket| !bucket.is_full(now));
         }
         let id = (call.customer.clone(), call.service.clone());
+        if self.resends.len() >= self.cfg.max_recent_failures && !self.resends.contains_key(&id) {
+            return false;
+        }
         let bucket = self.resends.entry(id);
         bucket.or_insert_with(|| TokenBucket::new(now, burst, rate)).take(now)
     }
--- a/crates/pollenlever-core/src/node/node.rs
+++ b/crates/pollenlever-core/src/node/node.rs
@@ -315,7 +315,8 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.calls.is_empty() && self.streams.is_empty() && self.deliveries.is_empty()
+        let has_work = self.deliveries.values().any(|it| !it.is_asking_seal());
+        self.calls.is_empty() && self.streams.is_empty() && self.forwards.is_empty() && !has_work
     }
 
     fn expire(&mut self, now: Timestamp) {
--- a/crates/pollenlever-core/src/node/seals.rs
+++ b/crates/pollenlever-core/src/node/seals.rs
@@ -15,7 +15,7 @@
     /// Asks the gate to seal the last attempt of a delivery, or to say what became of it.
     pub(super) fn ask_seal(&mut self, cx: &mut Cx<'_>, id: DeliveryId) {
         let Some(delivery) = self.deliveries.get(&id) else { return };
-        if matches!(delivery.stage, DeliveryStage::AskingSeal(_)) {
+        if let DeliveryStage::AskingSeal(_) = delivery.stage {
             return;
         }
         let Some((attempt, node)) = delivery.attempt else { return };
--- a/crates/pollenlever-core/src/once/mod.rs
+++ b/crates/pollenlever-core/src/once/mod.rs
@@ -14,3 +14,6 @@
 pub(crate) use home_table::HomeTable;
 pub(crate) use key_mint::KeyMint;
 pub(crate) use seal_table::SealTable;
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/pollenlever-core/tests/node/main.rs
@@ -0,0 +1,243 @@
+//! One node, driven event by event; what it sends to itself comes back at once.
+
+mod driver;
+
+use std::time::Duration;
+
+use pollenlever_core::answer::{ErrorKind, Outcome};
+use pollenlever_core::id::RequestKey;
+use pollenlever_core::message::{PeerReply, PeerRequest, SealReply};
+use pollenlever_core::policy::{Action, Call, Event, RunResult, SendFailure, TargetNotice};
+
+use driver::{Driver, call, charge, config, peer};
+
+/// Names each case, for `cargo test`.
+macro_rules! cases {
+    ($($name:ident => $body:expr;)*) => {
+        $(#[test] fn $name() { $body })*
+    };
+}
+
+cases! {
+    call_runs_and_is_answered => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.end_run(answered());
+        assert_eq!(it.answer(1).outcome, Outcome::Ran);
+    };
+    charge_without_key_is_refused => {
+        assert_eq!(refused(charge(None)), ErrorKind::KeyRequired);
+    };
+    unknown_service_is_refused => {
+        assert_eq!(refused(Call { service: "x".into(), ..call("/get") }), ErrorKind::UnknownService);
+    };
+    call_of_an_unknown_parent_is_refused => {
+        let parent = Some("127.0.0.1:7101@1f~2a".parse().unwrap());
+        assert_eq!(refused(Call { parent, ..call("/get") }), ErrorKind::ParentEnded);
+    };
+    forged_key_is_refused => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.call(1, charge(Some(RequestKey { tag: key.tag ^ 1, ..key })));
+        assert_eq!(it.error(1), ErrorKind::KeyForeign);
+    };
+    old_key_is_refused_as_unknown => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.sleep(config().retention);
+        it.call(1, charge(Some(key)));
+        assert_eq!(it.error(1), ErrorKind::KeyExpired);
+        assert_eq!(it.answer(1).outcome, Outcome::Unknown);
+    };
+    old_key_stays_refused_when_retention_grows => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        it.end_run(answered());
+        it.sleep(config().retention);
+        let retention = config().retention * 10;
+        it.event(Event::Config(pollenlever_core::config::ServiceConfig { retention, ..config() }.into()));
+        it.call(2, charge(Some(key)));
+        assert_eq!(it.error(2), ErrorKind::KeyExpired);
+        assert_eq!(it.runs(), 1);
+    };
+    key_with_other_content_is_refused => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        it.end_run(answered());
+        it.call(2, Call { body: "other".into(), ..charge(Some(key)) });
+        assert_eq!(it.error(2), ErrorKind::KeyReused);
+    };
+    resend_attaches_and_gets_the_same_answer => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        it.call(2, charge(Some(key)));
+        it.end_run(answered());
+        it.call(3, charge(Some(key)));
+        assert_eq!([it.answer(1), it.answer(2)], [it.answer(3), it.answer(3)]);
+        assert_eq!(it.runs(), 1);
+    };
+    caller_that_hangs_up_does_not_stop_its_charge => {
+        let mut it = Driver::new();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        it.event(Event::CallCancelled(1));
+        it.end_run(answered());
+        it.call(2, charge(Some(key)));
+        assert_eq!(it.answer(2).outcome, Outcome::Ran);
+        assert_eq!(it.runs(), 1);
+    };
+    caller_that_hangs_up_stops_its_idempotent_request => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.event(Event::CallCancelled(1));
+        assert!(it.log.iter().any(|it| matches!(it, Action::CancelRun(_))));
+    };
+    call_is_answered_at_its_deadline => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.sleep(Duration::from_secs(2));
+        assert_eq!(it.error(1), ErrorKind::DeadlinePassed);
+        assert!(it.answer(1).retry_after.is_some());
+    };
+    request_that_waits_past_its_deadline_is_not_started => {
+        let mut it = Driver::new();
+        it.call(1, Call { timeout: Some(Duration::from_secs(1)), ..call("/get") });
+        it.call(2, Call { timeout: Some(Duration::from_millis(10)), body: "b".into(), ..call("/get") });
+        it.sleep(Duration::from_millis(500));
+        it.end_run(answered());
+        assert_eq!(it.runs(), 1);
+    };
+    equal_call_after_a_failure_joins_its_chain => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.end_run(RunResult::TimedOut);
+        it.call(2, call("/get"));
+        it.end_run(answered());
+        assert_eq!(it.chain(1), it.chain(2));
+    };
+    equal_call_after_an_answer_is_a_new_chain => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.end_run(answered());
+        it.call(2, call("/get"));
+        it.end_run(answered());
+        assert_ne!(it.chain(1), it.chain(2));
+    };
+    resends_under_a_chain_are_counted => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.end_run(answered());
+        let chain = Some(it.chain(1));
+        for id in 2..=3 {
+            it.call(id, Call { chain, ..call("/get") });
+            it.end_run(answered());
+        }
+        it.call(4, Call { chain, ..call("/get") });
+        assert_eq!(it.error(4), ErrorKind::RetryRefused);
+        assert_eq!(it.answer(4).outcome, Outcome::Unknown);
+    };
+    call_inside_a_chain_keeps_chain_and_deadline => {
+        let mut it = Driver::new();
+        it.slots(2);
+        it.call(1, call("/get"));
+        let parent = Some(it.last_attempt());
+        it.call(2, Call { parent, body: "child".into(), ..call("/get") });
+        it.sleep(Duration::from_secs(2));
+        assert_eq!(it.error(2), ErrorKind::DeadlinePassed);
+        assert_eq!(it.chain(1), it.chain(2));
+    };
+    blind_resend_inside_a_chain_takes_a_grant => {
+        let mut it = Driver::new();
+        it.slots(9);
+        it.call(1, call("/get"));
+        let parent = Some(it.last_attempt());
+        for id in 2..=5 {
+            it.call(id, Call { parent, body: "child".into(), ..call("/get") });
+        }
+        assert_eq!(it.runs(), 4);
+        assert_eq!(it.error(5), ErrorKind::RetryRefused);
+    };
+    chain_that_is_too_deep_is_refused => {
+        let mut it = Driver::new();
+        it.slots(99);
+        it.call(1, call("/get"));
+        for id in 2..=18 {
+            let parent = Some(it.last_attempt());
+            it.call(id, Call { parent, body: id.to_string().into(), ..call("/get") });
+        }
+        assert_eq!(it.error(18), ErrorKind::DepthExceeded);
+    };
+    leaving_target_gets_no_new_work => {
+        let mut it = Driver::new();
+        it.event(Event::Target(TargetNotice::Leaving));
+        it.call(1, call("/get"));
+        assert_eq!(it.runs(), 0);
+        assert_eq!(it.answer(1).outcome, Outcome::NotRun);
+    };
+    leaving_node_ends_after_its_last_answer => {
+        let mut it = Driver::new();
+        it.call(1, call("/get"));
+        it.event(Event::Leave);
+        assert!(!it.log.contains(&Action::Left));
+        it.end_run(answered());
+        assert_eq!(it.log.iter().filter(|it| **it == Action::Left).count(), 1);
+    };
+    lost_attempt_is_asked_after_and_not_run_again_while_it_runs => {
+        let mut it = Driver::with_peer();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        let (attempt, _) = it.last_send();
+        it.event(Event::SendFailed(attempt, SendFailure::Lost));
+        let (seal, req) = it.last_send();
+        assert!(matches!(req, PeerRequest::Seal(_)));
+        it.event(Event::Reply(seal, PeerReply::Seal(SealReply::Running), "".into()));
+        it.sleep(Duration::from_millis(200));
+        let (seal, req) = it.last_send();
+        assert!(matches!(req, PeerRequest::Seal(_)));
+        it.event(Event::Reply(seal, PeerReply::Seal(SealReply::Sealed), "".into()));
+        assert!(matches!(it.last_send().1, PeerRequest::Attempt(_)));
+    };
+    lost_attempt_at_a_gone_gate_is_unknown_for_ever => {
+        let mut it = Driver::with_peer();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        let (attempt, _) = it.last_send();
+        it.event(Event::SendFailed(attempt, SendFailure::Lost));
+        it.event(Event::MembersGone(vec![peer()]));
+        it.call(2, charge(Some(key)));
+        assert_eq!([it.error(1), it.error(2)], [ErrorKind::OutcomeUnknown; 2]);
+    };
+    untouched_attempt_is_sent_again => {
+        let mut it = Driver::with_peer();
+        let key = it.take_key();
+        it.call(1, charge(Some(key)));
+        let (attempt, _) = it.last_send();
+        it.event(Event::SendFailed(attempt, SendFailure::Untouched));
+        let (again, req) = it.last_send();
+        assert!(matches!(req, PeerRequest::Attempt(_)) && again != attempt);
+    };
+    key_whose_home_is_gone_is_unknown => {
+        let mut it = Driver::new();
+        let key = RequestKey { home: peer(), minted_ms: 1, seq: 1, tag: 1 };
+        it.call(1, charge(Some(key)));
+        let (forward, _) = it.last_send();
+        let refused = PeerReply::Refused(ErrorKind::WrongIncarnation);
+        it.event(Event::Reply(forward, refused, "".into()));
+        assert_eq!(it.error(1), ErrorKind::HomeGone);
+        assert_eq!(it.answer(1).outcome, Outcome::Unknown);
+    };
+}
+
+/// Why the call is refused.
+fn refused(call: Call) -> ErrorKind {
+    let mut it = Driver::new();
+    it.call(1, call);
+    it.error(1)
+}
+
+fn answered() -> RunResult {
+    RunResult::Answered { status: 200, headers: Vec::new(), body: "ok".into() }
+}
