--- a/crates/pollenlever-core/src/admission/concurrency_limit.rs
+++ b/crates/pollenlever-core/src/admission/concurrency_limit.rs
@@ -8,12 +8,28 @@
 const MEMORY: Duration = Duration::from_millis(500);
 /// Shortest time between two changes of the limit.
 const STEP: Duration = Duration::from_millis(50);
-/// Share of shed or failed runs that is taken for noise.
-const TOLERATED_BAD: f64 = 0.01;
-/// Room above the concurrency of successful runs, to find freed capacity.
-const HEADROOM: f64 = 1.02;
-/// Growth of the limit in a step without shed or failed runs.
-const GROWTH: f64 = 1.15;
+/// Time after which a shed or failed run does not lower the limit any more.
+const FRESH: Duration = Duration::from_millis(100);
+/// Share of shed or failed runs at which the limit stays as it is.
+const BAD_TARGET: f64 = 0.01;
+/// Change of the limit in a step for each unit by which the share is off its target.
+const GAIN: f64 = 0.5;
+/// Largest relative fall of the limit in a step.
+const MAX_FALL: f64 = 0.3;
+/// Weight of a new sample in the mean service time.
+const SHORT_WEIGHT: f64 = 0.1;
+/// Relative rise per second of the lowest mean service time, so that it is forgotten.
+const LOW_RISE: f64 = 0.1;
+/// Mean service time, as a multiple of the lowest one, from which the limit does not grow.
+const SLOWDOWN: f64 = 1.3;
+/// Room above the concurrency of successful runs.
+const HEADROOM: f64 = 1.1;
+/// Growth of the limit per second, relative to the limit.
+const GROWTH: f64 = 0.5;
+/// Growth of the limit per second, beside the relative one.
+const LINEAR_GROWTH: f64 = 4.0;
+/// Time after a shed or failed run in which the limit does not grow.
+const HOLD: Duration = Duration::from_millis(300);
 
 /// Limit from the concurrency that successful runs need.
 ///
@@ -36,9 +52,12 @@
 pub struct ConcurrencyLimit {
     slots: u32,
     limit: f64,
-    busy: Decayed,
     good: Decayed,
     bad: Decayed,
+    last_bad: Timestamp,
+    short: f64,
+    low: f64,
+    since: Option<Timestamp>,
     changed: Timestamp,
 }
 
@@ -49,13 +68,35 @@
         if good + bad > 0.0 { bad / (good + bad) } else { 0.0 }
     }
 
-    fn shrink(&mut self, now: Timestamp) {
-        let needed = self.busy.get(now, MEMORY) / MEMORY.as_secs_f64();
-        self.limit = self.limit.min(needed * HEADROOM + 0.5);
+    /// Concurrency that the present rate of successful runs needs at its lowest service time.
+    fn needed(&self, now: Timestamp) -> f64 {
+        let observed = now.saturating_sub(self.since.unwrap_or(now)).max(STEP);
+        let filled = 1.0 - (-observed.as_secs_f64() / MEMORY.as_secs_f64()).exp();
+        let rate = self.good.get(now, MEMORY) / (MEMORY.as_secs_f64() * filled);
+        rate * self.low * HEADROOM
     }
 
-    fn grow(&mut self) {
-        self.limit = self.limit * GROWTH + 0.5;
+    fn sample(&mut self, service_time: Duration) {
+        let sample = service_time.as_secs_f64();
+        if self.low == 0.0 {
+            self.short = sample;
+            self.low = sample;
+        }
+        self.short += SHORT_WEIGHT * (sample - self.short);
+        self.low = self.low.min(self.short);
+    }
+
+    fn step(&mut self, now: Timestamp, in_flight: u32) {
+        let bad = self.bad_share(now);
+        self.low += self.low * LOW_RISE * STEP.as_secs_f64();
+        let is_full = f64::from(in_flight) >= self.limit - 1.0;
+        let since_bad = now.saturating_sub(self.last_bad);
+        if bad > BAD_TARGET && since_bad < FRESH {
+            let fallen = self.limit * (1.0 - (GAIN * (bad - BAD_TARGET)).min(MAX_FALL));
+            self.limit = fallen.max(self.needed(now).min(self.limit));
+        } else if is_full && since_bad >= HOLD && self.short < SLOWDOWN * self.low {
+            self.limit += (self.limit * GROWTH + LINEAR_GROWTH) * STEP.as_secs_f64();
+        }
     }
 
     fn clamp(&mut self) {
@@ -79,23 +120,23 @@
         outcome: RunOutcome,
         in_flight: u32,
     ) {
+        self.since.get_or_insert(now);
         match outcome {
             RunOutcome::Answered => {
                 self.good.add(now, MEMORY, 1.0);
-                self.busy.add(now, MEMORY, service_time.as_secs_f64());
+                self.sample(service_time);
+            }
+            RunOutcome::ShedByTarget | RunOutcome::Failed => {
+                self.bad.add(now, MEMORY, 1.0);
+                self.last_bad = now;
             }
-            RunOutcome::ShedByTarget | RunOutcome::Failed => self.bad.add(now, MEMORY, 1.0),
             RunOutcome::Cancelled => return,
         }
         if now.saturating_sub(self.changed) < STEP {
             return;
         }
         self.changed = now;
-        if self.bad_share(now) > TOLERATED_BAD {
-            self.shrink(now);
-        } else if f64::from(in_flight) >= self.limit - 1.0 {
-            self.grow();
-        }
+        self.step(now, in_flight);
         self.clamp();
     }
 
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -90,13 +90,17 @@
     fn latest_start(&self, now: Timestamp, waiting: &Waiting, standing: bool) -> Timestamp {
         let needed = self.service_times.of(now, waiting.class());
         let latest = waiting.ticket.deadline.saturating_sub(needed);
-        if standing { latest.min(waiting.arrived + self.longest_wait()) } else { latest }
+        match waiting.ticket.depth {
+            0 if standing => latest.min(waiting.arrived + self.longest_wait(0)),
+            _ => latest,
+        }
     }
 
     /// Longest wait in a standing queue: a share of the service time, so that slow targets still
-    /// keep a request at hand for each slot that becomes free.
-    fn longest_wait(&self) -> Duration {
-        self.settings.queue_delay.max(self.service_times.mean() / 2)
+    /// keep a request at hand for each slot that becomes free; longer for deeper calls, since
+    /// more work is lost with them.
+    fn longest_wait(&self, depth: u8) -> Duration {
+        self.settings.queue_delay.max(self.service_times.mean() / 2) * (1 + u32::from(depth))
     }
 
     fn can_finish(&self, now: Timestamp, waiting: &Waiting) -> bool {
@@ -143,20 +147,22 @@
         }
     }
 
-    /// Requests that may wait: while the queue is standing, as many as start in the longest wait.
+    /// Requests that may wait: as many as start in the longest wait. New chains may exceed it
+    /// until the queue is standing.
     fn max_queue(&self, now: Timestamp) -> usize {
         let pace = self.pace();
-        if !self.is_standing(now) || pace.is_zero() {
+        let depth = self.queue.max_depth();
+        if pace.is_zero() || (depth == 0 && !self.is_standing(now)) {
             return self.settings.max_queue;
         }
-        let starts = self.longest_wait().as_secs_f64() / pace.as_secs_f64();
+        let starts = self.longest_wait(depth).as_secs_f64() / pace.as_secs_f64();
         (starts.ceil() as usize).clamp(1, self.settings.max_queue)
     }
 
     fn start(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         while self.running.len() < self.limit.get().max(1) as usize {
             let order = self.order(now);
-            let Some(best) = self.queue.pop_best(now, &self.usage, order) else { return };
+            let Some(best) = self.pop_best(now, order) else { return };
             let Ticket { id, importance, customer, .. } = &best.ticket;
             self.usage.add(now, *importance, customer);
             self.running.insert(*id, best.class());
@@ -164,6 +170,18 @@
         }
     }
 
+    /// Takes the request that runs next. Deeper calls run by deadline, so that none of an admitted
+    /// chain is starved, unless the queue ahead endangers a more important one.
+    fn pop_best(&mut self, now: Timestamp, order: OrderKind) -> Option<Waiting> {
+        let delay = self.pace() * self.queue.len() as u32;
+        let is_urgent = |it: &Waiting| self.latest_start(now, it, false) < now + delay;
+        let deep = self.queue.next_deep(is_urgent);
+        match deep {
+            Some(id) => self.queue.remove(id),
+            None => self.queue.pop_best(now, &self.usage, order),
+        }
+    }
+
     fn advance(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         self.shed_late(now, verdicts);
         self.start(now, verdicts);
@@ -172,7 +190,8 @@
     }
 
     fn note_queue(&mut self, now: Timestamp) {
-        if self.queue.is_empty() {
+        let delay = self.pace() * self.queue.len() as u32;
+        if self.queue.is_empty() || delay < self.longest_wait(self.queue.max_depth()) / 2 {
             self.standing_since = None;
         } else {
             self.standing_since.get_or_insert(now);
--- a/crates/pollenlever-core/src/admission/queue.rs
+++ b/crates/pollenlever-core/src/admission/queue.rs
@@ -40,11 +40,31 @@
         self.items.iter().filter(|it| it.class() > waiting.class()).count()
     }
 
+    pub(super) fn max_depth(&self) -> u8 {
+        self.items.iter().map(|it| it.ticket.depth).max().unwrap_or_default()
+    }
+
     /// Takes out all requests for which `is_late` holds.
     pub(super) fn take_late(&mut self, is_late: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         self.items.extract_if(.., |it| is_late(it)).collect()
     }
 
+    /// The deeper call that runs next, if no new chain is more important: the most important of
+    /// those that are urgent, else the one with the earliest deadline.
+    pub(super) fn next_deep(&self, is_urgent: impl Fn(&Waiting) -> bool) -> Option<StreamId> {
+        let top = |deep: bool| {
+            let class = self.items.iter().filter(|it| (it.ticket.depth > 0) == deep);
+            class.map(|it| it.ticket.importance).max()
+        };
+        if top(true) < top(false) {
+            return None;
+        }
+        let deep = || self.items.iter().filter(|it| it.ticket.depth > 0);
+        let urgent = deep().filter(|it| is_urgent(it)).max_by_key(|it| it.class());
+        let next = urgent.or_else(|| deep().min_by_key(|it| it.ticket.deadline));
+        next.map(|it| it.ticket.id)
+    }
+
     /// Takes the request that runs next: highest class, then the customer with the least usage,
     /// then by `order`.
     pub(super) fn pop_best(
--- /dev/null
+++ b/crates/pollenlever-core/tests/admission/limit.rs
@@ -0,0 +1,70 @@
+use pollenlever_core::admission::{LimitKind, RunOutcome};
+use proptest::prelude::*;
+
+use super::{cases, ms};
+
+/// A target that runs only `real` at once is found out, and used again once it runs all.
+fn finds_real_slots(kind: LimitKind, real: u32) {
+    let mut limit = kind.build();
+    limit.set_slots(36);
+    let mut feed = |from: u64, real: u32| {
+        for step in 0..200 {
+            let now = ms(from + step * 20);
+            let in_flight = limit.get();
+            for index in 0..in_flight {
+                let good = index < real;
+                let outcome = if good { RunOutcome::Answered } else { RunOutcome::ShedByTarget };
+                limit.finished(now, ms(if good { 20 } else { 1 }), outcome, in_flight);
+            }
+        }
+        limit.get()
+    };
+    let learned = feed(0, real);
+    assert!(learned >= real.saturating_sub(2) && learned <= real + 3, "{learned} for {real}");
+    assert_eq!(feed(4000, 36), 36);
+}
+
+cases! {
+    finds_real_slots:
+    finds_ten_real_slots(LimitKind::Concurrency, 10);
+    finds_one_real_slot(LimitKind::Concurrency, 1);
+    finds_thirty_real_slots(LimitKind::Concurrency, 30);
+}
+
+fn arb_outcome() -> impl Strategy<Value = RunOutcome> {
+    prop_oneof![
+        Just(RunOutcome::Answered),
+        Just(RunOutcome::ShedByTarget),
+        Just(RunOutcome::Failed),
+        Just(RunOutcome::Cancelled),
+    ]
+}
+
+/// Whatever happens, a limit stays between 1 and the slots.
+fn stays_within_slots(kind: LimitKind) {
+    let config = ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    };
+    let runs = prop::collection::vec((arb_outcome(), 0..200u64, 0..3000u64), 1..300);
+    proptest!(config, |(slots in 1..40u32, fewer in 1..40u32, runs in runs)| {
+        let mut limit = kind.build();
+        limit.set_slots(slots);
+        let mut now = 0;
+        for (index, (outcome, gap, time)) in runs.into_iter().enumerate() {
+            now += gap;
+            if index == 100 {
+                limit.set_slots(slots.min(fewer));
+            }
+            limit.finished(ms(now), ms(time), outcome, limit.get());
+            prop_assert!((1..=slots).contains(&limit.get()));
+            prop_assert!(index < 100 || limit.get() <= slots.min(fewer));
+        }
+    });
+}
+
+cases! {
+    stays_within_slots:
+    concurrency_limit_stays_within_slots(LimitKind::Concurrency);
+    gradient_limit_stays_within_slots(LimitKind::Gradient);
+}
--- /dev/null
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -0,0 +1,187 @@
+//! Routing by tier, load, failures and byte budget.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::config::{Importance, ServiceConfig};
+use pollenlever_core::id::{NodeId, ServiceName};
+use pollenlever_core::membership::{Member, TargetState};
+use pollenlever_core::message::GateLoad;
+use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
+
+/// Defines one test for each named case of a function.
+macro_rules! cases {
+    ($function:ident: $($name:ident($($arg:expr),*);)+) => {
+        $(#[test] fn $name() { $function($($arg),*); })+
+    };
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn node(number: u64) -> NodeId {
+    NodeId { addr: format!("127.0.0.1:{}", 7000 + number).parse().unwrap(), incarnation: number }
+}
+
+/// Six nodes, one in each of two zones of three regions; node 0 stands beside the caller.
+fn member(number: u64) -> Member {
+    let region = number / 2;
+    Member {
+        node: node(number),
+        entry: "127.0.0.1:1".parse().unwrap(),
+        version: 1,
+        region: format!("region-{region}").into(),
+        zone: format!("zone-{number}").into(),
+        service: Some("charging".into()),
+        state: TargetState::Ready,
+        slots: 10,
+    }
+}
+
+fn routing() -> TwoChoices {
+    let settings = RoutingSettings { seed: 1, ..RoutingSettings::default() };
+    let mut routing = TwoChoices::new(node(0), "region-0".into(), "zone-0".into(), settings);
+    routing.members_up(ms(0), &(0..6).map(member).collect::<Vec<_>>());
+    routing
+}
+
+fn choose(
+    routing: &mut TwoChoices,
+    now: Duration,
+    importance: Importance,
+    tried: &[NodeId],
+) -> Result<NodeId, NoRoute> {
+    let service: ServiceName = "charging".into();
+    let chain = "127.0.0.1:7101@1f~2a".parse().unwrap();
+    let req = RouteRequest { service: &service, importance, chain, depth: 0, bytes: 100, tried };
+    routing.choose(now, &req)
+}
+
+fn number_of(node: NodeId) -> u64 {
+    node.incarnation
+}
+
+fn full() -> GateLoad {
+    GateLoad { in_flight: 10, queued: 5, limit: 10, ..GateLoad::default() }
+}
+
+fn report(routing: &mut TwoChoices, now: Duration, number: u64, load: &GateLoad) {
+    routing.sent(now, node(number), 100);
+    routing.replied(now, node(number), ms(10), load, 100);
+}
+
+/// With the first `full_nodes` nodes full, requests go to one of `expected`.
+fn spills(full_nodes: u64, expected: &[u64]) {
+    let mut routing = routing();
+    for number in 0..full_nodes {
+        report(&mut routing, ms(0), number, &full());
+    }
+    for _ in 0..50 {
+        let chosen = choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap();
+        assert!(expected.contains(&number_of(chosen)), "{chosen}");
+    }
+}
+
+cases! {
+    spills:
+    stays_in_the_zone(0, &[0]);
+    spills_to_the_region(1, &[1]);
+    spills_to_other_regions(2, &[2, 3, 4, 5]);
+    stays_near_when_all_are_full(6, &[0]);
+}
+
+#[test]
+fn tried_leaving_and_gone_nodes_are_passed_over() {
+    let mut routing = routing();
+    let leaving = GateLoad { leaving: true, ..GateLoad::default() };
+    report(&mut routing, ms(0), 1, &leaving);
+    routing.members_gone(ms(0), &[node(2), node(3), node(4)]);
+    assert_eq!(choose(&mut routing, ms(0), Importance::Normal, &[node(0)]), Ok(node(5)));
+    let none = choose(&mut routing, ms(0), Importance::Normal, &[node(0), node(5)]);
+    assert_eq!(none.unwrap_err().error, ErrorKind::NoTarget);
+}
+
+#[test]
+fn a_failing_node_is_left_alone_and_probed() {
+    let mut routing = routing();
+    routing.sent(ms(0), node(0), 100);
+    routing.failed(ms(0), node(0));
+    assert_eq!(choose(&mut routing, ms(10), Importance::Normal, &[]), Ok(node(1)));
+    assert_eq!(choose(&mut routing, ms(60), Importance::Normal, &[]), Ok(node(0)));
+    routing.sent(ms(60), node(0), 100);
+    assert_eq!(choose(&mut routing, ms(61), Importance::Normal, &[]), Ok(node(1)), "one probe");
+    routing.replied(ms(70), node(0), ms(10), &GateLoad::default(), 100);
+    assert_eq!(choose(&mut routing, ms(71), Importance::Normal, &[]), Ok(node(0)));
+}
+
+#[test]
+fn the_byte_budget_keeps_requests_in_the_region() {
+    let mut routing = routing();
+    let service = "charging".into();
+    let cfg = ServiceConfig { service, cross_region_bytes: 1000, ..ServiceConfig::default() };
+    routing.configure(Arc::new(cfg));
+    report(&mut routing, ms(0), 0, &full());
+    report(&mut routing, ms(0), 1, &full());
+    let far = choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap();
+    assert!(number_of(far) >= 2);
+    routing.sent(ms(1), far, 2000);
+    assert_eq!(choose(&mut routing, ms(2), Importance::Normal, &[]), Ok(node(0)));
+    report(&mut routing, ms(3000), 0, &full());
+    report(&mut routing, ms(3000), 1, &full());
+    let far = choose(&mut routing, ms(3001), Importance::Normal, &[]).unwrap();
+    assert!(number_of(far) >= 2, "the budget is back");
+}
+
+#[test]
+fn entries_refuse_early_and_probe() {
+    let mut routing = routing();
+    let load = GateLoad { shed_below: Importance::High, ..full() };
+    for number in 0..6 {
+        report(&mut routing, ms(0), number, &load);
+    }
+    assert!(choose(&mut routing, ms(1), Importance::Normal, &[]).is_ok(), "the first is a probe");
+    let refused = choose(&mut routing, ms(2), Importance::Normal, &[]).unwrap_err();
+    assert_eq!(refused.error, ErrorKind::Overloaded);
+    assert!(refused.retry_after > Duration::ZERO);
+    assert!(choose(&mut routing, ms(3), Importance::High, &[]).is_ok());
+    assert!(choose(&mut routing, ms(1000), Importance::Normal, &[]).is_ok(), "old load is dropped");
+}
+
+#[test]
+fn a_cold_target_gets_a_growing_share() {
+    let mut routing = routing();
+    routing.members_gone(ms(0), &[node(0), node(1)]);
+    let gone: Vec<_> = (2..6).map(node).collect();
+    routing.members_gone(ms(0), &gone[2..]);
+    routing.members_gone(ms(0), &gone[..1]);
+    routing.members_up(ms(0), &[Member { state: TargetState::Cold, ..member(2) }]);
+    let service = "charging".into();
+    let cfg = ServiceConfig { service, ramp_up: ms(1000), ..ServiceConfig::default() };
+    routing.configure(Arc::new(cfg));
+    let mut share = |now| {
+        let mut counts: BTreeMap<u64, u32> = BTreeMap::new();
+        for _ in 0..400 {
+            let chosen = choose(&mut routing, now, Importance::Normal, &[]).unwrap();
+            *counts.entry(number_of(chosen)).or_default() += 1;
+        }
+        counts.get(&2).copied().unwrap_or_default()
+    };
+    let (early, late) = (share(ms(0)), share(ms(900)));
+    assert!(early < 60, "{early}");
+    assert!(late > 2 * early, "{late} after {early}");
+}
+
+#[test]
+fn one_seed_gives_one_series() {
+    let series = || {
+        let mut routing = routing();
+        report(&mut routing, ms(0), 0, &full());
+        report(&mut routing, ms(0), 1, &full());
+        let next = |_| choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap();
+        (0..100).map(next).collect::<Vec<_>>()
+    };
+    assert_eq!(series(), series());
+}
