--- a/crates/pollenlever-core/src/naive/naive_policy.rs
+++ b/crates/pollenlever-core/src/naive/naive_policy.rs
@@ -3,8 +3,8 @@
 use super::entry::Entry;
 use super::gate::Gate;
 use crate::Timestamp;
-use crate::answer::{Answer, ErrorKind};
-use crate::id::NodeId;
+use crate::answer::ErrorKind;
+use crate::id::{NodeId, RequestKey};
 use crate::message::{PeerReply, PeerRequest};
 use crate::policy::{Action, Event, Policy, TargetNotice};
 
@@ -21,12 +21,20 @@
     entry: Entry,
     gate: Gate,
     leaving: bool,
+    me: NodeId,
+    next_key: u64,
 }
 
 impl NaivePolicy {
     /// Policy of the node `me`.
     pub fn new(me: NodeId) -> NaivePolicy {
-        NaivePolicy { entry: Entry::new(me), gate: Gate::default(), leaving: false }
+        NaivePolicy {
+            entry: Entry::new(me),
+            gate: Gate::default(),
+            leaving: false,
+            me,
+            next_key: 0,
+        }
     }
 
     fn refuse_other(req: PeerRequest) -> PeerReply {
@@ -36,6 +44,14 @@
         }
     }
 
+    /// Draws keys that look right and are ignored when they come back.
+    fn draw_keys(&mut self, count: u32) -> Vec<RequestKey> {
+        let first = self.next_key;
+        self.next_key += u64::from(count);
+        let key = |seq| RequestKey { home: self.me, minted_ms: 0, seq, tag: 0 };
+        (first..self.next_key).map(key).collect()
+    }
+
     fn notice(&mut self, notice: TargetNotice) {
         match notice {
             TargetNotice::Announce { slots: Some(slots), .. } => self.gate.set_slots(slots),
@@ -53,12 +69,9 @@
         match event {
             Event::Call(id, call) => self.entry.call(now, id, call, actions),
             Event::CallCancelled(id) => self.entry.cancelled(id, actions),
-            Event::TakeKeys { call, .. } => actions.push(Action::Answer {
-                call,
-                chain: None,
-                answer: Answer::from_error(ErrorKind::KeyForeign, None),
-                body: Bytes::new(),
-            }),
+            Event::TakeKeys { call, count } => {
+                actions.push(Action::Keys(call, self.draw_keys(count)));
+            }
             Event::Request { stream, req: PeerRequest::Attempt(head), body, .. } => {
                 self.gate.attempt(now, stream, head, body, actions);
             }
--- a/crates/pollenlever-standins/src/bin/pollenlever-measure.rs
+++ b/crates/pollenlever-standins/src/bin/pollenlever-measure.rs
@@ -10,6 +10,7 @@
 mod flags {
     #![allow(missing_docs, unreachable_pub)] // xflags writes the items
 
+    use pollenlever::settings::PolicyName;
     use pollenlever_standins::cluster::Deployment;
 
     xflags::xflags! {
@@ -21,6 +22,8 @@
             optional --seed n: u64
             /// Deployment to run on: ferraresi or vegmerking.
             optional --deployment name: Deployment
+            /// Policy of the nodes, where the measurement does not run both: pollenlever or naive.
+            optional --policy name: PolicyName
         }
     }
 }
@@ -40,6 +43,7 @@
     let options = MeasureOptions {
         seed: flags.seed.unwrap_or(default.seed),
         deployment: flags.deployment.unwrap_or(default.deployment),
+        policy: flags.policy.unwrap_or(default.policy),
     };
     run(*measurement, &options)
 }
--- a/crates/pollenlever-standins/src/cluster/machine.rs
+++ b/crates/pollenlever-standins/src/cluster/machine.rs
@@ -1,8 +1,6 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use pollenlever::settings::PolicyName;
-
 use super::machine_slot::MachineSlot;
 use super::{ClusterError, ClusterSpec, Program, ServiceSpec};
 use crate::relay::Place;
@@ -66,7 +64,7 @@
             spec.region_name(place),
             spec.zone_name(place),
             seeds.join(", "),
-            policy_name(spec),
+            spec.policy.as_str(),
             spec.seed.wrapping_add(u64::from(number)),
         );
         std::fs::write(&settings, text)
@@ -117,13 +115,6 @@
     }
 }
 
-fn policy_name(spec: &ClusterSpec) -> &'static str {
-    match spec.policy {
-        PolicyName::Pollenlever => "pollenlever",
-        PolicyName::Naive => "naive",
-    }
-}
-
 fn target_args(
     service: &ServiceSpec,
     node: SocketAddr,
--- a/crates/pollenlever-standins/src/measure/measure_options.rs
+++ b/crates/pollenlever-standins/src/measure/measure_options.rs
@@ -1,3 +1,5 @@
+use pollenlever::settings::PolicyName;
+
 use crate::cluster::Deployment;
 
 /// Options of a measurement.
@@ -7,10 +9,16 @@
     pub seed: u64,
     /// Deployment to run on.
     pub deployment: Deployment,
+    /// Policy of the nodes, where the measurement does not run both.
+    pub policy: PolicyName,
 }
 
 impl Default for MeasureOptions {
     fn default() -> MeasureOptions {
-        MeasureOptions { seed: 1, deployment: Deployment::Ferraresi }
+        MeasureOptions {
+            seed: 1,
+            deployment: Deployment::Ferraresi,
+            policy: PolicyName::Pollenlever,
+        }
     }
 }
--- a/crates/pollenlever-standins/src/measure/promises/promises.rs
+++ b/crates/pollenlever-standins/src/measure/promises/promises.rs
@@ -38,7 +38,7 @@
     }
 
     fn run(&self, options: &MeasureOptions) -> Result<Verdict, MeasureError> {
-        let mut cluster = Cluster::start(spec(options.seed))?;
+        let mut cluster = Cluster::start(spec(options))?;
         let entries = cluster.entries();
         let store = cluster.store_addr;
         let stock = cluster.configs().pop().unwrap_or_default();
@@ -100,7 +100,7 @@
     Ok(())
 }
 
-fn spec(seed: u64) -> ClusterSpec {
+fn spec(options: &MeasureOptions) -> ClusterSpec {
     let call = DownstreamCall { method: "GET".to_owned(), path: "stock/read".to_owned() };
     let sheets = ServiceSpec {
         config: service("sheets"),
@@ -117,7 +117,9 @@
         retries: 0,
         ..sheets.clone()
     };
-    ClusterSpec { services: vec![sheets, stock], zones: 1, seed, ..ClusterSpec::default() }
+    let services = vec![sheets, stock];
+    let MeasureOptions { seed, policy, .. } = *options;
+    ClusterSpec { services, zones: 1, seed, policy, ..ClusterSpec::default() }
 }
 
 fn service(name: &str) -> ServiceConfig {
--- a/crates/pollenlever/src/settings/policy_name.rs
+++ b/crates/pollenlever/src/settings/policy_name.rs
@@ -1,3 +1,5 @@
+use std::str::FromStr;
+
 /// Which policy decides on this node.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum PolicyName {
@@ -17,3 +19,13 @@
         }
     }
 }
+
+impl FromStr for PolicyName {
+    type Err = &'static str;
+
+    fn from_str(text: &str) -> Result<PolicyName, &'static str> {
+        let all = [PolicyName::Pollenlever, PolicyName::Naive];
+        let found = all.into_iter().find(|it| it.as_str() == text);
+        found.ok_or("expected pollenlever or naive")
+    }
+}
