Measure the time that a node adds to a call

Change: scripts/measure latency: open-loop Poisson calls at 300/s a node and up to the targets' knee, through nodes and directly to equal targets of another service in the same run. Latency counts from sending, so that lateness of the generator's timer counts on neither side. Figures: none yet; needs the cluster's publishing.

--- a/crates/pollenlever-standins/src/measure/catalog.rs
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -1,4 +1,4 @@
-use super::Measurement;
+use super::{Latency, Measurement};
 
 /// All measurements, in the order of `scripts/measure list`.
-pub static CATALOG: &[&dyn Measurement] = &[];
+pub static CATALOG: &[&dyn Measurement] = &[&Latency];
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/latency/mod.rs
@@ -0,0 +1,8 @@
+//! Time that the path through a node adds to a call.
+
+mod arrivals;
+mod latency;
+mod samples;
+mod step;
+
+pub use latency::Latency;
