--- a/crates/pollenlever-standins/src/measure/catalog.rs
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -1,5 +1,5 @@
-use super::Measurement;
 use super::promises::Promises;
+use super::{Latency, Measurement};
 
 /// All measurements, in the order of `scripts/measure list`.
-pub static CATALOG: &[&dyn Measurement] = &[&Promises];
+pub static CATALOG: &[&dyn Measurement] = &[&Latency, &Promises];
--- a/crates/pollenlever-standins/src/measure/promises/fault_plan.rs
+++ b/crates/pollenlever-standins/src/measure/promises/fault_plan.rs
@@ -6,12 +6,16 @@
 use crate::cluster::{Cluster, ClusterError};
 use crate::relay::LinkState;
 use crate::store::Faults;
+use crate::target;
 
 /// Time between two faults.
 const FAULT_INTERVAL: Duration = Duration::from_millis(700);
 /// Longest time that a fault lasts.
 const MAX_FAULT_TIME: Duration = Duration::from_millis(2500);
 
+/// Share of answers that are cut.
+const CUT_RATIO: f64 = 0.9;
+
 /// A fault that is brought about and then healed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum FaultKind {
@@ -23,9 +27,10 @@
     SilenceLinkOneWay,
     StoreDown,
     StoreLosesAnswers,
+    CutAnswers,
 }
 
-const KINDS: [FaultKind; 8] = [
+const KINDS: [FaultKind; 9] = [
     FaultKind::KillNode,
     FaultKind::KillTarget,
     FaultKind::FreezeNode,
@@ -34,6 +39,7 @@
     FaultKind::SilenceLinkOneWay,
     FaultKind::StoreDown,
     FaultKind::StoreLosesAnswers,
+    FaultKind::CutAnswers,
 ];
 
 /// Brings about `count` faults one after another on the first `victims` machines.
@@ -80,6 +86,7 @@
         FaultKind::StoreLosesAnswers => {
             cluster.set_store_faults(&Faults { lose_answers: 3, ..Faults::default() })
         }
+        FaultKind::CutAnswers => cut_answers(cluster, victim, CUT_RATIO),
     }
 }
 
@@ -100,6 +107,7 @@
         FaultKind::StoreDown | FaultKind::StoreLosesAnswers => {
             cluster.set_store_faults(&Faults::default())
         }
+        FaultKind::CutAnswers => cut_answers(cluster, victim, 0.0),
     }
 }
 
@@ -119,3 +127,13 @@
     }
     Ok(())
 }
+
+/// Has all targets of the victim's service cut their answers.
+fn cut_answers(cluster: &Cluster, victim: usize, cut_ratio: f64) -> Result<(), ClusterError> {
+    let faults = target::Faults { cut_ratio, ..target::Faults::default() };
+    let service = &cluster.machines[victim].service;
+    for machine in cluster.machines.iter().filter(|it| it.service == *service) {
+        cluster.set_faults(machine, &faults)?;
+    }
+    Ok(())
+}
--- a/crates/pollenlever-standins/src/target/handler.rs
+++ b/crates/pollenlever-standins/src/target/handler.rs
@@ -7,6 +7,7 @@
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, Response};
 
+use super::cut_answer::CutAnswer;
 use super::state::State;
 use super::{DownstreamCall, answer_line};
 
@@ -47,7 +48,11 @@
         let (status, text) = result.unwrap_or((500, "target failed\n".to_owned()));
         let mut res = Response::new();
         res.set_status(Status::new(status));
-        res.set_sized_body(text.len(), std::io::Cursor::new(text));
+        if status == 200 && self.0.cuts_answer() {
+            res.set_streamed_body(CutAnswer::new(&text));
+        } else {
+            res.set_sized_body(text.len(), std::io::Cursor::new(text));
+        }
         Outcome::Success(res)
     }
 }
