Measure what control costs a node and how fast a change is in force

Ruled out: /proc/PID/io for bytes (send and recv are not counted); lo counters (others share them). Change: scripts/measure control and config; a fleet of nodes without targets; bytes by ss.

--- a/crates/pollenlever-core/src/membership/gossip_message.rs
+++ b/crates/pollenlever-core/src/membership/gossip_message.rs
@@ -43,4 +43,14 @@
     pub fn push(changes: Vec<Change>) -> GossipMessage {
         GossipMessage { purpose: GossipPurpose::Push, changes }
     }
+
+    /// Bytes of the message as it travels.
+    ///
+    /// ```
+    /// use pollenlever_core::membership::GossipMessage;
+    /// assert_eq!(GossipMessage::default().encoded_len(), 2);
+    /// ```
+    pub fn encoded_len(&self) -> usize {
+        bincode::encode_to_vec(self, bincode::config::standard()).map_or(0, |it| it.len())
+    }
 }
--- a/crates/pollenlever-core/tests/membership_net/mod.rs
+++ b/crates/pollenlever-core/tests/membership_net/mod.rs
@@ -130,7 +130,7 @@
     pub(crate) fn start(&mut self, number: u16, incarnation: u64, version: u64) {
         let id = node_id(number, incarnation);
         let region = REGIONS[usize::from(number) % REGIONS.len()];
-        let zone = if number % 2 == 0 { "a" } else { "b" };
+        let zone = if number.is_multiple_of(2) { "a" } else { "b" };
         let me = Member { version, region: region.into(), zone: zone.into(), ..Member::new(id) };
         self.places.insert(id.addr, me.clone());
         let seed = self.rng.random();
@@ -277,8 +277,7 @@
     }
 
     fn count(&mut self, message: &GossipMessage) {
-        let encoded = bincode::encode_to_vec(message, bincode::config::standard()).unwrap();
-        self.bytes += encoded.len() as u64;
+        self.bytes += message.encoded_len() as u64;
         self.messages += 1;
     }
 
--- a/crates/pollenlever-core/tests/rollout.rs
+++ b/crates/pollenlever-core/tests/rollout.rs
@@ -124,7 +124,7 @@
     }
 
     fn report(&mut self, at: SocketAddr, event: RolloutEvent) -> Option<ConfigMessage> {
-        let Some(node) = self.nodes.get_mut(&at) else { return None };
+        let node = self.nodes.get_mut(&at)?;
         let mut actions = Vec::new();
         node.machine.handle(self.now - node.started, event, &mut actions);
         let mut reply = None;
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/control/control_measurement.rs
@@ -0,0 +1,139 @@
+use std::time::Duration;
+
+use super::control_cost::ControlCost;
+use super::table_cost::TableCost;
+use crate::measure::fleet::{Fleet, FleetSpec, LinearFit};
+use crate::measure::{MeasureError, MeasureOptions, Measurement, Verdict};
+
+/// Sizes that are measured.
+const SIZES: [usize; 5] = [8, 16, 32, 64, 128];
+/// Size that is worked out.
+const FULL_SIZE: usize = 5_800;
+/// Time over which an idle fleet is watched.
+const IDLE_TIME: Duration = Duration::from_millis(2_500);
+/// Time over which a fleet with replacements is watched.
+const CHURN_TIME: Duration = Duration::from_secs(4);
+/// Sizes from which on replacements are measured as well.
+const MIN_CHURN_SIZE: usize = 32;
+/// Replacements a second at full size: 420 a day.
+const REPLACEMENTS_PER_S: f64 = 420.0 / 86_400.0;
+/// Changes of an entry in a replacement with targets, over those without: targets also announce
+/// themselves and warm up.
+const TARGET_CHANGES_FACTOR: f64 = 2.0;
+/// Budget of bytes a second for one node.
+const MAX_BYTES_PER_S: f64 = 29_000.0;
+/// Budget of one core, in percent.
+const MAX_CORE_PERCENT: f64 = 2.2;
+/// Budget of memory in MB.
+const MAX_RESIDENT_MB: f64 = 256.0;
+
+/// `scripts/measure control`.
+#[derive(Debug)]
+pub(crate) struct ControlMeasurement;
+
+impl Measurement for ControlMeasurement {
+    fn name(&self) -> &'static str {
+        "control"
+    }
+
+    fn summary(&self) -> &'static str {
+        "cost of control for one node at 8 to 128 nodes, and at 5,800 against the budget"
+    }
+
+    fn run(&self, options: &MeasureOptions) -> Result<Verdict, MeasureError> {
+        let mut fleet = Fleet::new(FleetSpec { seed: options.seed, relayed: 0 })?;
+        let mut idle = Vec::new();
+        let mut churn = Vec::new();
+        println!("nodes  state  bytes/s  core%  rss_mb  sockets");
+        for size in SIZES {
+            fleet.grow_to(size)?;
+            std::thread::sleep(Duration::from_secs(1)); // the links settle
+            let cost = ControlCost::measure(&mut fleet, IDLE_TIME, |_| Ok(()))?;
+            print_row(size, "idle", cost);
+            idle.push((size, cost));
+            if size >= MIN_CHURN_SIZE {
+                let (cost, replacements) = churn_cost(&mut fleet)?;
+                print_row(size, "churn", cost);
+                churn.push((size, cost, replacements));
+            }
+        }
+        drop(fleet);
+        let table = print_table_cost();
+        Ok(verdict(&idle, &churn, &table))
+    }
+}
+
+/// Cost while a node is replaced at each look at the sockets, and replacements a second.
+fn churn_cost(fleet: &mut Fleet) -> Result<(ControlCost, f64), MeasureError> {
+    let mut replacements = 0.0;
+    let mut leaving = Vec::new();
+    let cost = ControlCost::measure(fleet, CHURN_TIME, |fleet| {
+        fleet.start_node()?;
+        if let Some(oldest) = fleet.nodes.pop_front() {
+            oldest.program.terminate()?;
+            leaving.push(oldest);
+        }
+        replacements += 1.0;
+        Ok(())
+    })?;
+    Ok((cost, replacements / CHURN_TIME.as_secs_f64()))
+}
+
+fn print_row(size: usize, state: &str, cost: ControlCost) {
+    let ControlCost { bytes_per_s, core_percent, resident_mb, sockets } = cost;
+    println!(
+        "{size:>5}  {state:<5}  {bytes_per_s:>7.0}  {core_percent:>5.2}  {resident_mb:>6.1}  \
+         {sockets:>7.1}"
+    );
+}
+
+fn print_table_cost() -> TableCost {
+    let table = TableCost::measure(FULL_SIZE);
+    println!(
+        "table of {FULL_SIZE}: encoded_bytes={} resident_mb={:.1} merge_us={:.2} tick_us={:.2} \
+         relink_us={:.0}",
+        table.encoded_bytes,
+        table.resident_mb,
+        table.merge.as_secs_f64() * 1e6,
+        table.tick.as_secs_f64() * 1e6,
+        table.relink.as_secs_f64() * 1e6,
+    );
+    table
+}
+
+fn verdict(
+    idle: &[(usize, ControlCost)],
+    churn: &[(usize, ControlCost, f64)],
+    table: &TableCost,
+) -> Verdict {
+    let fit = |figure: fn(&ControlCost) -> f64| {
+        let points: Vec<(f64, f64)> =
+            idle.iter().map(|(size, cost)| (*size as f64, figure(cost))).collect();
+        LinearFit::new(&points)
+    };
+    let bytes = fit(|it| it.bytes_per_s);
+    let core = fit(|it| it.core_percent);
+    let resident = fit(|it| it.resident_mb);
+    let per_replacement = churn
+        .iter()
+        .map(|(size, cost, rate)| (cost.bytes_per_s - bytes.at(*size as f64)).max(0.0) / rate)
+        .fold(0.0, f64::max);
+    println!(
+        "fit bytes/s = {:.0} + {:.3} n; bytes a replacement = {per_replacement:.0}",
+        bytes.base, bytes.slope
+    );
+    println!("fit core% = {:.3} + {:.6} n", core.base, core.slope);
+    println!("fit rss_mb = {:.1} + {:.5} n", resident.base, resident.slope);
+    let full = FULL_SIZE as f64;
+    let churn_bytes = REPLACEMENTS_PER_S * TARGET_CHANGES_FACTOR * per_replacement;
+    let bytes_s = bytes.at(full) + churn_bytes;
+    let core_pct = core.at(full);
+    let rss_mb = resident.at(full).max(resident.base + table.resident_mb);
+    let held =
+        bytes_s <= MAX_BYTES_PER_S && core_pct <= MAX_CORE_PERCENT && rss_mb <= MAX_RESIDENT_MB;
+    Verdict::new(held)
+        .figure("bytes_s", format!("{bytes_s:.0}"))
+        .figure("core_pct", format!("{core_pct:.2}"))
+        .figure("rss_mb", format!("{rss_mb:.0}"))
+        .figure("at", FULL_SIZE)
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/control/mod.rs
@@ -0,0 +1,7 @@
+//! What membership costs a node, and what it would cost at full size.
+
+mod control_cost;
+mod control_measurement;
+mod table_cost;
+
+pub(super) use control_measurement::ControlMeasurement;
--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -1,6 +1,9 @@
 //! Measurements behind `scripts/measure`.
 
 mod catalog;
+mod config;
+mod control;
+mod fleet;
 mod measure_options;
 mod measurement;
 mod verdict;
--- a/crates/pollenlever-standins/src/store/store.rs
+++ b/crates/pollenlever-standins/src/store/store.rs
@@ -49,7 +49,8 @@
             .build()?;
         let thread = thread::Builder::new().name("store-main".to_owned()).spawn(move || {
             if let Err(err) = runtime.block_on(server.launch()) {
-                log::error!("store ended error=\"{err}\"");
+                let reason = err.to_string(); // rocket panics if its error is not looked at
+                log::error!("store ended error=\"{reason}\"");
             }
             runtime.shutdown_timeout(Duration::from_millis(100));
         })?;
--- a/crates/pollenlever/src/control/control.rs
+++ b/crates/pollenlever/src/control/control.rs
@@ -44,7 +44,8 @@
         sender: BoxPeerSender,
         events: Ring<Event>,
     ) -> Result<BoxControl, ControlError> {
-        let store: BoxObjectApi = Arc::new(StoreClient::new(cfg.store)?);
+        let local = Some(cfg.peer.ip()).filter(|it| !it.is_unspecified());
+        let store: BoxObjectApi = Arc::new(StoreClient::from_ip(local, cfg.store)?);
         let seed = cfg.seed.unwrap_or_else(rand::random) ^ me.incarnation;
         let member = own_member(cfg, me);
         let membership = Membership::new(MembershipSettings::default(), member, seed);
--- a/crates/pollenlever/src/store/store_client.rs
+++ b/crates/pollenlever/src/store/store_client.rs
@@ -1,5 +1,5 @@
 use std::fmt;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
@@ -36,8 +36,18 @@
     ///
     /// [`StoreError::Unavailable`] if the HTTP client cannot be set up.
     pub fn new(addr: SocketAddr) -> Result<StoreClient, StoreError> {
+        StoreClient::from_ip(None, addr)
+    }
+
+    /// Client that connects from a local address.
+    ///
+    /// # Errors
+    ///
+    /// [`StoreError::Unavailable`] if the HTTP client cannot be set up.
+    pub fn from_ip(local: Option<IpAddr>, addr: SocketAddr) -> Result<StoreClient, StoreError> {
         let http = Client::builder()
             .connect_timeout(CONNECT_TIMEOUT)
+            .local_address(local)
             .no_proxy()
             .build()
             .map_err(|err| StoreError::Unavailable(err.to_string()))?;
