--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -4,11 +4,13 @@
 mod config;
 mod control;
 mod fleet;
+mod latency;
 mod measure_options;
 mod measurement;
 mod verdict;
 
 pub use catalog::CATALOG;
+pub use latency::Latency;
 pub use measure_options::MeasureOptions;
 pub use measurement::{MeasureError, Measurement};
 pub use verdict::Verdict;
