Connect to the store from the node's own address only if it can reach it

Cause: config tests failed (4 of 4): their peers have addresses 10.0.0.1 that do not exist here, and the client of the store had begun to connect from the node's address. Change: the node's address is used only if it and the store's are both loopback or both not. Conclusion: tests unchanged.

--- a/crates/pollenlever/src/control/control.rs
+++ b/crates/pollenlever/src/control/control.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::thread;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -44,8 +45,7 @@
         sender: BoxPeerSender,
         events: Ring<Event>,
     ) -> Result<BoxControl, ControlError> {
-        let local = Some(cfg.peer.ip()).filter(|it| !it.is_unspecified());
-        let store: BoxObjectApi = Arc::new(StoreClient::from_ip(local, cfg.store)?);
+        let store: BoxObjectApi = Arc::new(StoreClient::from_ip(local_ip(cfg), cfg.store)?);
         let seed = cfg.seed.unwrap_or_else(rand::random) ^ me.incarnation;
         let member = own_member(cfg, me);
         let membership = Membership::new(MembershipSettings::default(), member, seed);
@@ -127,6 +127,14 @@
     }
 }
 
+/// The node's own address, if it is one from which the store can be reached.
+fn local_ip(cfg: &Settings) -> Option<IpAddr> {
+    let (local, store) = (cfg.peer.ip(), cfg.store.ip());
+    let is_same_kind =
+        local.is_ipv4() == store.is_ipv4() && local.is_loopback() == store.is_loopback();
+    (is_same_kind && !local.is_unspecified()).then_some(local)
+}
+
 /// This node's entry. Its version starts from the wall clock, above that of earlier processes.
 fn own_member(cfg: &Settings, me: NodeId) -> Member {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
