--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -7,6 +7,7 @@
 mod latency;
 mod measure_options;
 mod measurement;
+mod promises;
 mod verdict;
 
 pub use catalog::CATALOG;
--- a/crates/pollenlever-standins/src/target/state.rs
+++ b/crates/pollenlever-standins/src/target/state.rs
@@ -22,6 +22,7 @@
     pub(super) leaving: AtomicBool,
     pub(super) log: RunLog,
     pub(super) client: reqwest::Client,
+    answers: AtomicUsize,
     faults: Mutex<Faults>,
     history: Mutex<VecDeque<usize>>,
     started: Instant,
@@ -35,6 +36,7 @@
             leaving: AtomicBool::new(false),
             log: RunLog::open(options.log.as_deref())?,
             client: reqwest::Client::new(),
+            answers: AtomicUsize::new(0),
             faults: Mutex::new(Faults::default()),
             history: Mutex::new(VecDeque::new()),
             started: Instant::now(),
@@ -63,6 +65,13 @@
         self.options.service_time.mul_f64(cold_factor * self.faults().slow_factor)
     }
 
+    /// Whether the next answer is cut, so that the share of cut answers is kept exactly.
+    pub(super) fn cuts_answer(&self) -> bool {
+        let ratio = self.faults().cut_ratio;
+        let n = self.answers.fetch_add(1, Ordering::Relaxed) as f64;
+        ((n + 1.0) * ratio).floor() > (n * ratio).floor()
+    }
+
     /// Notes the present load for lagging reports.
     pub(super) fn record_load(&self) {
         let mut history = self.history.lock().unwrap_or_else(PoisonError::into_inner);
