--- a/crates/pollenlever/src/tool/node/spread.rs
+++ b/crates/pollenlever/src/tool/node/spread.rs
@@ -30,16 +30,18 @@
 pub struct Spread {
     /// Regions by name.
     pub regions: BTreeMap<String, RegionSpread>,
+    /// Why the members are not known, if the node that names them did not tell.
+    pub members_unknown: Option<String>,
 }
 
 impl Spread {
     /// Whether every known node has the change.
     pub fn is_complete(&self) -> bool {
-        !self.regions.is_empty() && self.regions.values().all(|it| it.done == it.nodes)
+        self.members_unknown.is_none() && self.regions.values().all(|it| it.done == it.nodes)
     }
 
     /// The regions in columns; `done` names the column of nodes that have the change.
-    pub fn table(&self, done: &str) -> Table {
+    pub fn table(&self, done: &str) -> String {
         let mut table = Table::new(["region", "nodes", done, "after ms", "not reached"]);
         for (name, region) in &self.regions {
             let after = region.done_ms.map_or("-".to_owned(), |it| it.to_string());
@@ -47,7 +49,10 @@
             let (nodes, done) = (region.nodes.to_string(), region.done.to_string());
             table.row([name.clone(), nodes, done, after, unreachable]);
         }
-        table
+        match &self.members_unknown {
+            Some(reason) => format!("members not known: {reason}\n{table}"),
+            None => table.to_string(),
+        }
     }
 }
 
@@ -83,10 +88,16 @@
     }
 
     fn look(&mut self) {
-        // A node that does not answer now may do so at the next look.
-        let Ok(status) = self.client.status(self.node) else { return };
+        let members = match self.members() {
+            Ok(members) => members,
+            Err(reason) => {
+                // The node may answer at the next look.
+                self.spread.members_unknown = Some(reason);
+                return;
+            }
+        };
         let lacking: Vec<&MemberStatus> =
-            status.members.iter().filter(|it| !self.done.contains(&it.node)).collect();
+            members.iter().filter(|it| !self.done.contains(&it.node)).collect();
         let answers = ask_all(&lacking, |it| (self.ask)(&it.entry));
         let mut unreachable: BTreeMap<&str, Vec<String>> = BTreeMap::new();
         for (member, answer) in lacking.iter().zip(answers) {
@@ -98,7 +109,15 @@
                 Err(_) => unreachable.entry(&member.region).or_default().push(member.entry.clone()),
             }
         }
-        self.summarize(&status.members, &mut unreachable);
+        self.summarize(&members, &mut unreachable);
+    }
+
+    fn members(&self) -> Result<Vec<MemberStatus>, String> {
+        let status = self.client.status(self.node).map_err(|err| err.to_string())?;
+        if status.members.is_empty() {
+            return Err(format!("the node {} names none, not even itself", self.node));
+        }
+        Ok(status.members)
     }
 
     fn summarize(
@@ -118,6 +137,6 @@
             let all = region.done == region.nodes;
             region.done_ms = all.then(|| before.unwrap_or(self.started.elapsed().as_millis()));
         }
-        self.spread = Spread { regions };
+        self.spread = Spread { regions, members_unknown: None };
     }
 }
