--- a/crates/pollenlever/src/manifest/parse.rs
+++ b/crates/pollenlever/src/manifest/parse.rs
@@ -9,6 +9,7 @@
 use super::service_reader::read_service;
 use super::values;
 use crate::settings::ini::{Document, Faults, Section, SectionReader};
+use crate::store::ServiceObject;
 
 const SECTIONS: &str = "[manifest], [service NAME], [kind SERVICE/NAME]";
 /// Largest configuration of one service; the platform's store holds values up to a megabyte, and
@@ -115,8 +116,8 @@
 }
 
 fn check_size(service: &Declared, faults: &mut Faults) {
-    let encoded = bincode::encode_to_vec(&service.cfg, bincode::config::standard());
-    let size = encoded.map_or(usize::MAX, |it| it.len());
+    let object = ServiceObject::new(&service.cfg, &[], "");
+    let size = serde_json::to_vec(&object).map_or(usize::MAX, |it| it.len());
     if size > MAX_SERVICE_BYTES {
         let place = format!("[service {}]", service.cfg.service);
         let allowed = format!("at most {MAX_SERVICE_BYTES} bytes, so that it fits one object");
--- a/crates/pollenlever/src/tool/burn/burn_report.rs
+++ b/crates/pollenlever/src/tool/burn/burn_report.rs
@@ -13,6 +13,9 @@
     pub missing: Vec<MissingNode>,
     /// Declared regions from which no node answered.
     pub regions_without_answer: Vec<String>,
+    /// Nodes that started within the longest window; their earlier calls, and those of the nodes
+    /// that they replaced, are in none of the counts.
+    pub recently_started: usize,
     /// Kind of request that is likely to breach first, as `service/kind`.
     pub first_breach: Option<String>,
     /// Kinds of request.
--- a/crates/pollenlever/src/tool/burn/html.rs
+++ b/crates/pollenlever/src/tool/burn/html.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use super::table::{cells, heading, longest_window, reasons, warnings};
+use super::table::{cells, coverage, heading, longest_window, reasons, warnings};
 use super::{BurnReport, plot};
 
 const STYLE: &str = "\
@@ -20,7 +20,7 @@
     page.push_str("<meta charset=\"utf-8\">\n<title>Service-level burn</title>\n");
     let _ =
         writeln!(page, "<style>\n{STYLE}</style>\n</head>\n<body>\n<h1>Service-level burn</h1>");
-    let _ = writeln!(page, "<p>{} of {} nodes answered</p>", report.answered(), report.nodes);
+    let _ = writeln!(page, "<p>{}</p>", coverage(report));
     write_warnings(&mut page, report);
     let _ = writeln!(page, "<p><strong>{}</strong></p>", escape(&report.headline()));
     let _ = writeln!(page, "<h2>Burn rates</h2>\n{}", plot::render(report));
--- a/crates/pollenlever/src/tool/burn/merge.rs
+++ b/crates/pollenlever/src/tool/burn/merge.rs
@@ -3,9 +3,12 @@
 use super::{BurnReport, BurnRow, MissingNode};
 use crate::control::MemberStatus;
 use crate::manifest::Manifest;
-use crate::telemetry::{KindBurn, NodeBurn};
+use crate::telemetry::{KindBurn, NodeBurn, WindowedCounts};
 use crate::tool::node::NodeError;
 
+/// The longest window that nodes keep.
+const LONGEST_WINDOW_S: u64 = WindowedCounts::WINDOWS_S[WindowedCounts::WINDOWS_S.len() - 1];
+
 /// A member and what it answered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeAnswer {
@@ -48,6 +51,7 @@
         match burn {
             Ok(burn) => {
                 regions.insert(member.region.as_str());
+                report.recently_started += usize::from(burn.uptime_s < LONGEST_WINDOW_S);
                 burn.kinds.iter().for_each(|it| add(&mut rows, it));
             }
             Err(err) => report.missing.push(MissingNode::new(member, err.reason.clone())),
--- a/crates/pollenlever/src/tool/burn/table.rs
+++ b/crates/pollenlever/src/tool/burn/table.rs
@@ -9,7 +9,7 @@
 
 /// Renders the whole report.
 pub(super) fn render(report: &BurnReport) -> String {
-    let mut text = format!("{} of {} nodes answered\n", report.answered(), report.nodes);
+    let mut text = format!("{}\n", coverage(report));
     for line in warnings(report) {
         text.push_str(&format!("{line}\n"));
     }
@@ -21,6 +21,18 @@
     text
 }
 
+/// One sentence on the nodes behind the counts.
+pub(super) fn coverage(report: &BurnReport) -> String {
+    let answered = format!("{} of {} nodes answered", report.answered(), report.nodes);
+    match report.recently_started {
+        0 => answered,
+        count => format!(
+            "{answered}; {count} of them started within {}, calls before that are not counted",
+            longest_window()
+        ),
+    }
+}
+
 /// A line for each node and region that is not in the counts.
 pub(super) fn warnings(report: &BurnReport) -> Vec<String> {
     let nodes = report.missing.iter().map(|it| {
--- a/crates/pollenlever/tests/report_burn.rs
+++ b/crates/pollenlever/tests/report_burn.rs
@@ -41,7 +41,7 @@
 }
 
 fn answer(entry: &str, region: &str, kinds: Vec<KindBurn>) -> NodeAnswer {
-    let burn = NodeBurn { kinds, ..NodeBurn::default() };
+    let burn = NodeBurn { uptime_s: 4 * DAY_S, kinds, ..NodeBurn::default() };
     NodeAnswer { member: member(entry, region), burn: Ok(burn) }
 }
 
@@ -109,6 +109,15 @@
     assert_eq!(report.rows[0].outlook, Outlook::Incomplete);
 }
 
+#[test]
+fn nodes_that_started_within_the_longest_window_are_counted_apart() {
+    let mut young = answer("10.0.0.1:7000", "veneto", Vec::new());
+    young.burn.as_mut().unwrap().uptime_s = DAY_S;
+    let report = report(&[young, answer("10.0.0.2:7000", "veneto", Vec::new())]);
+    assert_eq!(report.recently_started, 1);
+    assert!(report.table().contains("1 of them started within 3 d"), "{}", report.table());
+}
+
 #[test]
 fn no_nodes_at_all_is_incomplete() {
     assert_eq!(report(&[]).exit(), Exit::Incomplete);
