--- a/crates/pollenlever/src/cli/tool_options.rs
+++ b/crates/pollenlever/src/cli/tool_options.rs
@@ -25,6 +25,7 @@
 impl ToolOptions {
     /// Reads the command line. Prints and exits for `--help`, `--version` and wrong options.
     pub fn from_env_or_exit() -> ToolOptions {
+        // The grammar requires a command, which nobody gives with --version.
         if std::env::args().skip(1).any(|it| it == "--version") {
             println!("pollenlever {}", env!("CARGO_PKG_VERSION"));
             process::exit(0);
--- a/crates/pollenlever/src/settings/ini/document.rs
+++ b/crates/pollenlever/src/settings/ini/document.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+
 use ini::{Ini, ParseOption};
 
 use super::{Entry, Faults, Section};
@@ -18,6 +20,12 @@
 impl Document {
     /// Decodes the bytes of a file.
     ///
+    /// ```
+    /// use pollenlever::settings::ini::Document;
+    /// assert_eq!(Document::decode("node.ini", "ð".as_bytes()), Ok("ð"));
+    /// assert!(Document::decode("node.ini", b"\xf0").is_err());
+    /// ```
+    ///
     /// # Errors
     ///
     /// One fault that names the first byte that is not UTF-8.
@@ -33,6 +41,14 @@
     }
 
     /// Reads `text`; lines of a wrong form go to `faults` and are left out.
+    ///
+    /// ```
+    /// use pollenlever::settings::ini::{Document, Faults};
+    /// let mut faults = Faults::new("node.ini");
+    /// let doc = Document::parse("[node]\nzone = veneto-a\nstray", &mut faults);
+    /// assert_eq!(doc.section("node").unwrap().entry("zone").unwrap().line, 2);
+    /// assert_eq!(faults.list()[0].line, 3);
+    /// ```
     pub fn parse(text: &str, faults: &mut Faults) -> Document {
         let text = text.strip_prefix('\u{feff}').unwrap_or(text);
         let mut sections = Vec::new();
@@ -109,30 +125,26 @@
 }
 
 fn report_duplicates(sections: &[Section], faults: &mut Faults) {
-    let mut first_lines = std::collections::HashMap::new();
+    let mut sections_seen = HashMap::new();
     for section in sections {
         let place = format!("[{}]", section.name);
-        let first = *first_lines.entry((&section.name, None)).or_insert(section.line);
+        let first = *sections_seen.entry(&section.name).or_insert(section.line);
         if first != section.line {
-            faults.push(
-                section.line,
-                &place,
-                format!("a second section, first on line {first}"),
-                "one",
-            );
+            let found = format!("a second section, first on line {first}");
+            faults.push(section.line, place, found, "one");
         }
-        for entry in &section.entries {
-            let key = (&section.name, Some((section.line, &entry.key)));
-            let first = *first_lines.entry(key).or_insert(entry.line);
-            if first != entry.line {
-                let place = format!("{place} {}", entry.key);
-                faults.push(
-                    entry.line,
-                    place,
-                    format!("a second value, first on line {first}"),
-                    "one",
-                );
-            }
+        report_duplicate_keys(section, faults);
+    }
+}
+
+fn report_duplicate_keys(section: &Section, faults: &mut Faults) {
+    let mut keys_seen = HashMap::new();
+    for entry in &section.entries {
+        let first = *keys_seen.entry(&entry.key).or_insert(entry.line);
+        if first != entry.line {
+            let place = format!("[{}] {}", section.name, entry.key);
+            let found = format!("a second value, first on line {first}");
+            faults.push(entry.line, place, found, "one");
         }
     }
 }
--- a/crates/pollenlever/src/settings/ini/faults.rs
+++ b/crates/pollenlever/src/settings/ini/faults.rs
@@ -16,6 +16,15 @@
     }
 
     /// Adds a fault.
+    ///
+    /// ```
+    /// use pollenlever::settings::ini::Faults;
+    /// let mut faults = Faults::new("node.ini");
+    /// faults.push(4, "[log] level", "\"loud\"", "error, warn, info");
+    /// let text = "1 fault in node.ini:\n  \
+    ///     node.ini:4: [log] level: found \"loud\"; allowed: error, warn, info";
+    /// assert_eq!(faults.to_string(), text);
+    /// ```
     pub fn push(
         &mut self,
         line: usize,
--- a/crates/pollenlever/src/settings/ini/section_reader.rs
+++ b/crates/pollenlever/src/settings/ini/section_reader.rs
@@ -2,6 +2,16 @@
 use super::{Document, Expected, Faults, Section};
 
 /// Reads one section key by key and reports what is wrong with it.
+///
+/// ```
+/// use pollenlever::settings::ini::{Document, Faults, SectionReader, values};
+/// let mut faults = Faults::new("node.ini");
+/// let doc = Document::parse("[limits]\nring_capacity = 64\ncolour = blue", &mut faults);
+/// let mut reader = SectionReader::new(&doc, "limits", &mut faults);
+/// assert_eq!(reader.optional("ring_capacity", values::number(16..=128)), Some(64));
+/// reader.finish();
+/// assert_eq!(faults.list()[0].found, "an unknown key");
+/// ```
 #[derive(Debug)]
 pub struct SectionReader<'a> {
     name: &'a str,
--- a/crates/pollenlever/src/settings/ini/values.rs
+++ b/crates/pollenlever/src/settings/ini/values.rs
@@ -31,6 +31,12 @@
 }
 
 /// A time in milliseconds within `range`.
+///
+/// ```
+/// use std::time::Duration;
+/// use pollenlever::settings::ini::values::millis;
+/// assert_eq!(millis(1..=5000)("250"), Ok(Duration::from_millis(250)));
+/// ```
 pub fn millis(range: RangeInclusive<u64>) -> impl Fn(&str) -> Result<Duration, Expected> {
     move |text| {
         let found = text.parse().ok().filter(|it| range.contains(it)).map(Duration::from_millis);
@@ -41,6 +47,12 @@
 }
 
 /// An address with a port that others can connect to.
+///
+/// ```
+/// use pollenlever::settings::ini::values::address;
+/// assert!(address("10.0.0.1:7000").is_ok());
+/// assert!(address("0.0.0.0:7000").is_err());
+/// ```
 pub fn address(text: &str) -> Result<SocketAddr, Expected> {
     let found =
         text.parse().ok().filter(|it: &SocketAddr| it.port() != 0 && !it.ip().is_unspecified());
@@ -48,12 +60,22 @@
 }
 
 /// An address to listen on, which may be a wildcard such as 0.0.0.0.
+///
+/// ```
+/// use pollenlever::settings::ini::values::listen_address;
+/// assert!(listen_address("0.0.0.0:7100").is_ok());
+/// ```
 pub fn listen_address(text: &str) -> Result<SocketAddr, Expected> {
     let found = text.parse().ok().filter(|it: &SocketAddr| it.port() != 0);
     found.ok_or_else(|| "IP:PORT, for example 10.0.0.1:7100, with a port from 1 to 65535".into())
 }
 
 /// Items separated by commas.
+///
+/// ```
+/// use pollenlever::settings::ini::values::{list, number};
+/// assert_eq!(list(number(1..=9))("1, 2"), Ok(vec![1, 2]));
+/// ```
 pub fn list<T>(
     item: impl Fn(&str) -> Result<T, Expected>,
 ) -> impl Fn(&str) -> Result<Vec<T>, Expected> {
@@ -65,6 +87,12 @@
 }
 
 /// A name of a region or availability zone, in any script.
+///
+/// ```
+/// use pollenlever::settings::ini::values::place_name;
+/// assert_eq!(place_name("Norður").as_deref(), Ok("Norður"));
+/// assert!(place_name("two words").is_err());
+/// ```
 pub fn place_name(text: &str) -> Result<String, Expected> {
     let plain = |it: char| it.is_alphanumeric() || matches!(it, '-' | '_' | '.');
     let fits = !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.chars().all(plain);
@@ -74,6 +102,11 @@
 }
 
 /// One of a few words.
+///
+/// ```
+/// use pollenlever::settings::ini::values::word;
+/// assert_eq!(word(&["on", "off"])("on"), Ok("on"));
+/// ```
 pub fn word(words: &'static [&'static str]) -> impl Fn(&str) -> Result<&'static str, Expected> {
     move |text| {
         let found = words.iter().copied().find(|it| *it == text);
--- a/crates/pollenlever/src/telemetry/logging.rs
+++ b/crates/pollenlever/src/telemetry/logging.rs
@@ -7,6 +7,11 @@
 /// `info!("config in force service=balance version=3")`.
 ///
 /// A second call changes nothing, so that tests may call it freely.
+///
+/// ```
+/// pollenlever::telemetry::init_logging("warn");
+/// log::warn!("store call failed reason={:?}", "timed out");
+/// ```
 pub fn init_logging(level: &str) {
     let level = LevelFilter::from_str(level).unwrap_or(LevelFilter::Info);
     let cfg = ConfigBuilder::new()
--- a/crates/pollenlever/src/telemetry/reason.rs
+++ b/crates/pollenlever/src/telemetry/reason.rs
@@ -16,6 +16,11 @@
     pub const COUNT: usize = ErrorKind::ALL.len() + 2;
 
     /// All reasons, each at its [`index`](Reason::index).
+    ///
+    /// ```
+    /// use pollenlever::telemetry::Reason;
+    /// assert!(Reason::all().enumerate().all(|(index, it)| it.index() == index));
+    /// ```
     pub fn all() -> impl Iterator<Item = Reason> {
         let errors = ErrorKind::ALL.into_iter().map(Reason::Error);
         errors.chain([Reason::TargetError, Reason::Late])
--- a/crates/pollenlever/src/telemetry/verdict.rs
+++ b/crates/pollenlever/src/telemetry/verdict.rs
@@ -18,6 +18,22 @@
 
 impl Verdict {
     /// Judges an ended call.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pollenlever::telemetry::{Reason, Verdict};
+    /// use pollenlever_core::policy::Observation;
+    /// let late = Observation {
+    ///     service: "balance".into(),
+    ///     kind: "check".into(),
+    ///     customer: "ateneo".into(),
+    ///     status: 200,
+    ///     error: None,
+    ///     latency: Duration::from_secs(3),
+    ///     good: false,
+    /// };
+    /// assert_eq!(Verdict::of(&late), Verdict::Bad(Reason::Late));
+    /// ```
     pub fn of(call: &Observation) -> Verdict {
         match call.error {
             Some(kind) if is_callers_mistake(kind) => Verdict::Invalid(kind),
--- a/crates/pollenlever/src/telemetry/window_ring.rs
+++ b/crates/pollenlever/src/telemetry/window_ring.rs
@@ -6,6 +6,15 @@
 const BUCKETS: u32 = 12;
 
 /// Counts over the last `window`, in a fixed number of buckets.
+///
+/// ```
+/// use std::time::Duration;
+/// use pollenlever::telemetry::{Verdict, WindowRing};
+/// let mut ring = WindowRing::new(Duration::from_secs(300));
+/// ring.add(Duration::from_secs(10), Verdict::Good);
+/// assert_eq!(ring.sum(Duration::from_secs(20)).good, 1);
+/// assert_eq!(ring.sum(Duration::from_secs(400)).good, 0);
+/// ```
 #[derive(Debug, Clone)]
 pub struct WindowRing {
     window: Duration,
--- a/crates/pollenlever/src/tool/burn/merge.rs
+++ b/crates/pollenlever/src/tool/burn/merge.rs
@@ -43,6 +43,17 @@
 }
 
 /// Sums the counts of all nodes that answered and names those that did not.
+///
+/// ```
+/// use pollenlever::control::MemberStatus;
+/// use pollenlever::tool::burn::{Declared, NodeAnswer, merge};
+/// use pollenlever::tool::node::NodeError;
+/// let member = MemberStatus { entry: "10.0.0.1:7000".to_owned(), ..MemberStatus::default() };
+/// let burn = Err(NodeError { node: member.entry.clone(), reason: "timed out".to_owned() });
+/// let report = merge(&[NodeAnswer { member, burn }], &Declared::default());
+/// assert!(!report.is_complete());
+/// assert_eq!(report.missing[0].entry, "10.0.0.1:7000");
+/// ```
 pub fn merge(answers: &[NodeAnswer], declared: &Declared) -> BurnReport {
     let mut report = BurnReport { nodes: answers.len(), ..BurnReport::default() };
     let mut rows = BTreeMap::new();
--- a/crates/pollenlever/src/tool/run.rs
+++ b/crates/pollenlever/src/tool/run.rs
@@ -5,6 +5,13 @@
 use crate::cli::ToolOptions;
 
 /// Runs the command of `options` and prints its result.
+///
+/// ```
+/// use pollenlever::cli::ToolOptions;
+/// use pollenlever::tool::{Exit, run};
+/// let without_node = ToolOptions::default();
+/// assert_eq!(run(&without_node), Exit::Usage);
+/// ```
 pub fn run(options: &ToolOptions) -> Exit {
     match render(options) {
         Ok((text, exit)) => {
