Keep INI values with their lines whatever the text holds

Cause: the line scan and rust-ini saw different lines: rust-ini ends a value at a lone carriage return, and reads a key across lines after an odd space such as U+00A0 before a comment or section. Values then shifted to other keys, found by a property test (minimal input: "[b]\n\u{a0}; [b]\nc = 1\n"). Change: rust-ini gets the trimmed section and entry lines only; lines with control characters are refused. Conclusion: every value is what stands after the first = of its own line.

--- a/crates/pollenlever/src/settings/ini/document.rs
+++ b/crates/pollenlever/src/settings/ini/document.rs
@@ -54,7 +54,7 @@
         let mut sections = Vec::new();
         let mut kept = String::with_capacity(text.len());
         for (index, line) in text.lines().enumerate() {
-            if keep_line(&mut sections, index + 1, line.trim(), faults) {
+            if let Some(line) = read_line(&mut sections, index + 1, line.trim(), faults) {
                 kept.push_str(line);
             }
             kept.push('\n');
@@ -70,39 +70,47 @@
     }
 }
 
-/// Notes what stands on a line; `false` if its form is wrong.
-fn keep_line(sections: &mut Vec<Section>, number: usize, line: &str, faults: &mut Faults) -> bool {
+/// Notes what stands on a trimmed line; the line itself if the parser is to see it.
+fn read_line<'a>(
+    sections: &mut Vec<Section>,
+    number: usize,
+    line: &'a str,
+    faults: &mut Faults,
+) -> Option<&'a str> {
     if line.is_empty() || line.starts_with([';', '#']) {
-        return true;
+        return None;
     }
     if let Some(name) = section_name(line) {
         sections.push(Section { name, line: number, entries: Vec::new() });
-        return true;
+        return Some(line);
     }
-    let (Some(key), false) = (entry_key(line), line.starts_with('[')) else {
+    let Some(key) = entry_key(line) else {
         faults.push(number, "line", quoted(line), LINE_ALLOWED);
-        return false;
+        return None;
     };
     let Some(section) = sections.last_mut() else {
         faults.push(number, key, "a key above the first section", "keys below a `[section]`");
-        return false;
+        return None;
     };
     section.entries.push(Entry { key: key.to_owned(), value: String::new(), line: number });
-    true
+    Some(line)
 }
 
 /// The name between brackets, with single spaces.
 fn section_name(line: &str) -> Option<String> {
     let inner = line.strip_prefix('[')?.strip_suffix(']')?;
     let name = inner.split_whitespace().collect::<Vec<_>>().join(" ");
-    let plain = !name.is_empty() && !name.contains(['[', ']', '\\']);
+    let special = |it: char| "[]\\".contains(it) || it.is_control();
+    let plain = !name.is_empty() && !name.contains(special);
     plain.then_some(name)
 }
 
+/// The key of an entry, unless the line holds what the parser would read in another way.
 fn entry_key(line: &str) -> Option<&str> {
     let (key, _) = line.split_once('=')?;
-    let plain = !key.trim().is_empty() && !key.contains(':') && !line.contains('\\');
-    plain.then_some(key.trim())
+    let special = |it: char| it == '\\' || (it.is_control() && it != '\t');
+    let plain = !key.trim().is_empty() && !key.contains(':') && !line.contains(special);
+    (plain && !line.starts_with('[')).then_some(key.trim())
 }
 
 /// Takes the values from the parser, which keeps the order of sections and entries.
