--- a/crates/pollenlever-standins/src/cluster/cluster.rs
+++ b/crates/pollenlever-standins/src/cluster/cluster.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use pollenlever::control::ControlStatus;
@@ -18,6 +19,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait for an answer from a process of the deployment.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of the next deployment of this process.
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 /// Machine number of the store.
 const STORE_NUMBER: u8 = 250;
 
@@ -214,7 +217,8 @@
 }
 
 fn make_folder() -> Result<PathBuf, ClusterError> {
-    let name = format!("pollenlever-{}", std::process::id());
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("pollenlever-{}-{number}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     let err = |err| ClusterError::process(format!("make {}", folder.display()), err);
     if folder.exists() {
--- a/crates/pollenlever-standins/src/cluster/cluster_spec.rs
+++ b/crates/pollenlever-standins/src/cluster/cluster_spec.rs
@@ -53,7 +53,7 @@
             zones: 2,
             policy: PolicyName::Pollenlever,
             seed: 1,
-            ports: Ports::new(std::process::id()),
+            ports: Ports::next(),
             relayed: true,
             start_timeout: Duration::from_secs(15),
         }
--- a/crates/pollenlever-standins/src/cluster/ports.rs
+++ b/crates/pollenlever-standins/src/cluster/ports.rs
@@ -1,3 +1,5 @@
+use std::sync::atomic::{AtomicU32, Ordering};
+
 /// Lowest port that deployments use.
 const FIRST_PORT: u16 = 10_000;
 /// Ports that one deployment uses.
@@ -5,13 +7,25 @@
 /// Deployments that can stand side by side.
 const MAX_DEPLOYMENTS: u16 = 2_000;
 
+/// Distance between the deployments of one process.
+const DEPLOYMENT_STRIDE: u32 = 997;
+
 /// Ports of a deployment, the same on each of its loopback addresses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ports {
     first: u16,
 }
 
+/// Number of the next deployment of this process.
+static NEXT: AtomicU32 = AtomicU32::new(0);
+
 impl Ports {
+    /// Ports that no other deployment of this process has, nor one of another process, as a rule.
+    pub fn next() -> Ports {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        Ports::new(std::process::id().wrapping_add(number * DEPLOYMENT_STRIDE))
+    }
+
     /// Ports for the `n`th deployment; numbers wrap.
     ///
     /// ```
--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -14,4 +14,5 @@
 pub use latency::Latency;
 pub use measure_options::MeasureOptions;
 pub use measurement::{MeasureError, Measurement};
+pub use promises::{Checks, Trial, TrialSettings};
 pub use verdict::Verdict;
--- a/crates/pollenlever-standins/src/measure/promises/checks.rs
+++ b/crates/pollenlever-standins/src/measure/promises/checks.rs
@@ -10,19 +10,19 @@
 
 /// Violations found in the histories of a run.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(super) struct Checks {
+pub struct Checks {
     /// Orders that ran more than once.
-    pub(super) run_twice: usize,
+    pub run_twice: usize,
     /// Orders that ran although a caller was told that they did not.
-    pub(super) false_not_run: usize,
+    pub false_not_run: usize,
     /// Chains whose runs at one service exceed one and the budget.
-    pub(super) over_budget: usize,
+    pub over_budget: usize,
     /// Answers that are cut, or belong to another request.
-    pub(super) mixed_answers: usize,
+    pub mixed_answers: usize,
     /// Runs that were cut by a drain.
-    pub(super) cut_in_flight: usize,
+    pub cut_in_flight: usize,
     /// Configurations that went back to an older version.
-    pub(super) reverts: u64,
+    pub reverts: u64,
 }
 
 impl Checks {
@@ -55,7 +55,7 @@
     }
 
     /// Whether nothing is violated.
-    pub(super) fn hold(self) -> bool {
+    pub fn hold(self) -> bool {
         self == Checks::default()
     }
 }
--- a/crates/pollenlever-standins/src/measure/promises/mod.rs
+++ b/crates/pollenlever-standins/src/measure/promises/mod.rs
@@ -7,6 +7,11 @@
 mod fault_plan;
 mod order;
 mod promises;
+mod trial;
+mod trial_settings;
 mod workload;
 
+pub use checks::Checks;
 pub(super) use promises::Promises;
+pub use trial::Trial;
+pub use trial_settings::TrialSettings;
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/promises/trial.rs
@@ -0,0 +1,145 @@
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use pollenlever_core::config::{Importance, PathPattern, RequestKind, ServiceConfig};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::checks::{Checks, RETRY_BUDGET};
+use super::config_history::{ConfigHistory, submit_changes};
+use super::workload::Workload;
+use super::{TrialSettings, drain, fault_plan};
+use crate::cluster::{Cluster, ClusterSpec, ServiceSpec};
+use crate::measure::MeasureError;
+use crate::target::DownstreamCall;
+
+/// Times that a target blindly resends a failed call.
+const TARGET_RETRIES: u32 = 2;
+/// Longest time from accepting a configuration to its being in force everywhere.
+const CONFIG_LIMIT: Duration = Duration::from_secs(18);
+/// Longest wait for the start of a deployment, also on a busy machine.
+const START_TIMEOUT: Duration = Duration::from_secs(60);
+/// Pause between the last fault and the checks.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+
+/// What one trial sent and found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Trial {
+    /// Non-idempotent requests.
+    pub orders: usize,
+    /// Chains of calls.
+    pub chains: usize,
+    /// Violations.
+    pub checks: Checks,
+    /// Newest configuration that was accepted.
+    pub accepted: Option<u64>,
+}
+
+impl Trial {
+    /// Runs a deployment under faults and compares what callers were told with the run logs.
+    ///
+    /// # Errors
+    ///
+    /// Any error that keeps the histories from being taken.
+    pub fn run(settings: &TrialSettings) -> Result<Trial, MeasureError> {
+        let mut cluster = Cluster::start(spec(settings))?;
+        let entries = cluster.entries();
+        let store = cluster.store_addr;
+        let stock = cluster.configs().pop().unwrap_or_default();
+        let drained = cluster.machines.len() - 1;
+        let (callers_stop, stop) = (AtomicBool::new(false), AtomicBool::new(false));
+        let mut rng = StdRng::seed_from_u64(settings.seed);
+
+        let (workload, accepted, history, cut_in_flight) = std::thread::scope(|scope| {
+            let callers: Vec<_> = (0..settings.callers)
+                .map(|number| {
+                    let (entries, stop) = (&entries[..drained], &callers_stop);
+                    scope.spawn(move || Workload::run(entries, settings.seed, number, stop))
+                })
+                .collect();
+            let submitter = scope.spawn(|| submit_changes(store, &stock, &callers_stop));
+            let watcher = scope.spawn(|| ConfigHistory::watch(&entries, &stop));
+
+            let faults = fault_plan::run(&mut cluster, &mut rng, drained, settings.faults);
+            let cut = faults.and_then(|()| drain::drain(&mut cluster, drained));
+            std::thread::sleep(SETTLE_TIME);
+            callers_stop.store(true, Ordering::Relaxed);
+            let mut workload = Workload::default();
+            for caller in callers {
+                workload.merge(caller.join().map_err(|_| "a caller failed")??);
+            }
+            let accepted = submitter.join().map_err(|_| "the submitter failed")?;
+            let in_force = accepted.map(|it| wait_in_force(&cluster, it, drained));
+            stop.store(true, Ordering::Relaxed);
+            let history = watcher.join().map_err(|_| "the watcher failed")?;
+            in_force.transpose()?;
+            Ok::<_, MeasureError>((workload, accepted, history, cut?))
+        })?;
+
+        let records = cluster.run_records()?;
+        let reverts = history.reverts;
+        let checks = Checks { cut_in_flight, reverts, ..Checks::new(&workload, &records) };
+        let (orders, chains) = (workload.orders.len(), workload.chains.len());
+        Ok(Trial { orders, chains, checks, accepted })
+    }
+}
+
+/// Waits until every node but the drained one has a configuration in force.
+fn wait_in_force(cluster: &Cluster, version: u64, drained: usize) -> Result<(), MeasureError> {
+    cluster.wait_for("the last configuration in force on all nodes", CONFIG_LIMIT, || {
+        cluster.machines[..drained].iter().all(|it| {
+            let status = cluster.status(it);
+            status.is_ok_and(|it| it.configs.get("stock").is_some_and(|it| *it >= version))
+        })
+    })?;
+    Ok(())
+}
+
+fn spec(settings: &TrialSettings) -> ClusterSpec {
+    let call = DownstreamCall { method: "GET".to_owned(), path: "stock/read".to_owned() };
+    let sheets = ServiceSpec {
+        config: service("sheets"),
+        targets: 3,
+        service_time: Duration::from_millis(10),
+        calls: vec![call],
+        retries: TARGET_RETRIES,
+        ..ServiceSpec::default()
+    };
+    let stock = ServiceSpec {
+        config: service("stock"),
+        targets: 4,
+        calls: Vec::new(),
+        retries: 0,
+        ..sheets.clone()
+    };
+    let services = vec![sheets, stock];
+    let TrialSettings { seed, policy, .. } = *settings;
+    ClusterSpec {
+        services,
+        zones: 1,
+        seed,
+        policy,
+        start_timeout: START_TIMEOUT,
+        ..ClusterSpec::default()
+    }
+}
+
+fn service(name: &str) -> ServiceConfig {
+    let read = RequestKind {
+        name: "read".into(),
+        path: PathPattern::from("/read"),
+        retry_budget: RETRY_BUDGET,
+        ..RequestKind::default()
+    };
+    let order = RequestKind {
+        name: "order".into(),
+        method: "POST".to_owned(),
+        path: PathPattern::from("/order"),
+        importance: Importance::Critical,
+        idempotent: false,
+        retry_budget: RETRY_BUDGET,
+        ..RequestKind::default()
+    };
+    let kinds = vec![read, order];
+    ServiceConfig { service: name.into(), slots: 8, kinds, ..ServiceConfig::default() }
+}
