Submit the first service of a manifest alone

Cause: two operators who applied different manifests at the same time left services of both side by side: each won some of the services that they submitted at once. Ruled out: a lock object in the store, whose holder may be paused or gone. Conclusion: a race is decided at one object, but for a reader that starts between two writes.

--- a/crates/pollenlever/src/tool/command/apply/service_result.rs
+++ b/crates/pollenlever/src/tool/command/apply/service_result.rs
@@ -15,6 +15,8 @@
     Replaced,
     /// Another submission came first; this one did not take effect.
     Overtaken,
+    /// Not sent, since the first service was not accepted.
+    HeldBack,
     /// The store refused; the submission did not take effect.
     Refused,
     /// The store's answers were lost.
@@ -29,6 +31,7 @@
             Outcome::Accepted => "accepted",
             Outcome::Replaced => "replaced",
             Outcome::Overtaken => "overtaken",
+            Outcome::HeldBack => "held back",
             Outcome::Refused => "refused",
             Outcome::Unknown => "unknown",
         }
@@ -37,7 +40,7 @@
     /// Exit code if this is the worst outcome.
     pub(super) fn exit(self) -> Exit {
         match self {
-            Outcome::Unchanged | Outcome::Accepted => Exit::Done,
+            Outcome::Unchanged | Outcome::Accepted | Outcome::HeldBack => Exit::Done,
             Outcome::Replaced | Outcome::Overtaken => Exit::Overtaken,
             Outcome::Refused => Exit::Failed,
             Outcome::Unknown => Exit::Unknown,
--- a/crates/pollenlever/src/tool/command/apply/submitter.rs
+++ b/crates/pollenlever/src/tool/command/apply/submitter.rs
@@ -62,7 +62,22 @@
         Ok(results)
     }
 
-    async fn submit_changes(self, changes: Vec<Change>) -> Vec<ServiceResult> {
+    /// Submits the first change alone, so that of two operators who start together one stops there
+    /// and does not mix its services with those of the other.
+    async fn submit_changes(self, mut changes: Vec<Change>) -> Vec<ServiceResult> {
+        changes.sort_by(|a, b| a.cfg.service.cmp(&b.cfg.service));
+        let mut rest = changes.into_iter();
+        let Some(first) = rest.next() else { return Vec::new() };
+        let first = self.submit_one(first).await;
+        let mut results = match first.outcome {
+            Outcome::Accepted | Outcome::Unchanged => self.submit_at_once(rest).await,
+            _ => rest.map(|it| held_back(&it, &first)).collect(),
+        };
+        results.push(first);
+        results
+    }
+
+    async fn submit_at_once(self, changes: impl Iterator<Item = Change>) -> Vec<ServiceResult> {
         let submitter = Arc::new(self);
         let mut tasks = JoinSet::new();
         let mut results = Vec::new();
@@ -173,6 +188,11 @@
     result(change, Some(id), outcome, None, format!("{err}; {advice}"))
 }
 
+fn held_back(change: &Change, first: &ServiceResult) -> ServiceResult {
+    let note = format!("not sent, since {} was {}", first.service, first.outcome.as_str());
+    result(change, None, Outcome::HeldBack, None, note)
+}
+
 fn result(
     change: &Change,
     submission: Option<String>,
--- a/crates/pollenlever/tests/cli.rs
+++ b/crates/pollenlever/tests/cli.rs
@@ -71,14 +71,15 @@
 }
 
 #[test]
-fn submission_that_came_first_is_left_as_it_is() {
+fn submission_that_came_first_is_left_as_it_is_and_the_rest_is_held_back() {
     let (store, node) = (FakeStore::start(), node());
     store.race_next_update();
     let output = apply(&store, &node, &["--no-wait"]);
     assert_eq!(output.code, Some(4), "{}", output.text());
     assert!(output.stdout.contains("overtaken"), "{}", output.stdout);
-    let slots = ["balance", "charging", "history", "topup"].map(|it| store.field(it, "slots"));
-    assert_eq!(slots.iter().filter(|it| **it == 99).count(), 1);
+    assert_eq!(output.stdout.matches("since balance was overtaken").count(), 3);
+    assert_eq!(store.versions().into_iter().collect::<Vec<_>>(), [("balance".to_owned(), 1)]);
+    assert_eq!(store.field("balance", "slots"), 99);
 }
 
 #[test]
