Judge the budget by a window within that of the objective

Ruled out: nothing else; found by reading. Change: the longest window within the objective's window counts. Outcomes and results of apply have a file each, and a submission task that panics ends the command instead of leaving its service out.

--- a/crates/pollenlever/src/tool/burn/burn_row.rs
+++ b/crates/pollenlever/src/tool/burn/burn_row.rs
@@ -20,7 +20,8 @@
     pub objective: Option<KindObjective>,
     /// Sums by window, from the shortest to the longest.
     pub windows: Vec<WindowBurn>,
-    /// Share of the error budget that is left, judged by the longest window; below 0 when overdrawn.
+    /// Share of the error budget that is left, judged by the longest window within that of the
+    /// objective; below 0 when overdrawn.
     pub budget_left: Option<f64>,
     /// Where the budget is heading.
     pub outlook: Outlook,
@@ -77,9 +78,11 @@
         for window in &mut self.windows {
             window.rate(&objective);
         }
-        let longest = self.longest();
-        let Some(rate) = longest.burn_rate else { return Outlook::NoCalls };
-        let spent = rate * longest.covered_s as f64 / objective.window_s as f64;
+        let Some(window) = self.windows.iter().rfind(|it| it.window_s <= objective.window_s) else {
+            return Outlook::NoCalls;
+        };
+        let Some(rate) = window.burn_rate else { return Outlook::NoCalls };
+        let spent = rate * window.covered_s as f64 / objective.window_s as f64;
         let left = 1.0 - spent;
         self.budget_left = Some(left);
         if left <= 0.0 {
--- a/crates/pollenlever/src/tool/command/apply/apply.rs
+++ b/crates/pollenlever/src/tool/command/apply/apply.rs
@@ -6,7 +6,8 @@
 use pollenlever_core::config::ConfigVersion;
 
 use super::apply_report::ApplyReport;
-use super::service_result::{Outcome, ServiceResult};
+use super::outcome::Outcome;
+use super::service_result::ServiceResult;
 use super::submitter::Submitter;
 use crate::cli::ApplyOptions;
 use crate::control::ControlStatus;
--- a/crates/pollenlever/src/tool/command/apply/apply_report.rs
+++ b/crates/pollenlever/src/tool/command/apply/apply_report.rs
@@ -1,6 +1,7 @@
 use serde::Serialize;
 
-use super::service_result::{Outcome, ServiceResult};
+use super::outcome::Outcome;
+use super::service_result::ServiceResult;
 use crate::tool::Exit;
 use crate::tool::node::Spread;
 use crate::tool::output::{Report, Table, to_json};
--- a/crates/pollenlever/src/tool/command/apply/mod.rs
+++ b/crates/pollenlever/src/tool/command/apply/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod apply_report;
+mod outcome;
 mod service_result;
 mod submitter;
 
--- a/crates/pollenlever/src/tool/command/apply/service_result.rs
+++ b/crates/pollenlever/src/tool/command/apply/service_result.rs
@@ -1,52 +1,8 @@
-use pollenlever_core::config::ConfigVersion;
+use pollenlever_core::config::{ConfigVersion, ServiceConfig};
 use serde::Serialize;
 
-use crate::tool::Exit;
-
-/// What became of one service of a manifest.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub(super) enum Outcome {
-    /// The store held the same configuration already.
-    Unchanged,
-    /// The conditional update took effect.
-    Accepted,
-    /// The update took effect and another submission has replaced it since.
-    Replaced,
-    /// Another submission came first; this one did not take effect.
-    Overtaken,
-    /// Not sent, since the first service was not accepted.
-    HeldBack,
-    /// The store refused; the submission did not take effect.
-    Refused,
-    /// The store's answers were lost.
-    Unknown,
-}
-
-impl Outcome {
-    /// Word in tables.
-    pub(super) fn as_str(self) -> &'static str {
-        match self {
-            Outcome::Unchanged => "unchanged",
-            Outcome::Accepted => "accepted",
-            Outcome::Replaced => "replaced",
-            Outcome::Overtaken => "overtaken",
-            Outcome::HeldBack => "held back",
-            Outcome::Refused => "refused",
-            Outcome::Unknown => "unknown",
-        }
-    }
-
-    /// Exit code if this is the worst outcome.
-    pub(super) fn exit(self) -> Exit {
-        match self {
-            Outcome::Unchanged | Outcome::Accepted | Outcome::HeldBack => Exit::Done,
-            Outcome::Replaced | Outcome::Overtaken => Exit::Overtaken,
-            Outcome::Refused => Exit::Failed,
-            Outcome::Unknown => Exit::Unknown,
-        }
-    }
-}
+use super::outcome::Outcome;
+use crate::store::{Accepted, SubmitError};
 
 /// One service of a manifest after the command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
@@ -62,3 +18,68 @@
     /// What the operator should know or do.
     pub(super) note: String,
 }
+
+impl ServiceResult {
+    /// The store held the configuration already.
+    pub(super) fn unchanged(cfg: &ServiceConfig, version: ConfigVersion) -> ServiceResult {
+        let base = ServiceResult::new(cfg, Outcome::Unchanged, String::new());
+        ServiceResult { version: Some(version), ..base }
+    }
+
+    /// The submission took effect, after `races` submissions of others.
+    pub(super) fn accepted(
+        cfg: &ServiceConfig,
+        submission: String,
+        accepted: Accepted,
+        races: u32,
+    ) -> ServiceResult {
+        let note = match (accepted.replaced, races) {
+            (true, _) => "took effect, then another submission replaced it".to_owned(),
+            (false, 0) => String::new(),
+            (false, races) => format!("put over {races} submissions of others that came first"),
+        };
+        let outcome = if accepted.replaced { Outcome::Replaced } else { Outcome::Accepted };
+        let base = ServiceResult::new(cfg, outcome, note);
+        ServiceResult { version: Some(accepted.version), submission: Some(submission), ..base }
+    }
+
+    /// Another submission came first and made `version`.
+    pub(super) fn overtaken(
+        cfg: &ServiceConfig,
+        submission: String,
+        version: ConfigVersion,
+    ) -> ServiceResult {
+        let note = format!(
+            "another submission made version {version} while this ran and was left as it is; look \
+             at it and apply again, or use --overwrite"
+        );
+        let base = ServiceResult::new(cfg, Outcome::Overtaken, note);
+        ServiceResult { version: Some(version), submission: Some(submission), ..base }
+    }
+
+    /// The store refused, or its answers were lost.
+    pub(super) fn failed(
+        cfg: &ServiceConfig,
+        submission: String,
+        err: &SubmitError,
+    ) -> ServiceResult {
+        let outcome = match err {
+            SubmitError::Unknown(_) => Outcome::Unknown,
+            SubmitError::Refused(_) | SubmitError::Conflict(_) => Outcome::Refused,
+        };
+        let advice = "apply the manifest again; what was accepted already stays unchanged";
+        let base = ServiceResult::new(cfg, outcome, format!("{err}; {advice}"));
+        ServiceResult { submission: Some(submission), ..base }
+    }
+
+    /// Not sent, since the first service was not accepted.
+    pub(super) fn held_back(cfg: &ServiceConfig, first: &ServiceResult) -> ServiceResult {
+        let note = format!("not sent, since {} was {}", first.service, first.outcome.as_str());
+        ServiceResult::new(cfg, Outcome::HeldBack, note)
+    }
+
+    fn new(cfg: &ServiceConfig, outcome: Outcome, note: String) -> ServiceResult {
+        let service = cfg.service.to_string();
+        ServiceResult { service, outcome, version: None, submission: None, note }
+    }
+}
--- a/crates/pollenlever/src/tool/command/apply/submitter.rs
+++ b/crates/pollenlever/src/tool/command/apply/submitter.rs
@@ -1,13 +1,15 @@
 use std::sync::Arc;
 
 use pollenlever_core::config::{ConfigVersion, ServiceConfig};
+use serde_json::Value;
 use tokio::runtime::Builder;
 use tokio::task::JoinSet;
 
-use super::service_result::{Outcome, ServiceResult};
+use super::outcome::Outcome;
+use super::service_result::ServiceResult;
 use crate::store::{
-    ABSENT, BoxObjectApi, NamedObject, SERVICES_KIND, ServiceObject, StoreError, SubmitError,
-    SubmitSettings, submit,
+    ABSENT, BoxObjectApi, SERVICES_KIND, ServiceObject, StoreError, SubmitError, SubmitSettings,
+    submit,
 };
 use crate::tool::ToolError;
 
@@ -49,8 +51,8 @@
         let mut changes = Vec::new();
         for cfg in services {
             let object = held.iter().find(|it| it.name == *cfg.service);
-            match object.filter(|it| holds(it, &cfg)) {
-                Some(it) => results.push(unchanged(&cfg, it.version)),
+            match object.filter(|it| holds(&it.value, &cfg)) {
+                Some(it) => results.push(ServiceResult::unchanged(&cfg, it.version)),
                 None => {
                     let seen = object.map_or(ABSENT, |it| it.version);
                     changes.push(Change { cfg, seen });
@@ -71,7 +73,7 @@
         let first = self.submit_one(first).await;
         let mut results = match first.outcome {
             Outcome::Accepted | Outcome::Unchanged => self.submit_at_once(rest).await,
-            _ => rest.map(|it| held_back(&it, &first)).collect(),
+            _ => rest.map(|it| ServiceResult::held_back(&it.cfg, &first)).collect(),
         };
         results.push(first);
         results
@@ -83,7 +85,8 @@
         let mut results = Vec::new();
         for change in changes {
             if tasks.len() >= MAX_IN_FLIGHT {
-                results.extend(tasks.join_next().await.and_then(Result::ok));
+                let ended = tasks.join_next().await.map(|it| it.expect("submissions do not panic"));
+                results.extend(ended);
             }
             let submitter = Arc::clone(&submitter);
             tasks.spawn(async move { submitter.submit_one(change).await });
@@ -100,19 +103,11 @@
         loop {
             let sent = submit(self.api.as_ref(), &change.cfg, &id, &settings).await;
             let err = match sent {
-                Ok(accepted) => {
-                    return accepted_result(
-                        &change,
-                        id,
-                        accepted.version,
-                        accepted.replaced,
-                        races,
-                    );
-                }
+                Ok(accepted) => return ServiceResult::accepted(&change.cfg, id, accepted, races),
                 Err(err) => err,
             };
             let SubmitError::Conflict(version) = err else {
-                return failed_result(&change, id, err);
+                return ServiceResult::failed(&change.cfg, id, &err);
             };
             if !self.overwrite || races == MAX_RACES {
                 return self.overtaken(&change, id, version).await;
@@ -129,77 +124,17 @@
         version: ConfigVersion,
     ) -> ServiceResult {
         let read = self.api.get(SERVICES_KIND, &change.cfg.service).await;
-        if let Ok(Some(object)) = read {
-            let named = NamedObject {
-                name: change.cfg.service.to_string(),
-                version: object.version,
-                value: object.value,
-            };
-            if holds(&named, &change.cfg) {
-                return unchanged(&change.cfg, named.version);
+        match read {
+            Ok(Some(it)) if holds(&it.value, &change.cfg) => {
+                ServiceResult::unchanged(&change.cfg, it.version)
             }
+            _ => ServiceResult::overtaken(&change.cfg, id, version),
         }
-        let note = format!(
-            "another submission made version {version} while this ran and was left as it is; look \
-             at it and apply again, or use --overwrite"
-        );
-        result(change, Some(id), Outcome::Overtaken, Some(version), note)
     }
 }
 
-/// Whether the store holds `cfg`, whichever its version.
-fn holds(object: &NamedObject, cfg: &ServiceConfig) -> bool {
-    let held = ServiceObject::from_value(&object.value).and_then(|it| it.to_config(cfg.version));
+/// Whether a value of the store is `cfg`, whichever its version.
+fn holds(value: &Value, cfg: &ServiceConfig) -> bool {
+    let held = ServiceObject::from_value(value).and_then(|it| it.to_config(cfg.version));
     held.is_ok_and(|it| it == *cfg)
 }
-
-fn unchanged(cfg: &ServiceConfig, version: ConfigVersion) -> ServiceResult {
-    ServiceResult {
-        service: cfg.service.to_string(),
-        outcome: Outcome::Unchanged,
-        version: Some(version),
-        submission: None,
-        note: String::new(),
-    }
-}
-
-fn accepted_result(
-    change: &Change,
-    id: String,
-    version: ConfigVersion,
-    replaced: bool,
-    races: u32,
-) -> ServiceResult {
-    let note = match (replaced, races) {
-        (true, _) => "took effect, then another submission replaced it".to_owned(),
-        (false, 0) => String::new(),
-        (false, races) => format!("put over {races} submissions of others that came first"),
-    };
-    let outcome = if replaced { Outcome::Replaced } else { Outcome::Accepted };
-    result(change, Some(id), outcome, Some(version), note)
-}
-
-fn failed_result(change: &Change, id: String, err: SubmitError) -> ServiceResult {
-    let outcome = match &err {
-        SubmitError::Unknown(_) => Outcome::Unknown,
-        SubmitError::Refused(_) | SubmitError::Conflict(_) => Outcome::Refused,
-    };
-    let advice = "apply the manifest again; what was accepted already stays unchanged";
-    result(change, Some(id), outcome, None, format!("{err}; {advice}"))
-}
-
-fn held_back(change: &Change, first: &ServiceResult) -> ServiceResult {
-    let note = format!("not sent, since {} was {}", first.service, first.outcome.as_str());
-    result(change, None, Outcome::HeldBack, None, note)
-}
-
-fn result(
-    change: &Change,
-    submission: Option<String>,
-    outcome: Outcome,
-    version: Option<ConfigVersion>,
-    note: String,
-) -> ServiceResult {
-    let service = change.cfg.service.to_string();
-    ServiceResult { service, outcome, version, submission, note }
-}
--- a/crates/pollenlever/tests/report_burn.rs
+++ b/crates/pollenlever/tests/report_burn.rs
@@ -75,6 +75,15 @@
     overdrawn_budget_is_breached: [(500, 500); 4] => Outlook::Breached;
 }
 
+#[test]
+fn budget_of_a_short_objective_is_judged_by_a_window_within_it() {
+    let objective = Some(KindObjective { good_ratio: 0.99, window_s: DAY_S });
+    let counts = [(100, 0), (100, 0), (980, 20), (0, 1000)];
+    let row = KindBurn { objective, ..kind("a", "b", counts) };
+    let report = report(&[answer("10.0.0.1:7000", "veneto", vec![row])]);
+    assert!((report.rows[0].budget_left.unwrap() - 0.5).abs() < 1e-6);
+}
+
 #[test]
 fn counts_of_nodes_are_summed() {
     let counts = [(990, 10), (990, 10), (990, 10), (990, 10)];
