Leave members out of a node's status on request

It already asks with members=false, which nodes ignored. Ruled out: a status without members always; the tool learns the members from one node. Change: query members of GET /pollenlever/v1/status, true by default.

--- a/crates/pollenlever/src/entry/control_routes.rs
+++ b/crates/pollenlever/src/entry/control_routes.rs
@@ -17,9 +17,14 @@
     rocket::routes![status, burn, metrics]
 }
 
-#[rocket::get("/pollenlever/v1/status")]
-fn status(state: &State<Arc<EntryState>>) -> Json<ControlStatus> {
-    Json(state.control.status())
+/// The node's view; without members it stays small however many there are.
+#[rocket::get("/pollenlever/v1/status?<members>")]
+fn status(state: &State<Arc<EntryState>>, members: Option<bool>) -> Json<ControlStatus> {
+    let status = state.control.status();
+    if members.unwrap_or(true) {
+        return Json(status);
+    }
+    Json(ControlStatus { members: Vec::new(), ..status })
 }
 
 #[rocket::get("/pollenlever/v1/burn")]
