--- a/crates/pollenlever-standins/src/cluster/cluster.rs
+++ b/crates/pollenlever-standins/src/cluster/cluster.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use pollenlever::control::ControlStatus;
@@ -11,12 +12,15 @@
 use super::publish::publish;
 use super::{ClusterError, ClusterSpec, Machine, Program};
 use crate::relay::{Links, Place, Relay};
+use crate::store::Faults as StoreFaults;
 use crate::target::{Faults, RunLog, RunRecord};
 
 /// Time between two looks at a condition that is waited for.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest wait for an answer from a process of the deployment.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Number of the next deployment of this process.
+static NEXT_FOLDER: AtomicU32 = AtomicU32::new(0);
 /// Machine number of the store.
 const STORE_NUMBER: u8 = 250;
 
@@ -110,6 +114,19 @@
             .map_err(|err| ClusterError::request("set faults", err))
     }
 
+    /// Sets the faults of the store.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the store does not answer.
+    pub fn set_store_faults(&self, faults: &StoreFaults) -> Result<(), ClusterError> {
+        let url = format!("http://{}/v1/faults", self.store_addr);
+        let sent = self.client.post(url).json(faults).send();
+        sent.and_then(|it| it.error_for_status())
+            .map(drop)
+            .map_err(|err| ClusterError::request("set faults of the store", err))
+    }
+
     /// Members and configurations as a machine's node sees them.
     ///
     /// # Errors
@@ -200,7 +217,8 @@
 }
 
 fn make_folder() -> Result<PathBuf, ClusterError> {
-    let name = format!("pollenlever-{}", std::process::id());
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("pollenlever-{}-{number}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     let err = |err| ClusterError::process(format!("make {}", folder.display()), err);
     if folder.exists() {
--- a/crates/pollenlever/src/settings/ini/document.rs
+++ b/crates/pollenlever/src/settings/ini/document.rs
@@ -1,3 +1,5 @@
+use std::collections::HashMap;
+
 use ini::{Ini, ParseOption};
 
 use super::{Entry, Faults, Section};
@@ -18,6 +20,12 @@
 impl Document {
     /// Decodes the bytes of a file.
     ///
+    /// ```
+    /// use pollenlever::settings::ini::Document;
+    /// assert_eq!(Document::decode("node.ini", "ð".as_bytes()), Ok("ð"));
+    /// assert!(Document::decode("node.ini", b"\xf0").is_err());
+    /// ```
+    ///
     /// # Errors
     ///
     /// One fault that names the first byte that is not UTF-8.
@@ -33,12 +41,20 @@
     }
 
     /// Reads `text`; lines of a wrong form go to `faults` and are left out.
+    ///
+    /// ```
+    /// use pollenlever::settings::ini::{Document, Faults};
+    /// let mut faults = Faults::new("node.ini");
+    /// let doc = Document::parse("[node]\nzone = veneto-a\nstray", &mut faults);
+    /// assert_eq!(doc.section("node").unwrap().entry("zone").unwrap().line, 2);
+    /// assert_eq!(faults.list()[0].line, 3);
+    /// ```
     pub fn parse(text: &str, faults: &mut Faults) -> Document {
         let text = text.strip_prefix('\u{feff}').unwrap_or(text);
         let mut sections = Vec::new();
         let mut kept = String::with_capacity(text.len());
         for (index, line) in text.lines().enumerate() {
-            if keep_line(&mut sections, index + 1, line.trim(), faults) {
+            if let Some(line) = read_line(&mut sections, index + 1, line.trim(), faults) {
                 kept.push_str(line);
             }
             kept.push('\n');
@@ -54,39 +70,47 @@
     }
 }
 
-/// Notes what stands on a line; `false` if its form is wrong.
-fn keep_line(sections: &mut Vec<Section>, number: usize, line: &str, faults: &mut Faults) -> bool {
+/// Notes what stands on a trimmed line; the line itself if the parser is to see it.
+fn read_line<'a>(
+    sections: &mut Vec<Section>,
+    number: usize,
+    line: &'a str,
+    faults: &mut Faults,
+) -> Option<&'a str> {
     if line.is_empty() || line.starts_with([';', '#']) {
-        return true;
+        return None;
     }
     if let Some(name) = section_name(line) {
         sections.push(Section { name, line: number, entries: Vec::new() });
-        return true;
+        return Some(line);
     }
-    let (Some(key), false) = (entry_key(line), line.starts_with('[')) else {
+    let Some(key) = entry_key(line) else {
         faults.push(number, "line", quoted(line), LINE_ALLOWED);
-        return false;
+        return None;
     };
     let Some(section) = sections.last_mut() else {
         faults.push(number, key, "a key above the first section", "keys below a `[section]`");
-        return false;
+        return None;
     };
     section.entries.push(Entry { key: key.to_owned(), value: String::new(), line: number });
-    true
+    Some(line)
 }
 
 /// The name between brackets, with single spaces.
 fn section_name(line: &str) -> Option<String> {
     let inner = line.strip_prefix('[')?.strip_suffix(']')?;
     let name = inner.split_whitespace().collect::<Vec<_>>().join(" ");
-    let plain = !name.is_empty() && !name.contains(['[', ']', '\\']);
+    let special = |it: char| "[]\\".contains(it) || it.is_control();
+    let plain = !name.is_empty() && !name.contains(special);
     plain.then_some(name)
 }
 
+/// The key of an entry, unless the line holds what the parser would read in another way.
 fn entry_key(line: &str) -> Option<&str> {
     let (key, _) = line.split_once('=')?;
-    let plain = !key.trim().is_empty() && !key.contains(':') && !line.contains('\\');
-    plain.then_some(key.trim())
+    let special = |it: char| it == '\\' || (it.is_control() && it != '\t');
+    let plain = !key.trim().is_empty() && !key.contains(':') && !line.contains(special);
+    (plain && !line.starts_with('[')).then_some(key.trim())
 }
 
 /// Takes the values from the parser, which keeps the order of sections and entries.
@@ -109,30 +133,26 @@
 }
 
 fn report_duplicates(sections: &[Section], faults: &mut Faults) {
-    let mut first_lines = std::collections::HashMap::new();
+    let mut sections_seen = HashMap::new();
     for section in sections {
         let place = format!("[{}]", section.name);
-        let first = *first_lines.entry((&section.name, None)).or_insert(section.line);
+        let first = *sections_seen.entry(&section.name).or_insert(section.line);
         if first != section.line {
-            faults.push(
-                section.line,
-                &place,
-                format!("a second section, first on line {first}"),
-                "one",
-            );
+            let found = format!("a second section, first on line {first}");
+            faults.push(section.line, place, found, "one");
         }
-        for entry in &section.entries {
-            let key = (&section.name, Some((section.line, &entry.key)));
-            let first = *first_lines.entry(key).or_insert(entry.line);
-            if first != entry.line {
-                let place = format!("{place} {}", entry.key);
-                faults.push(
-                    entry.line,
-                    place,
-                    format!("a second value, first on line {first}"),
-                    "one",
-                );
-            }
+        report_duplicate_keys(section, faults);
+    }
+}
+
+fn report_duplicate_keys(section: &Section, faults: &mut Faults) {
+    let mut keys_seen = HashMap::new();
+    for entry in &section.entries {
+        let first = *keys_seen.entry(&entry.key).or_insert(entry.line);
+        if first != entry.line {
+            let place = format!("[{}] {}", section.name, entry.key);
+            let found = format!("a second value, first on line {first}");
+            faults.push(entry.line, place, found, "one");
         }
     }
 }
--- a/crates/pollenlever/tests/report_burn.rs
+++ b/crates/pollenlever/tests/report_burn.rs
@@ -41,7 +41,7 @@
 }
 
 fn answer(entry: &str, region: &str, kinds: Vec<KindBurn>) -> NodeAnswer {
-    let burn = NodeBurn { kinds, ..NodeBurn::default() };
+    let burn = NodeBurn { uptime_s: 4 * DAY_S, kinds, ..NodeBurn::default() };
     NodeAnswer { member: member(entry, region), burn: Ok(burn) }
 }
 
@@ -75,6 +75,15 @@
     overdrawn_budget_is_breached: [(500, 500); 4] => Outlook::Breached;
 }
 
+#[test]
+fn budget_of_a_short_objective_is_judged_by_a_window_within_it() {
+    let objective = Some(KindObjective { good_ratio: 0.99, window_s: DAY_S });
+    let counts = [(100, 0), (100, 0), (980, 20), (0, 1000)];
+    let row = KindBurn { objective, ..kind("a", "b", counts) };
+    let report = report(&[answer("10.0.0.1:7000", "veneto", vec![row])]);
+    assert!((report.rows[0].budget_left.unwrap() - 0.5).abs() < 1e-6);
+}
+
 #[test]
 fn counts_of_nodes_are_summed() {
     let counts = [(990, 10), (990, 10), (990, 10), (990, 10)];
@@ -109,6 +118,15 @@
     assert_eq!(report.rows[0].outlook, Outlook::Incomplete);
 }
 
+#[test]
+fn nodes_that_started_within_the_longest_window_are_counted_apart() {
+    let mut young = answer("10.0.0.1:7000", "veneto", Vec::new());
+    young.burn.as_mut().unwrap().uptime_s = DAY_S;
+    let report = report(&[young, answer("10.0.0.2:7000", "veneto", Vec::new())]);
+    assert_eq!(report.recently_started, 1);
+    assert!(report.table().contains("1 of them started within 3 d"), "{}", report.table());
+}
+
 #[test]
 fn no_nodes_at_all_is_incomplete() {
     assert_eq!(report(&[]).exit(), Exit::Incomplete);
