Keep passing on news of crashes after some of it was cleared

Cause: when all news of a round had been cleared by answers, the next round was never set, and the node passed nothing on from then on. Ruled out: too few rounds.

--- a/crates/pollenlever-core/src/node/suspects.rs
+++ b/crates/pollenlever-core/src/node/suspects.rs
@@ -137,6 +137,9 @@
     /// Sends the news of crashes to a few members, each piece in several rounds.
     pub(super) fn spread_suspicion(&mut self, cx: &mut Cx<'_>) {
         let news = self.take_news();
+        if !self.hot_suspects.is_empty() {
+            self.timers.set(cx.now + self.cfg.suspicion_interval, Timer::SpreadSuspicion);
+        }
         if news.is_empty() {
             return;
         }
@@ -147,20 +150,17 @@
             let req = PeerRequest::Suspects(news.clone());
             self.send(cx, Exchange::Notice, peer, req, Bytes::new());
         }
-        if !self.hot_suspects.is_empty() {
-            self.timers.set(cx.now + self.cfg.suspicion_interval, Timer::SpreadSuspicion);
-        }
     }
 
+    /// News for one round. What has been cleared meanwhile is no longer news.
     fn take_news(&mut self) -> Vec<Suspicion> {
-        let hot = self.hot_suspects.iter_mut().take(MAX_NEWS);
+        let suspicion = &self.suspicion;
+        self.hot_suspects.retain(|digest, rounds| *rounds > 0 && suspicion.crashes(*digest) > 0);
         let mut news = Vec::new();
-        for (&digest, rounds) in hot {
-            *rounds = rounds.saturating_sub(1);
-            news.push(Suspicion { digest, crashes: self.suspicion.crashes(digest) });
+        for (&digest, rounds) in self.hot_suspects.iter_mut().take(MAX_NEWS) {
+            *rounds -= 1;
+            news.push(Suspicion { digest, crashes: suspicion.crashes(digest) });
         }
-        self.hot_suspects.retain(|_, rounds| *rounds > 0);
-        news.retain(|it| it.crashes > 0);
         news
     }
 }
