Load tool with open-loop callers, and the overload measurement

Ruled out: closed-loop callers, which would hide overload; service times of a few ms, which would measure the machine's processors. Change: seeded Poisson arrivals, callers that resend hard, reports of goodput, recovery and work; measurement overload in the catalog.

--- /dev/null
+++ b/crates/pollenlever-standins/src/load/arrival.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use pollenlever_core::config::Importance;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::LoadSpec;
+
+/// One request that a caller is going to make.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Arrival {
+    /// Number, unique within the load.
+    pub id: u64,
+    /// Time from the start of the load.
+    pub at: Duration,
+    /// Importance of the kind of request.
+    pub importance: Importance,
+    /// Customer on whose behalf the request is made.
+    pub customer: String,
+    /// Seed of the caller's own choices.
+    pub seed: u64,
+}
+
+impl Arrival {
+    /// All arrivals of a load, in order: a Poisson process for each phase.
+    ///
+    /// ```
+    /// use pollenlever_standins::load::{Arrival, LoadSpec, Phase};
+    /// let spec = LoadSpec { phases: vec![Phase::new(100.0, 2.0)], ..LoadSpec::default() };
+    /// let arrivals = Arrival::all(&spec);
+    /// assert!((150..250).contains(&arrivals.len()));
+    /// assert_eq!(arrivals, Arrival::all(&spec));
+    /// ```
+    pub fn all(spec: &LoadSpec) -> Vec<Arrival> {
+        let mut rng = StdRng::seed_from_u64(spec.seed);
+        let mut arrivals = Vec::new();
+        let mut start = Duration::ZERO;
+        for phase in &spec.phases {
+            let end = start + phase.length;
+            let mut at = start + gap(&mut rng, phase.rate);
+            while at < end {
+                arrivals.push(draw(spec, &mut rng, arrivals.len() as u64, at));
+                at += gap(&mut rng, phase.rate);
+            }
+            start = end;
+        }
+        arrivals
+    }
+}
+
+fn gap(rng: &mut StdRng, rate: f64) -> Duration {
+    Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / rate)
+}
+
+fn draw(spec: &LoadSpec, rng: &mut StdRng, id: u64, at: Duration) -> Arrival {
+    let importance = Importance::ALL[draw_index(rng, spec.mix.iter().copied())];
+    let customer = draw_index(rng, spec.customers.iter().map(|it| it.weight));
+    let customer = spec.customers[customer].name.clone();
+    Arrival { id, at, importance, customer, seed: rng.random() }
+}
+
+/// Draws an index by weight.
+fn draw_index(rng: &mut StdRng, weights: impl Iterator<Item = f64> + Clone) -> usize {
+    let mut rest = rng.random::<f64>() * weights.clone().sum::<f64>();
+    let mut last = 0;
+    for (index, weight) in weights.enumerate() {
+        last = index;
+        rest -= weight;
+        if rest < 0.0 {
+            break;
+        }
+    }
+    last
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/load/caller.rs
@@ -0,0 +1,127 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pollenlever_core::config::Importance;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use reqwest::header::HeaderMap;
+
+use super::{Arrival, LoadSpec, Record};
+use crate::target::{answer_line, is_whole_answer};
+
+/// A caller that sends one request until it has its answer or the deadline passes.
+pub(super) struct Caller<'a> {
+    pub(super) spec: &'a LoadSpec,
+    pub(super) client: &'a reqwest::Client,
+    pub(super) entries: &'a [SocketAddr],
+    pub(super) arrival: Arrival,
+}
+
+/// What one sending came to.
+struct Reply {
+    reason: String,
+    whole: bool,
+    chain: Option<String>,
+    retry_after: Option<Duration>,
+}
+
+impl Caller<'_> {
+    pub(super) async fn run(self) -> Record {
+        let start = Instant::now();
+        let mut rng = SmallRng::seed_from_u64(self.arrival.seed);
+        let mut answers = BTreeMap::new();
+        let mut chain = None;
+        let mut sends = 0;
+        let mut good = false;
+        loop {
+            let left = self.spec.deadline.saturating_sub(start.elapsed());
+            let entry = self.entries[rng.random_range(0..self.entries.len())];
+            sends += 1;
+            let sent = self.send(entry, chain.as_deref(), left);
+            let Ok(reply) = tokio::time::timeout(left, sent).await else {
+                *answers.entry("timeout".to_owned()).or_default() += 1;
+                break;
+            };
+            *answers.entry(reply.reason).or_default() += 1;
+            if reply.whole {
+                good = start.elapsed() <= self.spec.deadline;
+                break;
+            }
+            if sends > self.spec.resend.max_resends {
+                break;
+            }
+            if self.spec.resend.names_chain {
+                chain = reply.chain.or(chain);
+            }
+            let wait = self.wait(reply.retry_after);
+            if start.elapsed() + wait >= self.spec.deadline {
+                break;
+            }
+            tokio::time::sleep(wait).await;
+        }
+        Record { latency: start.elapsed(), arrival: self.arrival, good, sends, answers }
+    }
+
+    fn wait(&self, retry_after: Option<Duration>) -> Duration {
+        let resend = self.spec.resend;
+        retry_after.filter(|_| resend.obeys_retry_after).unwrap_or(resend.wait)
+    }
+
+    async fn send(&self, entry: SocketAddr, chain: Option<&str>, left: Duration) -> Reply {
+        tokio::time::sleep(self.spec.delay).await;
+        let path = self.path();
+        let url = format!("http://{entry}/call/{}{path}", self.spec.service);
+        let mut req = self
+            .client
+            .get(url)
+            .header("pollenlever-customer", &self.arrival.customer)
+            .header("pollenlever-deadline-ms", left.as_millis().to_string());
+        if let Some(chain) = chain {
+            req = req.header("pollenlever-chain", chain);
+        }
+        let reply = match req.send().await {
+            Ok(res) => self.read(res, &path).await,
+            Err(err) => Reply::failed(&err),
+        };
+        tokio::time::sleep(self.spec.delay).await;
+        reply
+    }
+
+    async fn read(&self, res: reqwest::Response, path: &str) -> Reply {
+        let status = res.status().as_u16();
+        let headers = res.headers().clone();
+        let text = match res.text().await {
+            Ok(text) => text,
+            Err(err) => return Reply::failed(&err),
+        };
+        let line = answer_line(&self.spec.service, "GET", path, b"");
+        let whole = status == 200 && is_whole_answer(&text, &line, self.spec.depth);
+        let reason = header(&headers, "pollenlever-error").unwrap_or_else(|| status.to_string());
+        let millis = header(&headers, "pollenlever-retry-after-ms");
+        let retry_after = millis.and_then(|it| it.parse().ok()).map(Duration::from_millis);
+        Reply { reason, whole, chain: header(&headers, "pollenlever-chain"), retry_after }
+    }
+
+    /// Path of the kind that has the arrival's importance.
+    fn path(&self) -> String {
+        let kind = match self.arrival.importance {
+            Importance::Sheddable => "report",
+            Importance::Normal => "read",
+            Importance::High => "check",
+            Importance::Critical => "pay",
+        };
+        format!("/{kind}?id={}", self.arrival.id)
+    }
+}
+
+impl Reply {
+    fn failed(err: &reqwest::Error) -> Reply {
+        let reason = if err.is_connect() { "connect" } else { "broken" };
+        Reply { reason: reason.to_owned(), whole: false, chain: None, retry_after: None }
+    }
+}
+
+fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|it| it.to_str().ok()).map(str::to_owned)
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/load/load_report.rs
@@ -0,0 +1,95 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use pollenlever_core::config::Importance;
+
+use super::Record;
+
+/// Length of a bin of [`LoadReport::recovery`].
+const BIN: Duration = Duration::from_millis(250);
+/// Bins that must be good together for a recovery.
+const RECOVERY_BINS: u32 = 4;
+/// Share of the earlier goodput at which a recovery is reached.
+const RECOVERY_SHARE: f64 = 0.95;
+
+/// Records of a load, in order of arrival.
+#[derive(Debug, Clone, Default)]
+pub struct LoadReport {
+    /// What became of each request.
+    pub records: Vec<Record>,
+}
+
+impl LoadReport {
+    /// Records of requests that arrived from `from` until `to`.
+    pub fn between(&self, from: Duration, to: Duration) -> impl Iterator<Item = &Record> {
+        self.records.iter().filter(move |it| (from..to).contains(&it.arrival.at))
+    }
+
+    /// Good requests a second among those that arrived from `from` until `to`.
+    pub fn goodput(&self, from: Duration, to: Duration) -> f64 {
+        let good = self.between(from, to).filter(|it| it.good).count();
+        good as f64 / (to - from).as_secs_f64()
+    }
+
+    /// Share of good requests among those that arrived from `from` until `to`.
+    pub fn good_share(&self, from: Duration, to: Duration) -> f64 {
+        share(self.between(from, to))
+    }
+
+    /// Share of good requests of one importance.
+    pub fn good_share_of(&self, importance: Importance, from: Duration, to: Duration) -> f64 {
+        share(self.between(from, to).filter(|it| it.arrival.importance == importance))
+    }
+
+    /// Good requests by customer among those that arrived from `from` until `to`.
+    pub fn good_by_customer(&self, from: Duration, to: Duration) -> BTreeMap<&str, u32> {
+        let mut counts = BTreeMap::new();
+        for record in self.between(from, to).filter(|it| it.good) {
+            *counts.entry(record.arrival.customer.as_str()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Good requests by second of arrival.
+    pub fn series(&self) -> Vec<u32> {
+        let mut series = Vec::new();
+        for record in &self.records {
+            let second = record.arrival.at.as_secs() as usize;
+            series.resize(series.len().max(second + 1), 0);
+            series[second] += u32::from(record.good);
+        }
+        series
+    }
+
+    /// Answers by reason among those that arrived from `from` until `to`.
+    pub fn answers(&self, from: Duration, to: Duration) -> BTreeMap<&str, u32> {
+        let mut counts = BTreeMap::new();
+        for (reason, count) in self.between(from, to).flat_map(|it| &it.answers) {
+            *counts.entry(reason.as_str()).or_default() += count;
+        }
+        counts
+    }
+
+    /// Time from `healed` until the share of good requests is back at 95% of `before` for a second;
+    /// none if it is not back by `end`.
+    pub fn recovery(&self, healed: Duration, end: Duration, before: f64) -> Option<Duration> {
+        let mut from = healed;
+        while from + BIN * RECOVERY_BINS <= end {
+            if self.good_share(from, from + BIN * RECOVERY_BINS) >= RECOVERY_SHARE * before {
+                return Some(from - healed);
+            }
+            from += BIN;
+        }
+        None
+    }
+}
+
+/// Share of good records; 1 if there are none.
+fn share<'a>(records: impl Iterator<Item = &'a Record>) -> f64 {
+    let (mut good, mut all) = (0, 0);
+    for record in records {
+        good += u32::from(record.good);
+        all += 1;
+    }
+    if all == 0 { 1.0 } else { f64::from(good) / f64::from(all) }
+}
--- a/crates/pollenlever-standins/src/load/mod.rs
+++ b/crates/pollenlever-standins/src/load/mod.rs
@@ -1,1 +1,22 @@
-//! Open-loop callers that resend hard.
+//! Open-loop callers that resend hard, and trials of a policy under their load.
+
+mod arrival;
+mod caller;
+mod load_report;
+mod load_run;
+mod load_spec;
+mod phase;
+mod record;
+mod resend_policy;
+mod trial;
+mod work_report;
+
+pub use arrival::Arrival;
+pub use load_report::LoadReport;
+pub use load_run::LoadRun;
+pub use load_spec::{CustomerShare, LoadSpec};
+pub use phase::Phase;
+pub use record::Record;
+pub use resend_policy::ResendPolicy;
+pub use trial::{Trial, TrialError};
+pub use work_report::WorkReport;
--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -3,6 +3,7 @@
 mod catalog;
 mod measure_options;
 mod measurement;
+mod overload;
 mod verdict;
 
 pub use catalog::CATALOG;
