--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -88,7 +88,7 @@
 
     /// Latest time at which a waiting request may start.
     fn latest_start(&self, now: Timestamp, waiting: &Waiting, standing: bool) -> Timestamp {
-        let needed = self.service_times.of(now, waiting.class());
+        let needed = self.service_times.needed(now, waiting.class());
         let latest = waiting.ticket.deadline.saturating_sub(needed);
         match waiting.ticket.depth {
             0 if standing => latest.min(waiting.arrived + self.longest_wait(0)),
@@ -240,8 +240,8 @@
         let in_flight = self.running.len() as u32;
         if let Some(class) = self.running.remove(&id) {
             self.limit.finished(now, service_time, outcome, in_flight);
-            let too_slow =
-                outcome == RunOutcome::Failed && service_time > self.service_times.mean();
+            let unfinished = matches!(outcome, RunOutcome::Failed | RunOutcome::Cancelled);
+            let too_slow = unfinished && service_time > self.service_times.mean();
             if outcome == RunOutcome::Answered || too_slow {
                 self.service_times.sample(now, class, service_time);
             }
--- a/crates/pollenlever-core/src/admission/service_times.rs
+++ b/crates/pollenlever-core/src/admission/service_times.rs
@@ -6,6 +6,8 @@
 
 /// Weight of a new sample.
 const WEIGHT: f64 = 0.05;
+/// Mean deviations above the mean in which a new chain must be able to finish.
+const MARGIN: f64 = 3.0;
 /// Time without a sample after which an estimate begins to shrink, so that an estimate above
 /// every deadline cannot keep all requests out for good.
 const TRUSTED: Duration = Duration::from_millis(500);
@@ -22,6 +24,7 @@
 #[derive(Debug)]
 struct Estimate {
     mean: f64,
+    deviation: f64,
     at: Timestamp,
 }
 
@@ -35,7 +38,9 @@
         let sample = service_time.as_secs_f64();
         let all = self.all.get_or_insert(sample);
         *all += WEIGHT * (sample - *all);
-        let estimate = self.by_class.entry(class).or_insert(Estimate { mean: sample, at: now });
+        let first = Estimate { mean: sample, deviation: 0.0, at: now };
+        let estimate = self.by_class.entry(class).or_insert(first);
+        estimate.deviation += WEIGHT * ((sample - estimate.mean).abs() - estimate.deviation);
         estimate.mean += WEIGHT * (sample - estimate.mean);
         estimate.at = now;
     }
@@ -45,10 +50,13 @@
         Duration::from_secs_f64(self.all.unwrap_or_default())
     }
 
-    /// Mean of one class; zero until its first sample.
-    pub(super) fn of(&self, now: Timestamp, class: (Importance, u8)) -> Duration {
-        let Some(Estimate { mean, at }) = self.by_class.get(&class) else { return Duration::ZERO };
-        let age = now.saturating_sub(*at).saturating_sub(TRUSTED);
-        Duration::from_secs_f64(mean * (-age.as_secs_f64() / SHRINK.as_secs_f64()).exp())
+    /// Time that a run of one class needs; zero until its first sample. For a new chain this is
+    /// well above the mean, for a deeper call it is the mean, since refusing it wastes work.
+    pub(super) fn needed(&self, now: Timestamp, class: (Importance, u8)) -> Duration {
+        let Some(estimate) = self.by_class.get(&class) else { return Duration::ZERO };
+        let margin = if class.1 == 0 { MARGIN * estimate.deviation } else { 0.0 };
+        let age = now.saturating_sub(estimate.at).saturating_sub(TRUSTED);
+        let trust = (-age.as_secs_f64() / SHRINK.as_secs_f64()).exp();
+        Duration::from_secs_f64((estimate.mean + margin) * trust)
     }
 }
--- a/crates/pollenlever-standins/src/load/load_run.rs
+++ b/crates/pollenlever-standins/src/load/load_run.rs
@@ -36,6 +36,11 @@
         Ok(LoadRun { start: Instant::now(), thread })
     }
 
+    /// Time since the load started.
+    pub fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+
     /// Waits until `at` from the start of the load.
     pub fn sleep_until(&self, at: Duration) {
         thread::sleep(at.saturating_sub(self.start.elapsed()));
--- a/crates/pollenlever-standins/src/load/trial.rs
+++ b/crates/pollenlever-standins/src/load/trial.rs
@@ -1,16 +1,21 @@
 use std::io;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use pollenlever::settings::PolicyName;
 
 use super::{CustomerShare, LoadReport, LoadRun, LoadSpec, Phase};
-use crate::cluster::{Cluster, ClusterError, ClusterSpec, Deployment};
+use crate::cluster::{Cluster, ClusterError, ClusterSpec, Deployment, Ports};
 use crate::measure::MeasureOptions;
 
 /// Time that a request holds a slot at each service, long enough that slots set the capacity and
 /// not processors.
 const SERVICE_TIME: Duration = Duration::from_millis(100);
 
+/// Distance between the port numbers of two trials, so that deployments started side by side by
+/// processes with near ids do not meet.
+const PORT_STRIDE: u32 = 667;
+
 /// Why a trial could not be run.
 #[derive(Debug, thiserror::Error)]
 pub enum TrialError {
@@ -46,6 +51,7 @@
         let mut spec = options.deployment.spec();
         spec.policy = policy;
         spec.seed = options.seed;
+        spec.ports = next_ports();
         for service in &mut spec.services {
             service.service_time = SERVICE_TIME;
         }
@@ -100,6 +106,13 @@
     }
 }
 
+/// Ports that no earlier trial of this process has used.
+fn next_ports() -> Ports {
+    static TRIALS: AtomicU32 = AtomicU32::new(0);
+    let trial = TRIALS.fetch_add(1, Ordering::Relaxed);
+    Ports::new(std::process::id().wrapping_add(trial * PORT_STRIDE))
+}
+
 /// Requests a second that the slots of the narrowest service can run.
 fn capacity(spec: &ClusterSpec) -> f64 {
     let of = |it: &crate::cluster::ServiceSpec| {
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/poison.rs
@@ -0,0 +1,88 @@
+use std::time::Duration;
+
+use pollenlever::settings::PolicyName;
+use pollenlever_core::config::RequestKind;
+
+use super::{MeasureError, MeasureOptions, Measurement, Verdict};
+use crate::load::{Phase, Trial};
+
+/// Load beside the crashing request, as a share of the capacity.
+const LOAD: f64 = 0.3;
+/// Seconds of load.
+const SECS: f64 = 14.0;
+/// Times that the crashing request is sent.
+const SENDS: u32 = 20;
+/// Time between two sendings.
+const INTERVAL: Duration = Duration::from_millis(500);
+/// Longest wait for the answer to one sending.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A request that crashes each target that runs it is sent again and again.
+pub(super) struct Poison;
+
+struct Figures {
+    goodput: f64,
+    lost: u32,
+}
+
+impl Measurement for Poison {
+    fn name(&self) -> &'static str {
+        "poison"
+    }
+
+    fn summary(&self) -> &'static str {
+        "a crashing request sent 20 times: targets lost <= the declared number of crashes"
+    }
+
+    fn run(&self, options: &MeasureOptions) -> Result<Verdict, MeasureError> {
+        let declared = RequestKind::default().max_crashes;
+        let ours = trial(options, PolicyName::Pollenlever)?;
+        let naive = trial(options, PolicyName::Naive)?;
+        Ok(Verdict::new(ours.lost <= declared)
+            .figure("goodput", format!("{:.4}", ours.goodput))
+            .figure("naive", format!("{:.4}", naive.goodput))
+            .figure("lost", ours.lost)
+            .figure("naive_lost", naive.lost)
+            .figure("declared", declared)
+            .figure("recovery_s", "-")
+            .figure("naive_recovery_s", "-"))
+    }
+}
+
+fn trial(options: &MeasureOptions, policy: PolicyName) -> Result<Figures, MeasureError> {
+    let mut trial = Trial::start(options, policy, |_| {})?;
+    let spec = trial.load(vec![Phase::new(LOAD * trial.capacity, SECS)]);
+    let end = spec.length();
+    let (service, customer) = (spec.service.clone(), spec.customers[0].name.clone());
+    let client = reqwest::blocking::Client::builder().timeout(TIMEOUT).build()?;
+    let run = trial.send(spec)?;
+    let mut lost = 0;
+    let mut statuses = Vec::new();
+    for send in 0..SENDS {
+        run.sleep_until(INTERVAL * (send + 1));
+        let entries: Vec<_> =
+            trial.cluster.machines.iter().filter(|it| it.service == service).collect();
+        let entry = entries[send as usize % entries.len()].entry;
+        let url = format!("http://{entry}/call/{service}/read?id=poison");
+        let sent = client.get(url).header("pollenlever-customer", &customer).send();
+        statuses.push(sent.map_or(0, |it| it.status().as_u16()));
+        lost += restart_lost(&mut trial)?;
+    }
+    let report = run.finish()?;
+    lost += restart_lost(&mut trial)?;
+    println!("{policy:?}: statuses {statuses:?}, lost {lost}");
+    println!("{policy:?}: good by second {:?}", report.series());
+    Ok(Figures { goodput: report.good_share(Duration::ZERO, end), lost })
+}
+
+/// Starts the targets again that have ended. Returns their number.
+fn restart_lost(trial: &mut Trial) -> Result<u32, MeasureError> {
+    let mut lost = 0;
+    for machine in &mut trial.cluster.machines {
+        if !machine.target_program.is_running() {
+            machine.restart_target()?;
+            lost += 1;
+        }
+    }
+    Ok(lost)
+}
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/wasted_work.rs
@@ -0,0 +1,55 @@
+use pollenlever::settings::PolicyName;
+
+use super::{MeasureError, MeasureOptions, Measurement, Verdict};
+use crate::load::{Phase, Trial, WorkReport};
+
+/// Seconds at capacity before the overload.
+const CALM_SECS: f64 = 3.0;
+/// Seconds of overload.
+const OVERLOAD_SECS: f64 = 14.0;
+/// Seconds of overload of the naive run.
+const NAIVE_SECS: f64 = 8.0;
+/// Largest share of wasted work that holds the target.
+const MAX_WASTED: f64 = 0.03;
+
+/// Work of the targets on requests that later failed, under twice the capacity.
+pub(super) struct WastedWork;
+
+impl Measurement for WastedWork {
+    fn name(&self) -> &'static str {
+        "wasted-work"
+    }
+
+    fn summary(&self) -> &'static str {
+        "2x capacity: <= 3% of the targets' work spent on requests that later failed"
+    }
+
+    fn run(&self, options: &MeasureOptions) -> Result<Verdict, MeasureError> {
+        let (goodput, work) = trial(options, PolicyName::Pollenlever, OVERLOAD_SECS)?;
+        let (naive_goodput, naive_work) = trial(options, PolicyName::Naive, NAIVE_SECS)?;
+        Ok(Verdict::new(work.wasted_share() <= MAX_WASTED)
+            .figure("goodput", format!("{goodput:.1}"))
+            .figure("naive", format!("{naive_goodput:.1}"))
+            .figure("wasted", format!("{:.4}", work.wasted_share()))
+            .figure("naive_wasted", format!("{:.4}", naive_work.wasted_share()))
+            .figure("recovery_s", "-")
+            .figure("naive_recovery_s", "-"))
+    }
+}
+
+fn trial(
+    options: &MeasureOptions,
+    policy: PolicyName,
+    secs: f64,
+) -> Result<(f64, WorkReport), MeasureError> {
+    let trial = Trial::start(options, policy, |_| {})?;
+    let phases =
+        vec![Phase::new(trial.capacity, CALM_SECS), Phase::new(2.0 * trial.capacity, secs)];
+    let spec = trial.load(phases);
+    let (calm, end, depth) = (spec.phases[0].length, spec.length(), spec.depth);
+    let report = trial.run(spec)?;
+    let work = WorkReport::read(&trial.cluster, &report, depth)?;
+    println!("{policy:?}: answers {:?}", report.answers(calm, end));
+    println!("{policy:?}: {work:?}");
+    Ok((report.goodput(calm, end), work))
+}
