--- a/crates/pollenlever-standins/src/measure/catalog.rs
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -1,9 +1,13 @@
 use super::Measurement;
 use super::cold_start::ColdStart;
+use super::config::ConfigMeasurement;
+use super::control::ControlMeasurement;
 use super::fairness::Fairness;
+use super::latency::Latency;
 use super::misleading::Misleading;
 use super::overload::Overload;
 use super::poison::Poison;
+use super::promises::Promises;
 use super::regions::Regions;
 use super::slow_service::SlowService;
 use super::wasted_work::WastedWork;
@@ -11,6 +15,10 @@
 
 /// All measurements, in the order of `scripts/measure list`.
 pub static CATALOG: &[&dyn Measurement] = &[
+    &Latency,
+    &Promises,
+    &ControlMeasurement,
+    &ConfigMeasurement,
     &Overload,
     &SlowService,
     &WastedWork,
--- /dev/null
+++ b/crates/pollenlever-standins/src/measure/promises/mod.rs
@@ -0,0 +1,17 @@
+//! What must always hold, checked on real processes under faults.
+
+mod chain;
+mod checks;
+mod config_history;
+mod drain;
+mod fault_plan;
+mod order;
+mod promises;
+mod trial;
+mod trial_settings;
+mod workload;
+
+pub use checks::Checks;
+pub(super) use promises::Promises;
+pub use trial::Trial;
+pub use trial_settings::TrialSettings;
--- a/crates/pollenlever/src/tool/burn/merge.rs
+++ b/crates/pollenlever/src/tool/burn/merge.rs
@@ -3,9 +3,12 @@
 use super::{BurnReport, BurnRow, MissingNode};
 use crate::control::MemberStatus;
 use crate::manifest::Manifest;
-use crate::telemetry::{KindBurn, NodeBurn};
+use crate::telemetry::{KindBurn, NodeBurn, WindowedCounts};
 use crate::tool::node::NodeError;
 
+/// The longest window that nodes keep.
+const LONGEST_WINDOW_S: u64 = WindowedCounts::WINDOWS_S[WindowedCounts::WINDOWS_S.len() - 1];
+
 /// A member and what it answered.
 #[derive(Debug, Clone, PartialEq)]
 pub struct NodeAnswer {
@@ -40,6 +43,17 @@
 }
 
 /// Sums the counts of all nodes that answered and names those that did not.
+///
+/// ```
+/// use pollenlever::control::MemberStatus;
+/// use pollenlever::tool::burn::{Declared, NodeAnswer, merge};
+/// use pollenlever::tool::node::NodeError;
+/// let member = MemberStatus { entry: "10.0.0.1:7000".to_owned(), ..MemberStatus::default() };
+/// let burn = Err(NodeError { node: member.entry.clone(), reason: "timed out".to_owned() });
+/// let report = merge(&[NodeAnswer { member, burn }], &Declared::default());
+/// assert!(!report.is_complete());
+/// assert_eq!(report.missing[0].entry, "10.0.0.1:7000");
+/// ```
 pub fn merge(answers: &[NodeAnswer], declared: &Declared) -> BurnReport {
     let mut report = BurnReport { nodes: answers.len(), ..BurnReport::default() };
     let mut rows = BTreeMap::new();
@@ -48,6 +62,7 @@
         match burn {
             Ok(burn) => {
                 regions.insert(member.region.as_str());
+                report.recently_started += usize::from(burn.uptime_s < LONGEST_WINDOW_S);
                 burn.kinds.iter().for_each(|it| add(&mut rows, it));
             }
             Err(err) => report.missing.push(MissingNode::new(member, err.reason.clone())),
