Slower growth near the limit that held last; longer queues for deeper calls; balance full targets

Ruled out: growth braked by latency alone (the wait at the deepest gate hides in the noise); a limit tied to the present use (slow to take a surge). Change: growth starts at 5 % a second after a shed run and rises with calm; a deeper call may wait longer, as refusing it wastes the work above; when all tiers are full, a farther target is taken if it is less full by a quarter.

--- a/crates/pollenlever-core/src/admission/concurrency_limit.rs
+++ b/crates/pollenlever-core/src/admission/concurrency_limit.rs
@@ -24,12 +24,15 @@
 const SLOWDOWN: f64 = 1.3;
 /// Room above the concurrency of successful runs.
 const HEADROOM: f64 = 1.1;
-/// Growth of the limit per second, relative to the limit.
-const GROWTH: f64 = 0.5;
-/// Growth of the limit per second, beside the relative one.
-const LINEAR_GROWTH: f64 = 4.0;
-/// Time after a shed or failed run in which the limit does not grow.
-const HOLD: Duration = Duration::from_millis(300);
+/// Relative growth of the limit per second at once after a shed or failed run.
+const GROWTH: f64 = 0.05;
+/// Additional relative growth per second for each squared second since then, so that the limit
+/// stays near what held last and recovers quickly once all is well.
+const CALM_GROWTH: f64 = 0.3;
+/// Largest relative growth per second.
+const MAX_GROWTH: f64 = 3.0;
+/// Smallest limit from which the relative growth is reckoned.
+const GROWTH_BASE: f64 = 8.0;
 
 /// Limit from the concurrency that successful runs need.
 ///
@@ -94,8 +97,9 @@
         if bad > BAD_TARGET && since_bad < FRESH {
             let fallen = self.limit * (1.0 - (GAIN * (bad - BAD_TARGET)).min(MAX_FALL));
             self.limit = fallen.max(self.needed(now).min(self.limit));
-        } else if is_full && since_bad >= HOLD && self.short < SLOWDOWN * self.low {
-            self.limit += (self.limit * GROWTH + LINEAR_GROWTH) * STEP.as_secs_f64();
+        } else if is_full && self.short < SLOWDOWN * self.low {
+            let growth = GROWTH + CALM_GROWTH * since_bad.as_secs_f64().powi(2);
+            self.limit += self.limit.max(GROWTH_BASE) * growth.min(MAX_GROWTH) * STEP.as_secs_f64();
         }
     }
 
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -100,7 +100,7 @@
     /// keep a request at hand for each slot that becomes free; longer for deeper calls, since
     /// more work is lost with them.
     fn longest_wait(&self, depth: u8) -> Duration {
-        self.settings.queue_delay.max(self.service_times.mean() / 2) * (1 + u32::from(depth))
+        self.settings.queue_delay.max(self.service_times.mean() / 2) * (1 + 2 * u32::from(depth))
     }
 
     fn can_finish(&self, now: Timestamp, waiting: &Waiting) -> bool {
--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -12,6 +12,8 @@
 use crate::answer::ErrorKind;
 use crate::id::{ChainId, NodeId};
 
+/// Factor by which a nearer full target must be fuller than a farther one to be passed over.
+const FAR_FACTOR: f64 = 1.25;
 /// Shortest time after which a caller that found no target may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -33,17 +35,21 @@
         if open.is_empty() {
             return self.probe_or_refuse(req, &candidates);
         }
-        let mut fallback = None;
+        let mut fallback: Option<(NodeId, f64)> = None;
         for tier in Tier::ALL {
             let in_tier: Vec<_> =
                 open.iter().copied().filter(|it| self.peer(it).tier == tier).collect();
             let Some(node) = self.pick(&in_tier) else { continue };
-            if self.peer(&node).utilisation(self.now, self.settings) < self.settings.spill_at {
+            let utilisation = self.peer(&node).utilisation(self.now, self.settings);
+            if utilisation < self.settings.spill_at {
                 return Ok(node);
             }
-            fallback.get_or_insert(node);
+            if fallback.is_none_or(|(_, nearer)| utilisation * FAR_FACTOR < nearer) {
+                fallback = Some((node, utilisation));
+            }
         }
-        fallback.ok_or_else(|| no_route(ErrorKind::NoTarget, Duration::ZERO, req.chain))
+        let none = || no_route(ErrorKind::NoTarget, Duration::ZERO, req.chain);
+        fallback.map(|(node, _)| node).ok_or_else(none)
     }
 
     fn peer(&self, node: &NodeId) -> &Peer {
