Show a version as in force only once the policy was handed it

Cause: at load 28 two cases of tests/config.rs failed once (history empty though the status showed the version): the status read the state machine, which runs ahead of the ring to the policy. Ruled out: a wait in the tests, which would leave apply's answer ahead of the policy as well. Change: the status takes its versions from what was pushed into the policy's ring. Conclusion: tests unchanged.

--- a/crates/pollenlever/src/control/config_thread.rs
+++ b/crates/pollenlever/src/control/config_thread.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::cell::Cell;
+use super::in_force::InForce;
 use crate::peer::BoxPeerSender;
 use crate::ring::Ring;
 use crate::store::{
@@ -32,6 +33,7 @@
     pub(super) sender: BoxPeerSender,
     pub(super) store: BoxObjectApi,
     pub(super) events: Ring<Event>,
+    pub(super) in_force: Arc<InForce>,
 }
 
 /// What the state machine was last told about the members.
@@ -83,9 +85,10 @@
             match action {
                 RolloutAction::InForce(cfg) => {
                     log::info!("config in force service={} version={}", cfg.service, cfg.version);
-                    if self.events.push_wait(Event::Config(cfg)).is_err() {
+                    if self.events.push_wait(Event::Config(Arc::clone(&cfg))).is_err() {
                         return false;
                     }
+                    self.in_force.set(&cfg);
                 }
                 RolloutAction::Send { .. } => self.send(action),
                 RolloutAction::List => self.list(),
--- a/crates/pollenlever/src/control/control.rs
+++ b/crates/pollenlever/src/control/control.rs
@@ -17,6 +17,7 @@
 use super::cell::Cell;
 use super::config_thread::ConfigThread;
 use super::gossip_thread::GossipThread;
+use super::in_force::InForce;
 use super::seed_publisher::SeedPublisher;
 use super::{
     BoxControl, ControlError, ControlHandle, ControlInput, ControlReply, ControlStatus,
@@ -31,6 +32,7 @@
 pub struct Control {
     members: Arc<Cell<Membership>>,
     rollout: Arc<Cell<Rollout>>,
+    in_force: Arc<InForce>,
 }
 
 impl Control {
@@ -52,6 +54,7 @@
         let members = Arc::new(Cell::new(membership));
         let rollout = Arc::new(Cell::new(Rollout::new(RolloutSettings::default(), seed)));
         members.notify(MembershipEvent::Seeds(cfg.seeds.clone()));
+        let in_force = Arc::new(InForce::default());
 
         let gossip = GossipThread {
             members: Arc::clone(&members),
@@ -65,13 +68,14 @@
             sender,
             store,
             events,
+            in_force: Arc::clone(&in_force),
         };
         spawn_thread("gossip", async move {
             tokio::spawn(publisher.run());
             gossip.run().await;
         })?;
         spawn_thread("config", config.run())?;
-        Ok(Arc::new(Control { members, rollout }))
+        Ok(Arc::new(Control { members, rollout, in_force }))
     }
 }
 
@@ -106,9 +110,8 @@
     }
 
     fn status(&self) -> ControlStatus {
-        let (held, store_reachable) =
-            self.rollout.read(|it| (it.table().held(), it.is_store_reachable()));
-        let configs = held.into_iter().map(|(service, at)| (service.to_string(), at)).collect();
+        let store_reachable = self.rollout.read(Rollout::is_store_reachable);
+        let configs = self.in_force.versions();
         self.members.read(|it| ControlStatus {
             node: it.me().node.to_string(),
             region: it.me().region.to_string(),
--- a/crates/pollenlever/src/control/mod.rs
+++ b/crates/pollenlever/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod control_handle;
 mod control_status;
 mod gossip_thread;
+mod in_force;
 mod seed_publisher;
 
 pub use control::Control;
