--- a/crates/pollenlever-core/src/node/gates.rs
+++ b/crates/pollenlever-core/src/node/gates.rs
@@ -9,13 +9,10 @@
 use crate::Timestamp;
 use crate::admission::{RunOutcome, Ticket, Verdict};
 use crate::answer::{Answer, ErrorKind};
-use crate::id::{AttemptId, RunId, StreamId};
+use crate::id::{AttemptId, StreamId};
 use crate::message::{AttemptHead, GateLoad, PeerReply};
 use crate::once::{Fate, Waiter};
-use crate::policy::{Action, RunResult};
-
-/// Status by which a target says that it sheds a request itself.
-const SHED_STATUSES: [u16; 2] = [429, 503];
+use crate::policy::Action;
 
 /// Gate: attempts for the target beside this node.
 impl Node {
@@ -103,7 +100,7 @@
     }
 
     /// Carries out verdicts of admission, and those that follow from them.
-    fn apply(&mut self, cx: &mut Cx<'_>, verdicts: Vec<Verdict>) {
+    pub(super) fn apply(&mut self, cx: &mut Cx<'_>, verdicts: Vec<Verdict>) {
         let mut queue = VecDeque::from(verdicts);
         while let Some(verdict) = queue.pop_front() {
             match verdict {
@@ -119,7 +116,7 @@
     }
 
     /// Starts what holds a slot, as far as suspects that run alone allow. Returns further verdicts.
-    fn start_held(&mut self, cx: &mut Cx<'_>) -> Vec<Verdict> {
+    pub(super) fn start_held(&mut self, cx: &mut Cx<'_>) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
         while let Some(stream) = self.pop_startable() {
             if self.is_startable(cx.now, stream) {
@@ -143,79 +140,6 @@
         self.streams.get(&stream).is_some_and(|it| now < it.deadline)
     }
 
-    fn start(&mut self, cx: &mut Cx<'_>, stream: StreamId) {
-        let run = self.draw_id();
-        let Some(attempt) = self.streams.get_mut(&stream) else { return };
-        attempt.stage = GateStage::Running { run, started: cx.now };
-        let head = &attempt.head;
-        self.seals.set(head.id, Fate::Running);
-        self.runs.insert(run, stream);
-        cx.push(Action::Run {
-            run,
-            attempt: head.id,
-            method: head.method.clone(),
-            path: head.path.clone(),
-            headers: head.headers.clone(),
-            body: attempt.body.clone(),
-            time_left: attempt.deadline.saturating_sub(cx.now),
-        });
-    }
-
-    pub(super) fn on_run_ended(&mut self, cx: &mut Cx<'_>, run: RunId, result: RunResult) {
-        let Some(stream) = self.runs.remove(&run) else { return };
-        let Some(attempt) = self.streams.get(&stream) else { return };
-        let digest = attempt.head.digest;
-        let GateStage::Running { started, .. } = attempt.stage else { return };
-        let outcome = outcome_of(&result);
-        let service_time = cx.now.saturating_sub(started);
-        match result {
-            RunResult::Answered { status, headers, body } => {
-                self.suspicion.clear(digest);
-                self.end_run(cx, stream, Answer::ran(status, headers), body);
-            }
-            RunResult::Unreachable => {
-                self.refuse_attempt(cx, stream, ErrorKind::TargetUnreachable, None);
-            }
-            RunResult::Crashed => {
-                self.blame(cx, stream);
-                self.fail_run(cx, stream, ErrorKind::TargetCrashed);
-            }
-            RunResult::Cut | RunResult::TooLarge => {
-                self.fail_run(cx, stream, ErrorKind::AnswerCut);
-            }
-            RunResult::TimedOut => self.fail_run(cx, stream, ErrorKind::DeadlinePassed),
-        }
-        self.free_slot(cx, stream, service_time, outcome);
-    }
-
-    fn free_slot(
-        &mut self,
-        cx: &mut Cx<'_>,
-        stream: StreamId,
-        service_time: Duration,
-        outcome: RunOutcome,
-    ) {
-        let mut verdicts = Vec::new();
-        self.admission.finished(cx.now, stream, service_time, outcome, &mut verdicts);
-        verdicts.extend(self.start_held(cx));
-        self.apply(cx, verdicts);
-    }
-
-    fn fail_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, err: ErrorKind) {
-        self.end_run(cx, stream, Answer::from_error(err, None), Bytes::new());
-    }
-
-    /// Ends an attempt that was handed to the target.
-    fn end_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, answer: Answer, body: Bytes) {
-        let Some(attempt) = self.remove_attempt(cx, stream) else { return };
-        if attempt.head.key.is_some() {
-            self.seals.keep_answer(attempt.head.id, answer.clone(), body.clone());
-        } else {
-            self.seals.set(attempt.head.id, Fate::Lost);
-        }
-        self.reply_attempt(cx, stream, &attempt, answer, body);
-    }
-
     /// Seals an attempt that has not run and says so.
     pub(super) fn refuse_attempt(
         &mut self,
@@ -230,7 +154,7 @@
         self.reply_attempt(cx, stream, &attempt, answer, Bytes::new());
     }
 
-    fn reply_attempt(
+    pub(super) fn reply_attempt(
         &mut self,
         cx: &mut Cx<'_>,
         stream: StreamId,
@@ -244,13 +168,17 @@
         }
     }
 
-    fn gate_load(&self, now: Timestamp, crashes: u32) -> GateLoad {
+    pub(super) fn gate_load(&self, now: Timestamp, crashes: u32) -> GateLoad {
         let leaving = self.leaving || self.target == TargetStage::Leaving;
         GateLoad { leaving, crashes, ..self.admission.load(now) }
     }
 
     /// Forgets an attempt and gives up on the calls that its target made inside it.
-    fn remove_attempt(&mut self, cx: &mut Cx<'_>, stream: StreamId) -> Option<GateAttempt> {
+    pub(super) fn remove_attempt(
+        &mut self,
+        cx: &mut Cx<'_>,
+        stream: StreamId,
+    ) -> Option<GateAttempt> {
         let attempt = self.streams.remove(&stream)?;
         self.attempts.remove(&attempt.head.id);
         self.parked.remove(&stream);
@@ -282,14 +210,6 @@
         }
     }
 
-    fn cancel_run(&mut self, cx: &mut Cx<'_>, stream: StreamId, run: RunId, started: Timestamp) {
-        self.runs.remove(&run);
-        cx.push(Action::CancelRun(run));
-        self.fail_run(cx, stream, ErrorKind::Cancelled);
-        let service_time = cx.now.saturating_sub(started);
-        self.free_slot(cx, stream, service_time, RunOutcome::Cancelled);
-    }
-
     /// Refuses an attempt that waits, if it still does.
     pub(super) fn refuse_waiting(&mut self, cx: &mut Cx<'_>, id: AttemptId) {
         let Some(&stream) = self.attempts.get(&id) else { return };
@@ -345,13 +265,3 @@
         }
     }
 }
-
-fn outcome_of(result: &RunResult) -> RunOutcome {
-    match result {
-        RunResult::Answered { status, .. } if SHED_STATUSES.contains(status) => {
-            RunOutcome::ShedByTarget
-        }
-        RunResult::Answered { .. } => RunOutcome::Answered,
-        _ => RunOutcome::Failed,
-    }
-}
--- a/crates/pollenlever-core/src/node/node.rs
+++ b/crates/pollenlever-core/src/node/node.rs
@@ -13,10 +13,9 @@
 use super::open_call::OpenCall;
 use super::outgoing::Outgoing;
 use super::suspicion_table::SuspicionTable;
-use super::timers::{Timer, Timers};
+use super::timers::Timers;
 use crate::Timestamp;
 use crate::admission::BoxAdmission;
-use crate::answer::ErrorKind;
 use crate::chain::{Ledger, RecentFailures, TokenBucket};
 use crate::config::ServiceConfig;
 use crate::id::{
@@ -24,9 +23,9 @@
     RunId, ServiceName, StreamId, ZoneName,
 };
 use crate::membership::Member;
-use crate::message::{PeerReply, PeerRequest};
+use crate::message::PeerRequest;
 use crate::once::{Home, SealTable};
-use crate::policy::{Action, Event, Policy, SendFailure, TargetNotice};
+use crate::policy::{Action, Event, Policy};
 use crate::routing::BoxRouting;
 
 /// The decisions of one node as entry, origin, home and gate.
@@ -181,185 +180,6 @@
             cx.push(Action::CancelSend(exchange));
         }
     }
-
-    fn on_event(&mut self, cx: &mut Cx<'_>, event: Event) {
-        match event {
-            Event::Call(id, call) => self.on_call(cx, id, call),
-            Event::CallCancelled(id) => self.on_call_cancelled(cx, id),
-            Event::TakeKeys { call, count } => self.on_take_keys(cx, call, count),
-            Event::Request { stream, from, req, body } => {
-                self.on_request(cx, stream, from, req, body);
-            }
-            Event::RequestCancelled(stream) => self.on_request_cancelled(cx, stream),
-            Event::Reply(exchange, reply, body) => self.on_reply(cx, exchange, reply, body),
-            Event::SendFailed(exchange, failure) => self.on_send_failed(cx, exchange, failure),
-            Event::RunEnded(run, result) => self.on_run_ended(cx, run, result),
-            Event::Target(notice) => self.on_target(cx, &notice),
-            Event::Config(cfg) => self.on_config(cx, cfg),
-            Event::MembersUp(members) => self.on_members_up(cx, members),
-            Event::MembersGone(nodes) => self.on_members_gone(cx, &nodes),
-            Event::Leave => self.on_leave(cx),
-            Event::Tick => {}
-        }
-    }
-
-    fn on_request(
-        &mut self,
-        cx: &mut Cx<'_>,
-        stream: StreamId,
-        from: NodeId,
-        req: PeerRequest,
-        body: Bytes,
-    ) {
-        match req {
-            PeerRequest::Attempt(head) => self.on_attempt(cx, stream, head, body),
-            PeerRequest::Forward(head) => self.on_forward(cx, stream, head, body),
-            PeerRequest::Grant(chain) => {
-                let granted = self.ledger.grant(cx.now, chain);
-                cx.reply(stream, PeerReply::Grant(granted));
-            }
-            PeerRequest::Seal(attempt) => self.on_seal(cx, stream, from, attempt),
-            PeerRequest::Suspects(news) => self.on_suspects(cx, stream, &news),
-            PeerRequest::Handover(part) => self.on_handover(cx, stream, from, part, body),
-            PeerRequest::Gossip(_) | PeerRequest::Config(_) => {
-                cx.reply(stream, PeerReply::Refused(ErrorKind::Internal));
-            }
-        }
-    }
-
-    fn on_reply(&mut self, cx: &mut Cx<'_>, id: ExchangeId, reply: PeerReply, body: Bytes) {
-        let Some(why) = self.exchanges.remove(&id) else { return };
-        match why {
-            Exchange::Attempt(delivery) => self.on_attempt_reply(cx, delivery, reply, body),
-            Exchange::RetryGrant(delivery) => {
-                self.on_retry_grant(cx, delivery, reply == PeerReply::Grant(true));
-            }
-            Exchange::ResendGrant(call) => {
-                self.on_resend_grant(cx, call, reply == PeerReply::Grant(true));
-            }
-            Exchange::ForwardGrant(call) => {
-                self.on_forward_grant(cx, call, reply == PeerReply::Grant(true));
-            }
-            Exchange::Seal(delivery) => self.on_seal_reply(cx, delivery, reply, body),
-            Exchange::Forward(call) => self.on_forward_reply(cx, call, reply, body),
-            Exchange::Handover => self.on_handover_reply(cx, &reply),
-            Exchange::Notice => {}
-        }
-    }
-
-    fn on_send_failed(&mut self, cx: &mut Cx<'_>, id: ExchangeId, failure: SendFailure) {
-        let Some(why) = self.exchanges.remove(&id) else { return };
-        match why {
-            Exchange::Attempt(delivery) => self.on_attempt_failed(cx, delivery, failure),
-            Exchange::RetryGrant(delivery) => self.on_retry_grant(cx, delivery, false),
-            Exchange::ResendGrant(call) => self.on_resend_grant(cx, call, false),
-            Exchange::ForwardGrant(call) => self.on_forward_grant(cx, call, false),
-            Exchange::Seal(delivery) => self.pause_seal(cx, delivery),
-            Exchange::Forward(call) => self.on_forward_failed(cx, call),
-            Exchange::Handover => self.on_handover_failed(cx),
-            Exchange::Notice => {}
-        }
-    }
-
-    fn on_timer(&mut self, cx: &mut Cx<'_>, timer: Timer) {
-        match timer {
-            Timer::CallDeadline(call) => self.on_call_deadline(cx, call),
-            Timer::ReplyOverdue(delivery) => self.on_reply_overdue(cx, delivery),
-            Timer::AskSeal(delivery) => self.on_seal_pause_ended(cx, delivery),
-            Timer::GrantTimeout(exchange) => self.on_grant_timeout(cx, exchange),
-            Timer::SealTimeout(exchange) => self.on_seal_timeout(cx, exchange),
-            Timer::ParkedDeadline(stream) => self.on_parked_deadline(cx, stream),
-            Timer::SuspectWait(stream) => self.on_suspect_wait(cx, stream),
-            Timer::SpreadSuspicion => self.spread_suspicion(cx),
-            Timer::HandoverPause(call) => self.on_handover_pause(cx, call),
-            Timer::Linger => self.has_lingered = true,
-            Timer::DrainQueue => self.refuse_queue(cx),
-        }
-    }
-
-    fn on_target(&mut self, cx: &mut Cx<'_>, notice: &TargetNotice) {
-        self.admission.notice(cx.now, notice);
-        match notice {
-            TargetNotice::Announce { service, slots, .. } => {
-                self.beside = Some(service.clone());
-                self.announced_slots = *slots;
-                self.target = TargetStage::Serving;
-                self.set_slots(cx);
-            }
-            TargetNotice::Leaving => {
-                self.target = TargetStage::Leaving;
-                self.timers.set(cx.now + self.cfg.drain_queue, Timer::DrainQueue);
-            }
-            TargetNotice::Gone => self.target = TargetStage::Gone,
-            TargetNotice::Load { .. } => {}
-        }
-    }
-
-    fn on_config(&mut self, cx: &mut Cx<'_>, cfg: Arc<ServiceConfig>) {
-        self.services.insert(cfg.service.clone(), cfg.clone());
-        self.routing.configure(cfg);
-        self.set_slots(cx);
-    }
-
-    /// Sets the slots of the target: those that it announces, within those declared.
-    fn set_slots(&mut self, cx: &mut Cx<'_>) {
-        let Some(service) = &self.beside else { return };
-        let declared = self.services.get(service).map(|it| it.slots);
-        if let Some(slots) = self.announced_slots.into_iter().chain(declared).min() {
-            self.admission.set_slots(cx.now, slots);
-        }
-    }
-
-    fn on_members_up(&mut self, cx: &mut Cx<'_>, members: Vec<Member>) {
-        self.routing.members_up(cx.now, &members);
-        for member in members {
-            self.members.insert(member.node, member);
-        }
-    }
-
-    fn on_members_gone(&mut self, cx: &mut Cx<'_>, nodes: &[NodeId]) {
-        self.routing.members_gone(cx.now, nodes);
-        for node in nodes {
-            if let Some(member) = self.members.remove(node) {
-                self.remember_region(*node, member.region);
-            }
-            self.incoming.remove(node);
-            self.seals.sender_gone(*node);
-        }
-        self.give_up_seals(cx, nodes);
-    }
-
-    /// Remembers where a node stood, for those who look for its successor.
-    fn remember_region(&mut self, node: NodeId, region: RegionName) {
-        if self.former.len() >= self.cfg.max_former {
-            self.former.pop_first();
-        }
-        self.former.insert(node, region);
-    }
-
-    fn on_leave(&mut self, cx: &mut Cx<'_>) {
-        self.leaving = true;
-        self.timers.set(cx.now + self.cfg.drain_queue, Timer::DrainQueue);
-        self.timers.set(cx.now + self.cfg.linger, Timer::Linger);
-    }
-
-    fn is_idle(&self) -> bool {
-        let has_work = self.deliveries.values().any(|it| !it.is_asking_seal());
-        self.calls.is_empty() && self.streams.is_empty() && !has_work
-    }
-
-    fn expire(&mut self, now: Timestamp) {
-        self.ledger.expire(now);
-        let grace = self.cfg.reply_grace;
-        for home in self.inherited.values_mut().chain([&mut self.own]) {
-            home.expire(now, grace);
-        }
-        if !self.inherited.is_empty() {
-            let retention = self.services.values().map(|it| it.retention).max().unwrap_or_default();
-            self.inherited.retain(|_, home| !home.is_over(now, retention));
-        }
-        self.suspicion.expire(now);
-    }
 }
 
 impl Policy for Node {
