--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -130,7 +130,11 @@
     fn shed_late(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         let standing = self.is_standing(now);
         let mut late = std::mem::take(&mut self.queue);
-        let shed = late.take_late(|it| self.latest_start(now, it, standing) < now);
+        let least = late.iter().map(|it| it.ticket.importance).min();
+        let shed = late.take_late(|it| {
+            let standing = standing && Some(it.ticket.importance) == least;
+            self.latest_start(now, it, standing) < now
+        });
         self.queue = late;
         for waiting in shed {
             let no_time = self.latest_start(now, &waiting, false) < now;
--- a/crates/pollenlever-core/tests/histories/main.rs
+++ b/crates/pollenlever-core/tests/histories/main.rs
@@ -24,6 +24,8 @@
 
 /// Histories per check.
 const HISTORIES: u32 = 60;
+/// Histories of an overload, which has ten times as many requests.
+const OVERLOADS: u32 = 10;
 /// Requests per history.
 const REQUESTS: usize = 200;
 /// Crashes after which a request is refused.
@@ -78,6 +80,7 @@
     poison_goes_on_without_suspicion =>
         fails(poisons, setup::without_suspicion, |it| it.late_poison(MAX_CRASHES, SPREAD_TIME) > 0);
 
+    charges_are_shed_last => holds_in(OVERLOADS, overload, setup::node, no_faults(), check_overload);
     charges_are_late_with_fifo_admission =>
         fails(overload, setup::fifo_node, |it| it.answered("charge") < CHARGES_IN_OVERLOAD);
 }
@@ -89,7 +92,17 @@
     faults: impl Strategy<Value = Faults>,
     check: fn(&History) -> Result<(), TestCaseError>,
 ) {
-    let config = Config { cases: HISTORIES, failure_persistence: None, ..Config::default() };
+    holds_in(HISTORIES, play, make, faults, check);
+}
+
+fn holds_in(
+    cases: u32,
+    play: fn(u64, Faults, MakePolicy) -> History,
+    make: MakePolicy,
+    faults: impl Strategy<Value = Faults>,
+    check: fn(&History) -> Result<(), TestCaseError>,
+) {
+    let config = Config { cases, failure_persistence: None, ..Config::default() };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
     let histories = (any::<u64>(), faults);
