--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -1,14 +1,24 @@
 //! Measurements behind `scripts/measure`.
 
 mod catalog;
+mod cold_start;
 mod config;
 mod control;
+mod fairness;
+mod figures;
 mod fleet;
 mod latency;
 mod measure_options;
 mod measurement;
+mod misleading;
+mod overload;
+mod poison;
 mod promises;
+mod regions;
+mod slow_service;
 mod verdict;
+mod wasted_work;
+mod zone_loss;
 
 pub use catalog::CATALOG;
 pub use latency::Latency;
