Full rings answer resends with unknown; cut answers of stand-ins reach the reader

Change: Answer::unsure for full rings, with a time to come back; the stand-in declares the whole length and sends half.

--- a/crates/pollenlever-core/src/answer/answer.rs
+++ b/crates/pollenlever-core/src/answer/answer.rs
@@ -31,4 +31,19 @@
         let headers = Vec::new();
         Answer { status: row.status, headers, outcome: row.outcome, error: Some(kind), retry_after }
     }
+
+    /// The answer to a resend, of which an earlier send may have run.
+    ///
+    /// ```
+    /// use pollenlever_core::answer::{Answer, ErrorKind, Outcome};
+    /// let answer = Answer::from_error(ErrorKind::QueueFull, None);
+    /// assert_eq!(answer.outcome, Outcome::NotRun);
+    /// assert_eq!(answer.unsure().outcome, Outcome::Unknown);
+    /// ```
+    pub fn unsure(mut self) -> Answer {
+        if self.outcome == Outcome::NotRun {
+            self.outcome = Outcome::Unknown;
+        }
+        self
+    }
 }
--- a/crates/pollenlever-core/src/node/attempts.rs
+++ b/crates/pollenlever-core/src/node/attempts.rs
@@ -1,6 +1,5 @@
 use bytes::Bytes;
 
-use super::calls::unsure;
 use super::cx::Cx;
 use super::delivery::{DeliveryId, DeliveryStage, LastError, Owner};
 use super::exchange::Exchange;
@@ -202,7 +201,7 @@
         let Some(delivery) = self.deliveries.remove(&id) else { return };
         let overdue = delivery.req.deadline + self.cfg.reply_grace;
         self.timers.clear(overdue, Timer::ReplyOverdue(id));
-        let answer = if delivery.maybe_ran { unsure(answer) } else { answer };
+        let answer = if delivery.maybe_ran { answer.unsure() } else { answer };
         match delivery.owner {
             Owner::Call(call) => self.answer_call(cx, call, answer, body),
             Owner::Record(key) => self.end_record(cx, key, answer, body),
--- a/crates/pollenlever-core/src/node/calls.rs
+++ b/crates/pollenlever-core/src/node/calls.rs
@@ -170,7 +170,8 @@
     pub(super) fn answer_call(&mut self, cx: &mut Cx<'_>, id: CallId, answer: Answer, body: Bytes) {
         let answer = self.with_retry_after(answer);
         let Some(call) = self.end_call(cx.now, id, &answer) else { return };
-        let answer = if call.maybe_ran && call.req.key.is_none() { unsure(answer) } else { answer };
+        let answer =
+            if call.maybe_ran && call.req.key.is_none() { answer.unsure() } else { answer };
         cx.push(Action::Observe(observation(cx.now, &call, &answer)));
         cx.push(Action::Answer { call: id, chain: Some(call.req.chain), answer, body });
     }
@@ -185,7 +186,7 @@
         maybe_ran: bool,
     ) {
         let answer = self.with_retry_after(Answer::from_error(err, None));
-        let answer = if maybe_ran { unsure(answer) } else { answer };
+        let answer = if maybe_ran { answer.unsure() } else { answer };
         cx.push(Action::Answer { call, chain, answer, body: Bytes::new() });
     }
 
@@ -229,14 +230,6 @@
     }
 }
 
-/// The answer to a resend, of which an earlier send may have run.
-pub(super) fn unsure(mut answer: Answer) -> Answer {
-    if answer.outcome == Outcome::NotRun {
-        answer.outcome = Outcome::Unknown;
-    }
-    answer
-}
-
 /// Whether an equal call after this error is taken for a resend.
 fn counts_as_failure(err: ErrorKind) -> bool {
     !matches!(err, ErrorKind::RetryRefused | ErrorKind::CustomerLimit | ErrorKind::Suspect)
--- a/crates/pollenlever-core/src/node/forwards.rs
+++ b/crates/pollenlever-core/src/node/forwards.rs
@@ -36,6 +36,10 @@
     ) {
         match reply {
             PeerReply::Forward(answer) => self.answer_call(cx, id, answer, body),
+            PeerReply::Refused(ErrorKind::QueueFull) => {
+                let answer = Answer::from_error(ErrorKind::QueueFull, None).unsure();
+                self.answer_call(cx, id, answer, Bytes::new());
+            }
             _ => self.home_gone(cx, id),
         }
     }
--- a/crates/pollenlever-core/tests/node/main.rs
+++ b/crates/pollenlever-core/tests/node/main.rs
@@ -236,6 +236,17 @@
         assert_eq!(it.error(1), ErrorKind::HomeGone);
         assert_eq!(it.answer(1).outcome, Outcome::Unknown);
     };
+    resend_to_a_home_whose_ring_is_full_is_unknown => {
+        let mut it = Driver::new();
+        let key = RequestKey { home: peer(), ..it.take_key() };
+        it.call(1, charge(Some(key)));
+        let (forward, _) = it.last_send();
+        let refused = PeerReply::Refused(ErrorKind::QueueFull);
+        it.event(Event::Reply(forward, refused, "".into()));
+        assert_eq!(it.error(1), ErrorKind::QueueFull);
+        assert_eq!(it.answer(1).outcome, Outcome::Unknown);
+        assert!(it.answer(1).retry_after.is_some());
+    };
 }
 
 /// Why the call is refused.
--- a/crates/pollenlever-standins/src/target/handler.rs
+++ b/crates/pollenlever-standins/src/target/handler.rs
@@ -7,7 +7,6 @@
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, Response};
 
-use super::cut_answer::CutAnswer;
 use super::state::State;
 use super::{DownstreamCall, answer_line};
 
@@ -49,7 +48,8 @@
         let mut res = Response::new();
         res.set_status(Status::new(status));
         if status == 200 && self.0.cuts_answer() {
-            res.set_streamed_body(CutAnswer::new(&text));
+            let half = text.as_bytes()[..text.len() / 2].to_vec();
+            res.set_sized_body(text.len(), std::io::Cursor::new(half));
         } else {
             res.set_sized_body(text.len(), std::io::Cursor::new(text));
         }
--- a/crates/pollenlever-standins/src/target/mod.rs
+++ b/crates/pollenlever-standins/src/target/mod.rs
@@ -1,7 +1,6 @@
 //! Stand-in for a target, with a run log and faults on demand.
 
 mod answer_text;
-mod cut_answer;
 mod downstream;
 mod faults;
 mod handler;
--- a/crates/pollenlever/src/entry/answer_response.rs
+++ b/crates/pollenlever/src/entry/answer_response.rs
@@ -47,6 +47,17 @@
 
 /// The HTTP response for an error of the entry itself.
 pub(super) fn error_response(kind: ErrorKind) -> Response<'static> {
+    answer_response(None, entry_error(kind), Bytes::new())
+}
+
+/// The HTTP response when the ring is full. Of a resend, an earlier send may have run.
+pub(super) fn queue_full_response(is_resend: bool) -> Response<'static> {
+    let answer = entry_error(ErrorKind::QueueFull);
+    let answer = if is_resend { answer.unsure() } else { answer };
+    answer_response(None, answer, Bytes::new())
+}
+
+fn entry_error(kind: ErrorKind) -> Answer {
     let retry_after = match kind.response().come_back {
         ComeBack::AfterBacklog => {
             let spread = rand::random_range(0..FULL_RING_SPREAD_MS);
@@ -54,7 +65,7 @@
         }
         ComeBack::Now | ComeBack::Never => None,
     };
-    answer_response(None, Answer::from_error(kind, retry_after), Bytes::new())
+    Answer::from_error(kind, retry_after)
 }
 
 fn retry_after(error: Option<ErrorKind>, asked: Option<Duration>) -> Option<Duration> {
--- a/crates/pollenlever/src/entry/call_route.rs
+++ b/crates/pollenlever/src/entry/call_route.rs
@@ -11,7 +11,7 @@
 use tokio::sync::oneshot::Receiver;
 
 use super::EntryState;
-use super::answer_response::{answer_response, error_response};
+use super::answer_response::{answer_response, error_response, queue_full_response};
 use super::call_guard::CallGuard;
 use super::call_headers::CallHeaders;
 use super::call_path::CallPath;
@@ -63,11 +63,12 @@
         data: Data<'_>,
     ) -> Result<Response<'static>, ErrorKind> {
         let call = self.read_call(req, data).await?;
+        let is_resend = call.key.is_some() || call.chain.is_some();
         let (id, reply) = self.calls.register();
         if self.events.push(Event::Call(id, call)).is_err() {
             self.calls.forget(id);
             self.telemetry.count("event_ring_full");
-            return Err(ErrorKind::QueueFull);
+            return Ok(queue_full_response(is_resend));
         }
         if let Some(caller) = req.remote() {
             self.hangups.add(id, caller);
