--- a/crates/pollenlever-core/src/membership/member.rs
+++ b/crates/pollenlever-core/src/membership/member.rs
@@ -3,6 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::id::{NodeId, RegionName, ServiceName, ZoneName};
+use crate::policy::TargetNotice;
 
 /// State of the target beside a node.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Encode, Decode)]
@@ -53,4 +54,20 @@
             slots: 0,
         }
     }
+
+    /// The member after its target said something about itself, under the same version.
+    pub fn after_notice(&self, notice: TargetNotice) -> Member {
+        let mut member = self.clone();
+        match notice {
+            TargetNotice::Announce { service, slots, cold } => {
+                member.service = Some(service);
+                member.slots = slots.unwrap_or(member.slots);
+                member.state = if cold { TargetState::Cold } else { TargetState::Ready };
+            }
+            TargetNotice::Leaving => member.state = TargetState::Leaving,
+            TargetNotice::Gone => member.state = TargetState::Absent,
+            TargetNotice::Load { .. } => {}
+        }
+        member
+    }
 }
--- a/crates/pollenlever-core/src/membership/member_table.rs
+++ b/crates/pollenlever-core/src/membership/member_table.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use super::{BucketId, Change, Digest, Health, Member};
+use super::{BucketId, Change, Digest, GossipMessage, GossipPurpose, Health, Member, Stamp};
 use crate::Timestamp;
 use crate::id::NodeId;
 
@@ -82,14 +82,50 @@
         &self.digest
     }
 
+    /// All entries of buckets that differ from `theirs`, from `first` on and around; whole buckets
+    /// of at most `max_changes` entries in all, and at least one bucket.
+    pub fn differing_buckets(
+        &self,
+        theirs: &Digest,
+        first: BucketId,
+        max_changes: usize,
+    ) -> GossipMessage {
+        let differing = self.digest.differing(theirs, first);
+        let sizes = self.bucket_sizes();
+        let mut total = 0;
+        let fits = |bucket: &BucketId| {
+            let is_first = total == 0;
+            total += sizes.get(bucket).copied().unwrap_or(0).max(1);
+            is_first || total <= max_changes
+        };
+        let buckets: Vec<BucketId> = differing.iter().copied().take_while(fits).collect();
+        let more = buckets.len() < differing.len();
+        let changes = self.entries_in(&buckets);
+        GossipMessage { purpose: GossipPurpose::Buckets { buckets, more }, changes }
+    }
+
+    /// Entries of the buckets that are later than `theirs`, or that they lack.
+    pub fn newer_in(
+        &self,
+        buckets: &[BucketId],
+        theirs: &BTreeMap<SocketAddr, Stamp>,
+    ) -> Vec<Change> {
+        let mut entries = self.entries_in(buckets);
+        entries.retain(|ours| match theirs.get(&ours.addr()) {
+            Some(theirs) => *theirs < ours.stamp(),
+            None => ours.health != Health::Gone,
+        });
+        entries
+    }
+
     /// All entries of the buckets, those that are gone included.
-    pub fn entries_in(&self, buckets: &[BucketId]) -> Vec<Change> {
+    fn entries_in(&self, buckets: &[BucketId]) -> Vec<Change> {
         let changes = self.entries.values().map(|it| &it.change);
         changes.filter(|it| buckets.contains(&Digest::bucket(it.addr()))).cloned().collect()
     }
 
     /// Entries a bucket, those that are gone included.
-    pub fn bucket_sizes(&self) -> BTreeMap<BucketId, usize> {
+    fn bucket_sizes(&self) -> BTreeMap<BucketId, usize> {
         let mut sizes = BTreeMap::new();
         for addr in self.entries.keys() {
             *sizes.entry(Digest::bucket(*addr)).or_default() += 1;
--- a/crates/pollenlever-core/src/membership/membership.rs
+++ b/crates/pollenlever-core/src/membership/membership.rs
@@ -9,8 +9,8 @@
 use super::outbox::Outbox;
 use super::seed_list::SeedList;
 use super::{
-    BucketId, Change, Digest, GossipMessage, GossipPurpose, Health, Link, Member, MemberTable,
-    MembershipAction, MembershipEvent, MembershipSettings, Merged, Overlay, TargetState,
+    BucketId, Change, GossipMessage, GossipPurpose, Health, Link, Member, MemberTable,
+    MembershipAction, MembershipEvent, MembershipSettings, Merged, Overlay, Stamp, TargetState,
 };
 use crate::Timestamp;
 use crate::id::{ANY_INCARNATION, ExchangeId, NodeId};
@@ -116,7 +116,9 @@
         self.detector.clear_doubt(from);
         let newer = self.merge_all(now, message.changes, Some(from), actions);
         let mut reply = match message.purpose {
-            GossipPurpose::Sync { digest, first } => self.differing_buckets(&digest, first),
+            GossipPurpose::Sync { digest, first } => {
+                self.table.differing_buckets(&digest, first, self.cfg.max_changes)
+            }
             GossipPurpose::ProbeFor(node) => {
                 let probe = Exchange::ProbeFor { node, requester: from };
                 self.send(node, GossipMessage::default(), probe, actions);
@@ -135,22 +137,6 @@
         actions.push(MembershipAction::Reply(reply));
     }
 
-    /// Whole buckets that differ from `theirs`, within the limit of one message.
-    fn differing_buckets(&self, theirs: &Digest, first: BucketId) -> GossipMessage {
-        let differing = self.table.digest().differing(theirs, first);
-        let sizes = self.table.bucket_sizes();
-        let mut total = 0;
-        let fits = |bucket: &BucketId| {
-            let is_first = total == 0;
-            total += sizes.get(bucket).copied().unwrap_or(0).max(1);
-            is_first || total <= self.cfg.max_changes
-        };
-        let buckets: Vec<BucketId> = differing.iter().copied().take_while(fits).collect();
-        let more = buckets.len() < differing.len();
-        let changes = self.table.entries_in(&buckets);
-        GossipMessage { purpose: GossipPurpose::Buckets { buckets, more }, changes }
-    }
-
     fn on_reply(
         &mut self,
         now: Timestamp,
@@ -190,15 +176,11 @@
         reply: GossipMessage,
         actions: &mut Actions,
     ) {
-        let theirs: BTreeMap<SocketAddr, Change> =
-            reply.changes.iter().map(|it| (it.addr(), it.clone())).collect();
+        let theirs: BTreeMap<SocketAddr, Stamp> =
+            reply.changes.iter().map(|it| (it.addr(), it.stamp())).collect();
         self.merge_all(now, reply.changes, None, actions);
         let GossipPurpose::Buckets { buckets, more } = reply.purpose else { return };
-        let mut missing = self.table.entries_in(&buckets);
-        missing.retain(|ours| match theirs.get(&ours.addr()) {
-            Some(theirs) => theirs.stamp() < ours.stamp(),
-            None => ours.health != Health::Gone,
-        });
+        let mut missing = self.table.newer_in(&buckets, &theirs);
         missing.truncate(self.cfg.max_changes);
         if !missing.is_empty() {
             self.send(to, GossipMessage::push(missing), Exchange::Notice, actions);
@@ -241,17 +223,7 @@
     }
 
     fn on_target(&mut self, now: Timestamp, notice: TargetNotice, actions: &mut Actions) {
-        let mut me = self.me.clone();
-        match notice {
-            TargetNotice::Announce { service, slots, cold } => {
-                me.service = Some(service);
-                me.slots = slots.unwrap_or(me.slots);
-                me.state = if cold { TargetState::Cold } else { TargetState::Ready };
-            }
-            TargetNotice::Leaving => me.state = TargetState::Leaving,
-            TargetNotice::Gone => me.state = TargetState::Absent,
-            TargetNotice::Load { .. } => {}
-        }
+        let mut me = self.me.after_notice(notice);
         if self.is_leaving {
             me.state = TargetState::Leaving;
         }
