Give each duty one thread of its own; split the start of the node

Cause: Node::start was 100 lines long, and each duty ran on a runtime with a worker beside the thread that waited for it. Ruled out: link-time optimisation, which slows every build on this machine. Change: a thread a duty with tasks that take turns; Shared, PeerThread, TargetThread and EntryThread each start theirs. A body that does not come within 10 s is refused. Liveness is split by type.

--- a/crates/pollenlever/src/entry/call_route.rs
+++ b/crates/pollenlever/src/entry/call_route.rs
@@ -1,4 +1,5 @@
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use pollenlever_core::answer::ErrorKind;
@@ -29,6 +30,9 @@
     Method::Patch,
 ];
 
+/// Longest wait for the body of a call.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Takes a call, has it decided and answers it.
 #[derive(Clone)]
 struct CallHandler {
@@ -121,7 +125,8 @@
             return Err(ErrorKind::BodyTooLarge);
         }
         let limit = ByteUnit::Byte(self.max_body_bytes as u64);
-        let body = data.open(limit).into_bytes().await;
+        let body = tokio::time::timeout(BODY_TIMEOUT, data.open(limit).into_bytes()).await;
+        let body = body.map_err(|_| ErrorKind::MalformedRequest)?;
         let body = body.map_err(|_| ErrorKind::MalformedRequest)?;
         if !body.is_complete() {
             return Err(ErrorKind::BodyTooLarge);
--- a/crates/pollenlever/src/entry/entry_server.rs
+++ b/crates/pollenlever/src/entry/entry_server.rs
@@ -32,10 +32,9 @@
     /// [`rocket::Error`] if the routes collide or the configuration is wrong.
     pub async fn new(
         addr: SocketAddr,
-        workers: usize,
         state: Arc<EntryState>,
     ) -> Result<EntryServer, rocket::Error> {
-        let rocket = rocket::custom(config(addr, workers))
+        let rocket = rocket::custom(config(addr))
             .attach(Shield::new())
             .mount("/", call_routes(&state))
             .mount("/", vec![key_route(&state)])
@@ -61,7 +60,7 @@
     }
 }
 
-fn config(addr: SocketAddr, workers: usize) -> Config {
+fn config(addr: SocketAddr) -> Config {
     let shutdown = Shutdown {
         ctrlc: false,
         #[cfg(unix)]
@@ -74,7 +73,6 @@
     Config {
         address: addr.ip(),
         port: addr.port(),
-        workers,
         keep_alive: KEEP_ALIVE_S,
         ident: Ident::none(),
         log_level: LogLevel::Off,
--- /dev/null
+++ b/crates/pollenlever/src/node/entry_thread.rs
@@ -0,0 +1,74 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use super::NodeError;
+use super::network_thread::NetworkThread;
+use super::shared::Shared;
+use super::target_thread::TargetThread;
+use crate::control::BoxControl;
+use crate::entry::{EntryServer, EntryState, HangupWatch};
+use crate::settings::Settings;
+
+/// The thread that serves callers, the target and operators over HTTP.
+pub(super) struct EntryThread {
+    addr: SocketAddr,
+    shutdown: rocket::Shutdown,
+    /// How serving ended, once it has.
+    ended: watch::Receiver<Option<Result<(), String>>>,
+    thread: NetworkThread,
+}
+
+impl EntryThread {
+    /// Checks the routes and starts to serve.
+    pub(super) fn start(
+        cfg: &Settings,
+        shared: &Shared,
+        control: &BoxControl,
+        target: &TargetThread,
+    ) -> Result<EntryThread, NodeError> {
+        let thread = NetworkThread::start("entry")?;
+        let state = Arc::new(EntryState {
+            events: shared.events.clone(),
+            calls: Arc::clone(&shared.calls),
+            control: Arc::clone(control),
+            telemetry: Arc::clone(&shared.telemetry),
+            target: Arc::clone(&target.watch),
+            hangups: HangupWatch::new(cfg.entry),
+            open_work: shared.open_work.clone(),
+            max_body_bytes: cfg.max_body_bytes,
+            max_header_bytes: cfg.max_header_bytes,
+        });
+        let watching = Arc::clone(&state);
+        thread.spawn(async move { watching.watch_hangups().await });
+        let addr = cfg.entry;
+        let server = thread.handle().block_on(EntryServer::new(addr, state));
+        let server = server.map_err(|err| NodeError::Entry { addr, reason: err.to_string() })?;
+        let shutdown = server.shutdown();
+        let (ended_tx, ended) = watch::channel(None);
+        thread.spawn(async move {
+            let served = server.serve().await.map_err(|err| err.to_string());
+            let _ = ended_tx.send(Some(served));
+        });
+        Ok(EntryThread { addr, shutdown, ended, thread })
+    }
+
+    /// Resolves if the server fails, which it may do only at its start.
+    pub(super) async fn failure(&self) -> NodeError {
+        let mut ended = self.ended.clone();
+        let is_failure = |it: &Option<Result<(), String>>| matches!(it, Some(Err(_)));
+        let reason = match ended.wait_for(is_failure).await {
+            Ok(ended) => ended.clone().and_then(Result::err).unwrap_or_default(),
+            Err(_) => "its thread ended".to_owned(),
+        };
+        NodeError::Entry { addr: self.addr, reason }
+    }
+
+    /// Closes the connections of callers once their answers are written.
+    pub(super) fn stop(self) {
+        self.shutdown.notify();
+        let mut ended = self.ended.clone();
+        let _ = self.thread.handle().block_on(ended.wait_for(Option::is_some));
+    }
+}
--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -2,13 +2,18 @@
 
 mod clock;
 mod decision;
+mod entry_thread;
 mod local_loop;
+mod network_thread;
 mod node;
 mod node_error;
 mod open_work;
+mod peer_thread;
 mod policy;
 mod report;
+mod shared;
 mod signals;
+mod target_thread;
 mod threads;
 mod waiters;
 
--- /dev/null
+++ b/crates/pollenlever/src/node/network_thread.rs
@@ -0,0 +1,41 @@
+use std::future::Future;
+
+use tokio::runtime::{Builder, Handle};
+use tokio::sync::oneshot;
+
+use super::NodeError;
+use super::threads::spawn;
+
+/// A thread for one duty on the network. Its tasks take turns, so that none of them has to wake
+/// another thread.
+#[derive(Debug)]
+pub(super) struct NetworkThread {
+    handle: Handle,
+    /// Ends the thread and its tasks when dropped.
+    _stop: oneshot::Sender<()>,
+}
+
+impl NetworkThread {
+    /// Starts the thread; it has no tasks yet.
+    pub(super) fn start(name: &'static str) -> Result<NetworkThread, NodeError> {
+        let runtime = Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|source| NodeError::Thread { thread: name, source })?;
+        let handle = runtime.handle().clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        spawn(name, move || {
+            let _ = runtime.block_on(stopped);
+            runtime.shutdown_background();
+        })?;
+        Ok(NetworkThread { handle, _stop: stop })
+    }
+
+    /// Starts a task on the thread.
+    pub(super) fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.handle.spawn(task);
+    }
+
+    /// Handle by which others start tasks on the thread.
+    pub(super) fn handle(&self) -> &Handle {
+        &self.handle
+    }
+}
--- a/crates/pollenlever/src/node/signals.rs
+++ b/crates/pollenlever/src/node/signals.rs
@@ -1,3 +1,4 @@
+use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::{Node, NodeError};
@@ -9,7 +10,7 @@
 /// [`NodeError`] if the node's HTTP server fails first.
 pub fn wait_for_signal(node: &Node) -> Result<(), NodeError> {
     let thread_error = |source| NodeError::Thread { thread: "signals", source };
-    let runtime = super::threads::runtime("signals", 1)?;
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(thread_error)?;
     runtime.block_on(async {
         let mut term = signal(SignalKind::terminate()).map_err(thread_error)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(thread_error)?;
--- a/crates/pollenlever/src/node/threads.rs
+++ b/crates/pollenlever/src/node/threads.rs
@@ -1,6 +1,4 @@
-use std::thread::{self, JoinHandle};
-
-use tokio::runtime::{Builder, Runtime};
+use std::thread;
 
 use super::NodeError;
 
@@ -8,14 +6,7 @@
 pub(super) fn spawn(
     name: &'static str,
     work: impl FnOnce() + Send + 'static,
-) -> Result<JoinHandle<()>, NodeError> {
+) -> Result<(), NodeError> {
     let thread = thread::Builder::new().name(name.to_owned()).spawn(work);
-    thread.map_err(|source| NodeError::Thread { thread: name, source })
-}
-
-/// Makes the runtime of a thread that does network work.
-pub(super) fn runtime(name: &'static str, workers: usize) -> Result<Runtime, NodeError> {
-    let mut builder = Builder::new_multi_thread();
-    let builder = builder.worker_threads(workers).thread_name(name).enable_all();
-    builder.build().map_err(|source| NodeError::Thread { thread: name, source })
+    thread.map(drop).map_err(|source| NodeError::Thread { thread: name, source })
 }
--- a/crates/pollenlever/src/peer/liveness.rs
+++ b/crates/pollenlever/src/peer/liveness.rs
@@ -1,13 +1,13 @@
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use h2::PingPong;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::unusable::Unusable;
+use super::watched_io::WatchedIo;
+
 /// Silence on a connection with work after which it is pinged.
 const PING_AFTER: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a ping.
@@ -19,25 +19,6 @@
 /// Interval at which connections are checked for silence.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Why a connection is given up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Unusable {
-    /// It had work but no sign of life from the peer.
-    Silent,
-    /// It had no work for long.
-    Idle,
-}
-
-impl Unusable {
-    /// Level at which the end of the connection is logged.
-    pub(super) fn log_level(self) -> log::Level {
-        match self {
-            Unusable::Silent => log::Level::Warn,
-            Unusable::Idle => log::Level::Debug,
-        }
-    }
-}
-
 /// When a connection last carried something from its peer, and how much work waits on it.
 #[derive(Debug, Clone)]
 pub(super) struct Liveness {
@@ -45,7 +26,7 @@
 }
 
 #[derive(Debug)]
-struct State {
+pub(super) struct State {
     start: Instant,
     last_read_ms: AtomicU64,
     /// Since when a stream has waited for a sign of life; [`NOT_WAITING`] if none does.
@@ -80,7 +61,7 @@
 
     /// Wraps a socket so that bytes from the peer count as a sign of life.
     pub(super) fn watch(&self, io: TcpStream) -> WatchedIo {
-        WatchedIo { io, state: Arc::clone(&self.state) }
+        WatchedIo::new(io, Arc::clone(&self.state))
     }
 
     /// Resolves once the connection has work but no sign of life and no answer to a ping, or once
@@ -121,7 +102,7 @@
         let _ = self.waiting_since_ms.compare_exchange(NOT_WAITING, now, order, order);
     }
 
-    fn note_sign(&self) {
+    pub(super) fn note_sign(&self) {
         let now = self.now_ms();
         self.last_read_ms.store(now, Ordering::Relaxed);
         let waiting_since = if self.has_streams() { now } else { NOT_WAITING };
@@ -144,55 +125,3 @@
         self.state.streams.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Socket of a watched connection.
-#[derive(Debug)]
-pub(super) struct WatchedIo {
-    io: TcpStream,
-    state: Arc<State>,
-}
-
-impl AsyncRead for WatchedIo {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buf.filled().len();
-        let res = Pin::new(&mut self.io).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.state.note_sign();
-        }
-        res
-    }
-}
-
-impl AsyncWrite for WatchedIo {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.io.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(cx)
-    }
-}
--- a/crates/pollenlever/src/peer/mod.rs
+++ b/crates/pollenlever/src/peer/mod.rs
@@ -13,6 +13,8 @@
 mod reply_frame;
 mod request_frame;
 mod serve_stream;
+mod unusable;
+mod watched_io;
 mod wire_error;
 
 pub use codec::{decode_reply, decode_request, encode_reply, encode_request};
