Test the rings; take back parking in place of their own wait

Cause: a thread that waits on the channel yields the processor several times before it parks, which could cost time slices on a busy machine. Change: the rings wait as before; the cases for order, bounds and wake-ups that were written for the trial stay.

--- a/crates/pollenlever/src/node/decision.rs
+++ b/crates/pollenlever/src/node/decision.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use crossbeam_channel::{RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use pollenlever_core::answer::Answer;
 use pollenlever_core::id::{ChainId, ExchangeId, NodeId, RequestKey, RunId, StreamId};
 use pollenlever_core::message::PeerReply;
@@ -13,7 +13,6 @@
 use super::{Clock, LocalLoop, Waiters};
 use crate::gate::{GateCommand, TargetRequest};
 use crate::peer::PeerCommand;
-use crate::ring::Reader;
 use crate::telemetry::BoxTelemetry;
 
 /// Shortest time between two ticks.
@@ -37,7 +36,7 @@
     /// Clock of this node.
     pub clock: Clock,
     /// Reading end of the ring of events.
-    pub events: Reader<Event>,
+    pub events: Receiver<Event>,
     /// Callers that wait.
     pub calls: Arc<Waiters<CallReply>>,
     /// Peers that wait.
--- a/crates/pollenlever/src/node/shared.rs
+++ b/crates/pollenlever/src/node/shared.rs
@@ -1,12 +1,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use crossbeam_channel::Receiver;
 use pollenlever_core::id::NodeId;
 use pollenlever_core::message::PeerReply;
 use pollenlever_core::policy::Event;
 
 use super::{CallReply, OpenWork, Waiters};
-use crate::ring::{Reader, Ring, ring};
+use crate::ring::{Ring, ring};
 use crate::settings::Settings;
 use crate::telemetry::{BoxTelemetry, NodeTelemetry};
 
@@ -29,7 +30,7 @@
 
 impl Shared {
     /// State of a node that starts, and the reading end of its ring of events.
-    pub(super) fn new(cfg: &Settings) -> (Shared, Reader<Event>) {
+    pub(super) fn new(cfg: &Settings) -> (Shared, Receiver<Event>) {
         let me = NodeId { addr: cfg.peer_address(), incarnation: draw_incarnation() };
         let (events, rx) = ring(cfg.ring_capacity);
         let shared = Shared {
--- a/crates/pollenlever/tests/config.rs
+++ b/crates/pollenlever/tests/config.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use crossbeam_channel::Receiver;
 use pollenlever::control::{BoxControl, Control, ControlInput};
 use pollenlever::peer::{PeerError, PeerFuture, PeerSender};
-use pollenlever::ring::Reader;
 use pollenlever::ring::ring;
 use pollenlever::settings::Settings;
 use pollenlever::store::{StoreClient, SubmitSettings, submit};
@@ -59,7 +59,7 @@
 struct Node {
     id: NodeId,
     control: BoxControl,
-    events: Reader<Event>,
+    events: Receiver<Event>,
 }
 
 impl Node {
@@ -73,7 +73,7 @@
             Event::Config(cfg) => Some(cfg.version),
             _ => None,
         };
-        std::iter::from_fn(|| self.events.try_recv().ok()).filter_map(version).collect()
+        self.events.try_iter().filter_map(version).collect()
     }
 }
 
