--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -147,7 +147,7 @@
         }
     }
 
-    /// Requests that may wait: as many as start in the longest wait. New chains may exceed it
+    /// Requests that may wait: as many as start in the longest wait and in half the time to spare. New chains may exceed it
     /// until the queue is standing.
     fn max_queue(&self, now: Timestamp) -> usize {
         let pace = self.pace();
@@ -155,7 +155,10 @@
         if pace.is_zero() || (depth == 0 && !self.is_standing(now)) {
             return self.settings.max_queue;
         }
-        let starts = self.longest_wait(depth).as_secs_f64() / pace.as_secs_f64();
+        let slack = |it: &Waiting| self.latest_start(now, it, false).saturating_sub(now);
+        let slack = self.queue.iter().map(slack).max().unwrap_or_default();
+        let wait = self.longest_wait(depth).min(slack / 2);
+        let starts = wait.as_secs_f64() / pace.as_secs_f64();
         (starts.ceil() as usize).clamp(1, self.settings.max_queue)
     }
 
--- a/crates/pollenlever-core/src/admission/service_times.rs
+++ b/crates/pollenlever-core/src/admission/service_times.rs
@@ -4,10 +4,12 @@
 use crate::Timestamp;
 use crate::config::Importance;
 
-/// Weight of a new sample.
-const WEIGHT: f64 = 0.05;
+/// Smallest weight of a new sample.
+const MIN_WEIGHT: f64 = 0.05;
+/// Time over which samples are averaged where they are rare.
+const MEMORY: Duration = Duration::from_secs(1);
 /// Mean deviations above the mean in which a new chain must be able to finish.
-const MARGIN: f64 = 3.0;
+const MARGIN: f64 = 1.0;
 /// Time without a sample after which an estimate begins to shrink, so that an estimate above
 /// every deadline cannot keep all requests out for good.
 const TRUSTED: Duration = Duration::from_millis(500);
@@ -18,6 +20,7 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceTimes {
     all: Option<f64>,
+    at: Timestamp,
     by_class: BTreeMap<(Importance, u8), Estimate>,
 }
 
@@ -37,11 +40,13 @@
     ) {
         let sample = service_time.as_secs_f64();
         let all = self.all.get_or_insert(sample);
-        *all += WEIGHT * (sample - *all);
+        *all += weight(now, self.at) * (sample - *all);
+        self.at = now;
         let first = Estimate { mean: sample, deviation: 0.0, at: now };
         let estimate = self.by_class.entry(class).or_insert(first);
-        estimate.deviation += WEIGHT * ((sample - estimate.mean).abs() - estimate.deviation);
-        estimate.mean += WEIGHT * (sample - estimate.mean);
+        let weight = weight(now, estimate.at);
+        estimate.deviation += weight * ((sample - estimate.mean).abs() - estimate.deviation);
+        estimate.mean += weight * (sample - estimate.mean);
         estimate.at = now;
     }
 
@@ -60,3 +65,9 @@
         Duration::from_secs_f64((estimate.mean + margin) * trust)
     }
 }
+
+/// Weight of a sample after one at `last`; rare samples weigh more.
+fn weight(now: Timestamp, last: Timestamp) -> f64 {
+    let gap = now.saturating_sub(last).as_secs_f64();
+    (1.0 - (-gap / MEMORY.as_secs_f64()).exp()).max(MIN_WEIGHT)
+}
