Refuse a suspect that is convicted while it waits for its turn

Traces of the real nodes: the third sending reached a gate 0.4 s before its target was free; the news of the second crash arrived while it waited, and it was started all the same. Ruled out: counts merged by maximum losing a crash (each blame raised the count by one); another digest at the gate. Change: a held attempt is checked again when its turn comes. Left: news takes up to 0.3 s to reach other nodes, so a resend in that time through a free target may still cost one more.

--- a/crates/pollenlever-core/src/node/gates.rs
+++ b/crates/pollenlever-core/src/node/gates.rs
@@ -119,11 +119,12 @@
     pub(super) fn start_held(&mut self, cx: &mut Cx<'_>) -> Vec<Verdict> {
         let mut verdicts = Vec::new();
         while let Some(stream) = self.pop_startable() {
-            if self.is_startable(cx.now, stream) {
-                self.start(cx, stream);
-            } else {
-                self.give_back(cx.now, stream, &mut verdicts);
-                self.refuse_attempt(cx, stream, ErrorKind::DeadlineTooShort, None);
+            match self.start_refusal(cx.now, stream) {
+                None => self.start(cx, stream),
+                Some(err) => {
+                    self.give_back(cx.now, stream, &mut verdicts);
+                    self.refuse_attempt(cx, stream, err, None);
+                }
             }
         }
         verdicts
@@ -136,8 +137,14 @@
         self.admission.finished(now, stream, Duration::ZERO, outcome, verdicts);
     }
 
-    fn is_startable(&self, now: Timestamp, stream: StreamId) -> bool {
-        self.streams.get(&stream).is_some_and(|it| now < it.deadline)
+    /// Why an attempt that holds a slot is not started after all.
+    fn start_refusal(&self, now: Timestamp, stream: StreamId) -> Option<ErrorKind> {
+        match self.streams.get(&stream) {
+            Some(attempt) if now >= attempt.deadline => Some(ErrorKind::DeadlineTooShort),
+            Some(attempt) if self.is_convicted(attempt) => Some(ErrorKind::Suspect),
+            Some(_) => None,
+            None => Some(ErrorKind::Internal),
+        }
     }
 
     /// Seals an attempt that has not run and says so.
--- a/crates/pollenlever-core/src/node/suspects.rs
+++ b/crates/pollenlever-core/src/node/suspects.rs
@@ -77,7 +77,8 @@
         self.timers.set(cx.now + self.cfg.suspect_wait, Timer::SuspectWait(stream));
     }
 
-    fn is_convicted(&self, attempt: &GateAttempt) -> bool {
+    /// Whether the request of an attempt has crashed as many targets as its kind allows.
+    pub(super) fn is_convicted(&self, attempt: &GateAttempt) -> bool {
         self.is_refused(attempt.head.digest, self.max_crashes_of(&attempt.head))
     }
 
--- a/crates/pollenlever-core/tests/node/driver.rs
+++ b/crates/pollenlever-core/tests/node/driver.rs
@@ -6,7 +6,7 @@
 use pollenlever_core::config::{PathPattern, RequestKind, ServiceConfig};
 use pollenlever_core::id::{AttemptId, CallId, ChainId, ExchangeId, NodeId, RequestKey, RunId};
 use pollenlever_core::membership::{Member, TargetState};
-use pollenlever_core::message::PeerRequest;
+use pollenlever_core::message::{PeerRequest, Suspicion};
 use pollenlever_core::node::{Node, NodeSettings};
 use pollenlever_core::policy::{Action, Call, Event, Policy, RunResult, TargetNotice};
 use pollenlever_core::routing::RoundRobin;
@@ -93,6 +93,16 @@
     }
 
     /// Ends the last run.
+    /// A peer tells that a request has crashed targets.
+    pub(crate) fn hear_of_crashes(&mut self, req: &Call, crashes: u32) {
+        let mut other = Driver::new();
+        other.call(1, req.clone());
+        let (_, PeerRequest::Attempt(head)) = other.last_send() else { panic!("no attempt") };
+        let news = Suspicion { digest: head.digest, crashes };
+        let req = PeerRequest::Suspects(vec![news]);
+        self.event(Event::Request { stream: 1 << 40, from: peer(), req, body: Bytes::new() });
+    }
+
     pub(crate) fn end_run(&mut self, result: RunResult) {
         let (run, _) = self.last_run();
         self.event(Event::RunEnded(run, result));
--- a/crates/pollenlever-core/tests/node/main.rs
+++ b/crates/pollenlever-core/tests/node/main.rs
@@ -247,6 +247,17 @@
         assert_eq!(it.answer(1).outcome, Outcome::Unknown);
         assert!(it.answer(1).retry_after.is_some());
     };
+    suspect_that_waits_is_refused_once_it_is_convicted => {
+        let mut it = Driver::new();
+        it.slots(2);
+        it.call(1, call("/get"));
+        it.hear_of_crashes(&suspect(), 1);
+        it.call(2, suspect());
+        it.hear_of_crashes(&suspect(), 2);
+        it.end_run(answered());
+        assert_eq!(it.error(2), ErrorKind::Suspect);
+        assert_eq!(it.runs(), 1);
+    };
 }
 
 /// Why the call is refused.
@@ -256,6 +267,10 @@
     it.error(1)
 }
 
+fn suspect() -> Call {
+    Call { body: "crash".into(), ..call("/get") }
+}
+
 fn answered() -> RunResult {
     RunResult::Answered { status: 200, headers: Vec::new(), body: "ok".into() }
 }
