A success makes equal calls new requests again; refused calls are counted

The nodes' counters showed 10 calls shed; some 3,700 of 11,200 were refused as resends of these, because all calls were equal and carry no id, and those refusals were counted nowhere. Change: an answer to an equal call ends the window in which its failure makes resends; refusals of known kinds are observed, so metrics and the burn report show them.

--- a/crates/pollenlever-core/src/chain/recent_failures.rs
+++ b/crates/pollenlever-core/src/chain/recent_failures.rs
@@ -37,6 +37,11 @@
         self.chains.get(&digest).map(|(chain, _)| *chain)
     }
 
+    /// Notes that an equal call was answered: what comes next is a new request.
+    pub(crate) fn answered(&mut self, digest: ContentDigest) {
+        self.chains.remove(&digest);
+    }
+
     fn expire(&mut self, now: Timestamp) {
         while self.order.front().is_some_and(|(at, _)| *at + self.window <= now) {
             self.forget_oldest();
--- a/crates/pollenlever-core/src/node/calls.rs
+++ b/crates/pollenlever-core/src/node/calls.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use super::cx::Cx;
@@ -11,7 +13,7 @@
 use crate::Timestamp;
 use crate::answer::{Answer, ComeBack, ErrorKind, Outcome};
 use crate::config::RequestKind;
-use crate::id::{AttemptId, CallId, ChainId, RequestKey};
+use crate::id::{AttemptId, CallId, ChainId, CustomerId, KindName, RequestKey, ServiceName};
 use crate::once::{KeyMint, Waiter};
 use crate::policy::{Action, Call, Observation};
 
@@ -20,9 +22,16 @@
     pub(super) fn on_call(&mut self, cx: &mut Cx<'_>, id: CallId, call: Call) {
         let chain = call.chain;
         let maybe_ran = call.key.is_some() || chain.is_some();
+        let kind = self.kind_of(&call).map(|it| it.name);
+        let (service, customer) = (call.service.clone(), call.customer.clone());
         let (call, needs_grant) = match self.open_call(cx.now, call) {
             Ok(opened) => opened,
-            Err(err) => return self.refuse_call(cx, id, chain, err, maybe_ran),
+            Err(err) => {
+                if let Ok(kind) = kind {
+                    cx.push(Action::Observe(refusal(service, kind, customer, err)));
+                }
+                return self.refuse_call(cx, id, chain, err, maybe_ran);
+            }
         };
         let chain = call.req.chain;
         self.timers.set(call.req.deadline, Timer::CallDeadline(id));
@@ -195,6 +204,8 @@
         self.timers.clear(call.req.deadline, Timer::CallDeadline(id));
         if let Some(parent) = call.parent.and_then(|it| self.parent_mut(it)) {
             parent.open_calls.remove(&id);
+        } else if answer.error.is_none() {
+            self.failures.answered(call.req.digest);
         } else if call.req.key.is_none() && answer.error.is_some_and(counts_as_failure) {
             self.failures.insert(now, call.req.digest, call.req.chain);
         }
@@ -247,3 +258,14 @@
         good: answer.outcome == Outcome::Ran && answer.status < 500 && in_time,
     }
 }
+
+/// Counts a call that was refused before it had a place in a chain.
+fn refusal(
+    service: ServiceName,
+    kind: KindName,
+    customer: CustomerId,
+    err: ErrorKind,
+) -> Observation {
+    let (status, error) = (err.response().status, Some(err));
+    Observation { service, kind, customer, status, error, latency: Duration::ZERO, good: false }
+}
--- a/crates/pollenlever-core/tests/node/driver.rs
+++ b/crates/pollenlever-core/tests/node/driver.rs
@@ -116,7 +116,7 @@
         self.last_run().1
     }
 
-    fn last_run(&self) -> (RunId, AttemptId) {
+    pub(crate) fn last_run(&self) -> (RunId, AttemptId) {
         let runs = self.log.iter().rev();
         let mut runs = runs.filter_map(|it| match it {
             Action::Run { run, attempt, .. } => Some((*run, *attempt)),
--- a/crates/pollenlever-core/tests/node/main.rs
+++ b/crates/pollenlever-core/tests/node/main.rs
@@ -258,6 +258,24 @@
         assert_eq!(it.error(2), ErrorKind::Suspect);
         assert_eq!(it.runs(), 1);
     };
+    equal_call_after_another_was_answered_is_a_new_chain => {
+        let mut it = Driver::new();
+        it.slots(2);
+        it.call(1, call("/get"));
+        let (first, _) = it.last_run();
+        it.call(2, call("/get"));
+        it.event(Event::RunEnded(first, RunResult::TimedOut));
+        it.end_run(answered());
+        it.call(3, call("/get"));
+        it.end_run(answered());
+        assert!(![it.chain(1), it.chain(2)].contains(&it.chain(3)));
+    };
+    refused_call_of_a_known_kind_is_counted => {
+        let mut it = Driver::new();
+        it.call(1, charge(None));
+        let counted = |it: &Action| matches!(it, Action::Observe(it) if !it.good);
+        assert!(it.log.iter().any(counted));
+    };
 }
 
 /// Why the call is refused.
