--- /dev/null
+++ b/crates/pollenlever-core/tests/histories/world/clients.rs
@@ -0,0 +1,70 @@
+use super::*;
+
+/// Clients that resend.
+impl World {
+    pub(super) fn client_send(&mut self, request: usize) {
+        let index = self.rng.random_range(0..MACHINES);
+        let machine = &self.machines[index];
+        let incarnation = machine.id.incarnation;
+        if machine.policy.is_none() {
+            return self.push_in(10..200, Item::Send(request));
+        }
+        let id = self.draw_id();
+        self.calls.insert((index, incarnation, id), Caller::Client(request));
+        let item = Item::ClientTimeout(index, incarnation, id);
+        self.push_at(self.now + CLIENT_PATIENCE, item);
+        let lender = self.requests[request].key_of.map(|it| self.requests[it].key);
+        if let Some(key) = lender {
+            self.requests[request].key = key;
+        }
+        let req = self.requests[request].clone();
+        if req.keyed && req.key.is_none() {
+            return self.deliver(index, incarnation, Event::TakeKeys { call: id, count: 1 });
+        }
+        if self.requests[request].sends_left == 0 {
+            self.calls.remove(&(index, incarnation, id));
+            return;
+        }
+        self.requests[request].sends_left -= 1;
+        let call =
+            Call { key: req.key, chain: req.chain, ..plain_call(req.method, req.path, req.body) };
+        self.deliver(index, incarnation, Event::Call(id, call));
+    }
+
+    pub(super) fn take_key(&mut self, call: (usize, u64, CallId), keys: &[RequestKey]) {
+        if let Some(Caller::Client(request)) = self.calls.remove(&call) {
+            self.requests[request].key = self.requests[request].key.or(keys.first().copied());
+            self.push_in(1..20, Item::Send(request));
+        }
+    }
+
+    /// Notes an answer, or that there was none, and decides whether to send again.
+    pub(super) fn client_next(&mut self, request: usize, answer: Option<(Answer, Bytes)>) {
+        let req = &mut self.requests[request];
+        if req.keyed && req.key.is_none() {
+            let err = answer.and_then(|(it, _)| it.error);
+            if err == Some(ErrorKind::KeyForeign) {
+                // The naive policy mints no keys.
+                let home = self.machines[0].id;
+                req.key = Some(RequestKey { home, minted_ms: 0, seq: request as u64, tag: 0 });
+            }
+            return self.push_in(1..20, Item::Send(request));
+        }
+        let is_sure = answer.as_ref().is_some_and(|(it, _)| it.error.is_none());
+        let is_denied = answer.as_ref().is_some_and(|(it, _)| it.outcome == Outcome::NotRun);
+        if let Some((answer, body)) = answer {
+            if let Some(err) = answer.error {
+                self.history.errors.entry(req.body.clone()).or_default().push(err);
+            }
+            let answers = self.history.answers.entry(req.body.clone()).or_default();
+            answers.push((answer.outcome, body));
+        }
+        // A send without any id would be a request of its own, as would one after "not run".
+        let req = &self.requests[request];
+        let is_same = req.key.is_some() || req.chain.is_some() && !is_denied;
+        let again = if is_sure { 0.2 } else { 0.9 };
+        if is_same && self.chance(again) {
+            self.push_in(10..1_500, Item::Send(request));
+        }
+    }
+}
