--- a/crates/pollenlever-core/tests/node/driver.rs
+++ b/crates/pollenlever-core/tests/node/driver.rs
@@ -69,7 +69,7 @@
     }
 
     /// Lets time pass, in steps of the node's timers.
-    pub(crate) fn sleep(&mut self, time: Duration) {
+    pub(crate) fn advance(&mut self, time: Duration) {
         let end = self.now + time;
         while let Some(at) = self.node.next_wakeup().filter(|it| *it <= end) {
             self.now = self.now.max(at);
--- a/crates/pollenlever-core/tests/node/main.rs
+++ b/crates/pollenlever-core/tests/node/main.rs
@@ -45,7 +45,7 @@
     old_key_is_refused_as_unknown => {
         let mut it = Driver::new();
         let key = it.take_key();
-        it.sleep(config().retention);
+        it.advance(config().retention);
         it.call(1, charge(Some(key)));
         assert_eq!(it.error(1), ErrorKind::KeyExpired);
         assert_eq!(it.answer(1).outcome, Outcome::Unknown);
@@ -55,7 +55,7 @@
         let key = it.take_key();
         it.call(1, charge(Some(key)));
         it.end_run(answered());
-        it.sleep(config().retention);
+        it.advance(config().retention);
         let retention = config().retention * 10;
         it.event(Event::Config(pollenlever_core::config::ServiceConfig { retention, ..config() }.into()));
         it.call(2, charge(Some(key)));
@@ -99,7 +99,7 @@
     call_is_answered_at_its_deadline => {
         let mut it = Driver::new();
         it.call(1, call("/get"));
-        it.sleep(Duration::from_secs(2));
+        it.advance(Duration::from_secs(2));
         assert_eq!(it.error(1), ErrorKind::DeadlinePassed);
         assert!(it.answer(1).retry_after.is_some());
     };
@@ -107,7 +107,7 @@
         let mut it = Driver::new();
         it.call(1, Call { timeout: Some(Duration::from_secs(1)), ..call("/get") });
         it.call(2, Call { timeout: Some(Duration::from_millis(10)), body: "b".into(), ..call("/get") });
-        it.sleep(Duration::from_millis(500));
+        it.advance(Duration::from_millis(500));
         it.end_run(answered());
         assert_eq!(it.runs(), 1);
     };
@@ -146,7 +146,7 @@
         it.call(1, call("/get"));
         let parent = Some(it.last_attempt());
         it.call(2, Call { parent, body: "child".into(), ..call("/get") });
-        it.sleep(Duration::from_secs(2));
+        it.advance(Duration::from_secs(2));
         assert_eq!(it.error(2), ErrorKind::DeadlinePassed);
         assert_eq!(it.chain(1), it.chain(2));
     };
@@ -182,10 +182,10 @@
         let mut it = Driver::new();
         it.call(1, call("/get"));
         it.event(Event::Leave);
-        it.sleep(NodeSettings::default().linger / 2);
+        it.advance(NodeSettings::default().linger / 2);
         it.end_run(answered());
         assert!(!it.log.contains(&Action::Left));
-        it.sleep(NodeSettings::default().linger);
+        it.advance(NodeSettings::default().linger);
         assert_eq!(it.log.iter().filter(|it| **it == Action::Left).count(), 1);
     };
     lost_attempt_is_asked_after_and_not_run_again_while_it_runs => {
@@ -197,7 +197,7 @@
         let (seal, req) = it.last_send();
         assert!(matches!(req, PeerRequest::Seal(_)));
         it.event(Event::Reply(seal, PeerReply::Seal(SealReply::Running), "".into()));
-        it.sleep(Duration::from_millis(200));
+        it.advance(Duration::from_millis(200));
         let (seal, req) = it.last_send();
         assert!(matches!(req, PeerRequest::Seal(_)));
         it.event(Event::Reply(seal, PeerReply::Seal(SealReply::Sealed), "".into()));
@@ -231,7 +231,7 @@
             assert!(matches!(req, PeerRequest::Forward(_)));
             let refused = PeerReply::Refused(ErrorKind::WrongIncarnation);
             it.event(Event::Reply(forward, refused, "".into()));
-            it.sleep(NodeSettings::default().handover_pause);
+            it.advance(NodeSettings::default().handover_pause);
         }
         assert_eq!(it.error(1), ErrorKind::HomeGone);
         assert_eq!(it.answer(1).outcome, Outcome::Unknown);
