--- a/crates/pollenlever-core/src/lib.rs
+++ b/crates/pollenlever-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod id;
 pub mod membership;
+pub mod mesh;
 pub mod message;
 pub mod naive;
 pub mod node;
--- /dev/null
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -0,0 +1,152 @@
+use std::time::Duration;
+
+use super::AttemptOutcome;
+use crate::answer::ErrorKind;
+use crate::id::NodeId;
+
+/// Gates that may refuse one request before its caller is told to come back.
+const MAX_REFUSALS: u32 = 6;
+/// Times that one request is handed to targets at most, rejections included.
+const MAX_ARRIVALS: u32 = 6;
+/// Statuses by which a caller would take a request for not run.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// What the owner of a request does after an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum NextStep {
+    /// Pass the target's answer on.
+    Deliver,
+    /// Try again if a retry can be paid for, else do what the error says.
+    Retry {
+        /// Whether another attempt draws on the budget of retries.
+        is_paid: bool,
+    },
+    /// Answer the caller with an error.
+    Fail(ErrorKind, Option<Duration>),
+}
+
+/// What the owner of a request knows about its attempts.
+///
+/// A request that may run at most once is sent again only if every earlier attempt is known not
+/// to have run and never to run.
+#[derive(Debug, Clone)]
+pub struct Delivery {
+    idempotent: bool,
+    max_targets: u32,
+    /// Gates whose targets were handed the request, each once.
+    handed_to: Vec<NodeId>,
+    /// Gates that are not asked again.
+    avoided: Vec<NodeId>,
+    arrivals: u32,
+    refusals: u32,
+    maybe_ran: bool,
+    last_refusal: (ErrorKind, Option<Duration>),
+}
+
+impl Delivery {
+    /// A request of which nothing was sent yet.
+    pub fn new(idempotent: bool, max_targets: u32) -> Delivery {
+        Delivery {
+            idempotent,
+            max_targets: max_targets.max(1),
+            handed_to: Vec::new(),
+            avoided: Vec::new(),
+            arrivals: 0,
+            refusals: 0,
+            maybe_ran: false,
+            last_refusal: (ErrorKind::NoTarget, None),
+        }
+    }
+
+    /// Takes the outcome of the attempt that went to `gate`.
+    pub fn ended(&mut self, gate: NodeId, outcome: &AttemptOutcome) -> NextStep {
+        match outcome {
+            AttemptOutcome::Answered(status) => self.answered(gate, *status),
+            AttemptOutcome::RejectedByTarget => {
+                self.arrived(gate);
+                self.last_refusal = (ErrorKind::Overloaded, None);
+                self.paid_retry()
+            }
+            AttemptOutcome::RefusedByGate { error, retry_after } => {
+                self.avoided.push(gate);
+                self.last_refusal = (*error, *retry_after);
+                self.free_retry()
+            }
+            AttemptOutcome::NotSent => {
+                self.avoided.push(gate);
+                self.last_refusal = (ErrorKind::NoTarget, None);
+                self.free_retry()
+            }
+            AttemptOutcome::Unknown => {
+                self.arrived(gate);
+                self.avoided.push(gate);
+                self.maybe_ran = true;
+                if self.idempotent { self.paid_retry() } else { self.fail() }
+            }
+        }
+    }
+
+    /// The error for the caller if nothing more is tried.
+    pub fn fail(&self) -> NextStep {
+        if self.maybe_ran {
+            return NextStep::Fail(ErrorKind::OutcomeUnknown, None);
+        }
+        NextStep::Fail(self.last_refusal.0, self.last_refusal.1)
+    }
+
+    /// Whether some attempt may have run.
+    pub fn maybe_ran(&self) -> bool {
+        self.maybe_ran
+    }
+
+    /// Gates that the next attempt must not go to.
+    pub fn avoided(&self) -> &[NodeId] {
+        &self.avoided
+    }
+
+    /// The only gates that the next attempt may go to, once the request has been handed to as many
+    /// targets as its route allows.
+    pub fn confined_to(&self) -> Option<&[NodeId]> {
+        (self.handed_to.len() as u32 >= self.max_targets).then_some(&self.handed_to)
+    }
+
+    fn answered(&mut self, gate: NodeId, status: u16) -> NextStep {
+        self.arrived(gate);
+        self.maybe_ran = true;
+        if status < 500 && !NOT_RUN_STATUSES.contains(&status) {
+            return NextStep::Deliver;
+        }
+        if self.idempotent {
+            self.avoided.push(gate);
+            return self.paid_retry();
+        }
+        if NOT_RUN_STATUSES.contains(&status) { self.fail() } else { NextStep::Deliver }
+    }
+
+    fn arrived(&mut self, gate: NodeId) {
+        self.arrivals += 1;
+        if !self.handed_to.contains(&gate) {
+            self.handed_to.push(gate);
+        }
+    }
+
+    fn paid_retry(&self) -> NextStep {
+        let has_target = match self.confined_to() {
+            Some(gates) => gates.iter().any(|it| !self.avoided.contains(it)),
+            None => true,
+        };
+        if self.arrivals >= MAX_ARRIVALS || !has_target {
+            return self.fail();
+        }
+        NextStep::Retry { is_paid: true }
+    }
+
+    fn free_retry(&mut self) -> NextStep {
+        self.refusals += 1;
+        if self.refusals >= MAX_REFUSALS {
+            return self.fail();
+        }
+        // An attempt after one that arrived is one more arrival, whoever refused in between.
+        NextStep::Retry { is_paid: self.arrivals > 0 }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -0,0 +1,47 @@
+//! Decisions of a node that carries HTTP traffic of a service mesh: routes, the target beside the
+//! node, retries and their budget.
+//!
+//! The node that takes a request from its caller is the owner of the request: it alone decides
+//! where the request is sent. The node beside a target is the gate of that target: nothing reaches
+//! the target except through it. Both decide without agreement.
+
+mod attempt_ledger;
+mod attempt_outcome;
+mod client_limits;
+mod delivery;
+mod http_route;
+mod member_table;
+mod mesh_attempt;
+mod mesh_reply;
+mod mesh_request;
+mod retry_budget;
+mod retry_budget_settings;
+mod route_table;
+mod service_traits;
+mod target_registry;
+mod target_report;
+mod weighted_service;
+mod weighted_split;
+
+pub use attempt_ledger::{AttemptLedger, AttemptStage};
+pub use attempt_outcome::AttemptOutcome;
+pub use client_limits::ClientLimits;
+pub use delivery::{Delivery, NextStep};
+pub use http_route::HttpRoute;
+pub use member_table::{MemberChange, MemberTable};
+pub use mesh_attempt::MeshAttempt;
+pub use mesh_reply::{AttemptReply, MeshReply};
+pub use mesh_request::MeshRequest;
+pub use retry_budget::RetryBudget;
+pub use retry_budget_settings::RetryBudgetSettings;
+pub use route_table::{RouteTable, RouteVersion};
+pub use service_traits::ServiceTraits;
+pub use target_registry::{RegistryChange, TargetRegistry};
+pub use target_report::{InstanceId, StartTime, TargetReport};
+pub use weighted_service::WeightedService;
+pub use weighted_split::WeightedSplit;
+
+use std::sync::Arc;
+
+/// Id that a caller gives to one attempt of its own.
+pub type RequestId = Arc<str>;
--- /dev/null
+++ b/crates/pollenlever-core/src/mesh/route_table.rs
@@ -0,0 +1,45 @@
+use bincode::{Decode, Encode};
+
+use super::{ClientLimits, HttpRoute, ServiceTraits};
+use crate::id::ServiceName;
+
+/// Version of a route table; grows with each change.
+pub type RouteVersion = u64;
+
+/// All routes of one version of the configuration.
+#[derive(Debug, Clone, Default, PartialEq, Encode, Decode)]
+pub struct RouteTable {
+    /// Version of the table.
+    pub version: RouteVersion,
+    /// The routes, in any order.
+    pub routes: Vec<HttpRoute>,
+    /// What is declared about services.
+    pub services: Vec<ServiceTraits>,
+    /// Limits of callers' connections.
+    pub limits: ClientLimits,
+}
+
+impl RouteTable {
+    /// The route of the longest prefix that covers `path` on `host`. A port in `host` and a query
+    /// in `path` are ignored.
+    ///
+    /// ```
+    /// use pollenlever_core::mesh::{HttpRoute, RouteTable};
+    /// let long = HttpRoute { path_prefix: "/a/b/".into(), ..HttpRoute::default() };
+    /// let routes = vec![HttpRoute::default(), long];
+    /// let table = RouteTable { routes, ..RouteTable::default() };
+    /// assert_eq!(&*table.find("LOCALHOST:80", "/a/b/c?d").unwrap().path_prefix, "/a/b/");
+    /// assert!(table.find("elsewhere", "/a/b/c").is_none());
+    /// ```
+    pub fn find(&self, host: &str, path: &str) -> Option<&HttpRoute> {
+        let host = host.split(':').next().unwrap_or_default();
+        let path = path.split('?').next().unwrap_or_default();
+        let covering = self.routes.iter().filter(|it| it.host.eq_ignore_ascii_case(host));
+        covering.filter(|it| it.covers(path)).max_by_key(|it| it.path_prefix.len())
+    }
+
+    /// What is declared about a service.
+    pub fn service(&self, service: &ServiceName) -> Option<&ServiceTraits> {
+        self.services.iter().find(|it| it.service == *service)
+    }
+}
--- a/crates/pollenlever-core/src/message/gate_load.rs
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -21,4 +21,6 @@
     pub leaving: bool,
     /// Crashes of targets that the gate counts against the request of this reply.
     pub crashes: u32,
+    /// Lately rejected or failed runs of the target, in thousandths.
+    pub failing_permille: u16,
 }
--- a/crates/pollenlever-core/src/message/peer_reply.rs
+++ b/crates/pollenlever-core/src/message/peer_reply.rs
@@ -3,6 +3,7 @@
 use super::{GateLoad, SealReply};
 use crate::answer::{Answer, ErrorKind};
 use crate::membership::GossipMessage;
+use crate::mesh::MeshReply;
 use crate::rollout::ConfigMessage;
 
 /// The reply to a [`PeerRequest`](super::PeerRequest) of the same name.
@@ -24,6 +25,8 @@
     Gossip(GossipMessage),
     /// Configuration that the sender lacks.
     Config(ConfigMessage),
+    /// Reply to a request of the mesh.
+    Mesh(MeshReply),
     /// The request was not looked at, for this reason.
     Refused(ErrorKind),
 }
--- a/crates/pollenlever-core/src/message/peer_request.rs
+++ b/crates/pollenlever-core/src/message/peer_request.rs
@@ -3,6 +3,7 @@
 use super::{AttemptHead, ForwardHead, Suspicion};
 use crate::id::{AttemptId, ChainId};
 use crate::membership::GossipMessage;
+use crate::mesh::MeshRequest;
 use crate::once::Handover;
 use crate::rollout::ConfigMessage;
 
@@ -25,4 +26,6 @@
     Gossip(GossipMessage),
     /// Exchange configuration.
     Config(ConfigMessage),
+    /// Traffic and membership of a service mesh.
+    Mesh(MeshRequest),
 }
--- a/crates/pollenlever-core/src/node/events.rs
+++ b/crates/pollenlever-core/src/node/events.rs
@@ -50,7 +50,7 @@
             PeerRequest::Seal(attempt) => self.on_seal(cx, stream, from, attempt),
             PeerRequest::Suspects(news) => self.on_suspects(cx, stream, &news),
             PeerRequest::Handover(part) => self.on_handover(cx, stream, from, part, body),
-            PeerRequest::Gossip(_) | PeerRequest::Config(_) => {
+            PeerRequest::Gossip(_) | PeerRequest::Config(_) | PeerRequest::Mesh(_) => {
                 cx.reply(stream, PeerReply::Refused(ErrorKind::Internal));
             }
         }
--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -65,7 +65,10 @@
         let allowed: Vec<_> = allowed.map(|(node, _)| *node).collect();
         let usable: Vec<_> =
             allowed.iter().copied().filter(|it| self.peer(it).is_usable(self.now)).collect();
-        if usable.is_empty() { allowed } else { usable }
+        let usable = if usable.is_empty() { allowed } else { usable };
+        let sound: Vec<_> =
+            usable.iter().copied().filter(|it| !self.peer(it).is_failing(self.now)).collect();
+        if sound.is_empty() { usable } else { sound }
     }
 
     /// Candidates that did not say that they shed requests of this importance.
--- a/crates/pollenlever-core/src/routing/peer.rs
+++ b/crates/pollenlever-core/src/routing/peer.rs
@@ -12,6 +12,11 @@
 /// Latency assumed of a node that has not answered yet.
 const UNKNOWN_LATENCY: f64 = 0.001;
 
+/// Rejected or failed runs, in thousandths, from which a target counts as failing.
+const FAILING_PERMILLE: u16 = 200;
+/// Time after which a failing target is tried again.
+const FAILING_MEMORY: Duration = Duration::from_secs(1);
+
 /// What answers have told about one node.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -100,6 +105,12 @@
         self.failures == 0 || now >= self.retry_at
     }
 
+    /// Whether the gate said lately that its target rejects or fails many requests.
+    pub(super) fn is_failing(&self, now: Timestamp) -> bool {
+        let is_fresh = self.load_at.is_some_and(|at| now.saturating_sub(at) < FAILING_MEMORY);
+        is_fresh && self.load.failing_permille >= FAILING_PERMILLE
+    }
+
     pub(super) fn in_flight(&self) -> u32 {
         self.in_flight
     }
--- a/crates/pollenlever-standins/src/measure/control/crowd.rs
+++ b/crates/pollenlever-standins/src/measure/control/crowd.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use pollenlever::control::{ControlHandle, ControlInput, ControlReply, ControlStatus};
-use pollenlever::node::{OpenWork, Waiters};
+use pollenlever::node::{OpenWork, PolicyHandler, Waiters};
 use pollenlever::peer::{PeerClient, PeerOptions, PeerSender, PeerServer};
 use pollenlever::ring::ring;
 use pollenlever_core::config::ServiceConfig;
@@ -71,10 +71,12 @@
         let server = PeerServer {
             me: crowd_member(0, port).node,
             max_body_bytes: MAX_BODY_BYTES,
-            events: ring(1).0,
-            streams: Arc::new(Waiters::default()),
             open_work: OpenWork::default(),
-            control: Arc::new(control),
+            handler: Arc::new(PolicyHandler {
+                events: ring(1).0,
+                streams: Arc::new(Waiters::default()),
+                control: Arc::new(control),
+            }),
         };
         runtime.spawn(Arc::new(server).serve(listener));
         Ok(Crowd { port, runtime })
--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod entry;
 pub mod gate;
 pub mod manifest;
+pub mod mesh;
 pub mod node;
 pub mod peer;
 pub mod ring;
--- /dev/null
+++ b/crates/pollenlever/src/mesh/control_server.rs
@@ -0,0 +1,78 @@
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Largest body of a control request, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+/// Wait after an accept that failed, such as for want of descriptors.
+pub(super) const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Answer to a control request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type of the body.
+    pub content_type: &'static str,
+    /// The body.
+    pub body: String,
+}
+
+/// Answers what the target and the platform ask of a node.
+pub trait ControlHandler: Send + Sync {
+    /// Answers one request.
+    fn handle(&self, method: &str, path: &str, body: &[u8]) -> ControlAnswer;
+}
+
+/// Handler of whichever kind.
+pub type BoxControlHandler = Arc<dyn ControlHandler>;
+
+/// Accepts connections for ever.
+pub(super) async fn serve_control(listener: TcpListener, handler: BoxControlHandler) {
+    loop {
+        match listener.accept().await {
+            Ok((io, _)) => {
+                tokio::spawn(serve_connection(io, Arc::clone(&handler)));
+            }
+            Err(err) => {
+                log::error!("accept failed reason={:?}", err.to_string());
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(io: TcpStream, handler: BoxControlHandler) {
+    let service = service_fn(|req| answer(req, Arc::clone(&handler)));
+    if let Err(err) = http1::Builder::new().serve_connection(TokioIo::new(io), service).await {
+        log::debug!("control connection ended reason={:?}", err.to_string());
+    }
+}
+
+async fn answer(
+    req: Request<Incoming>,
+    handler: BoxControlHandler,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (parts, body) = req.into_parts();
+    let answer = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+        Ok(body) => handler.handle(parts.method.as_str(), parts.uri.path(), &body.to_bytes()),
+        Err(err) => {
+            log::warn!("control request refused reason={:?}", err.to_string());
+            ControlAnswer { status: 400, content_type: "text/plain", body: err.to_string() }
+        }
+    };
+    let mut response = Response::new(Full::new(Bytes::from(answer.body)));
+    *response.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let content_type = http::HeaderValue::from_static(answer.content_type);
+    response.headers_mut().insert(http::header::CONTENT_TYPE, content_type);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/edge_answer.rs
@@ -0,0 +1,56 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body_util::Full;
+use pollenlever_core::answer::{ComeBack, ErrorKind, Outcome};
+
+use super::forwarded_headers;
+
+/// Shortest wait that a refused caller is asked for, where the gate names none.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Widest spread that is added to it, so that callers do not come back together.
+const RETRY_AFTER_SPREAD: Duration = Duration::from_millis(300);
+
+/// What a caller gets.
+pub(super) type EdgeResponse = Response<Full<Bytes>>;
+
+/// The target's answer, unchanged.
+pub(super) fn target_answer(
+    status: u16,
+    headers: &[(String, Vec<u8>)],
+    body: Bytes,
+) -> EdgeResponse {
+    let mut response = Response::new(Full::new(body));
+    match StatusCode::from_u16(status) {
+        Ok(status) => *response.status_mut() = status,
+        Err(_) => return error_answer(ErrorKind::OutcomeUnknown, None),
+    }
+    forwarded_headers::add_to(response.headers_mut(), headers);
+    response
+}
+
+/// The answer for an error, by the table of [`ErrorKind::response`].
+pub(super) fn error_answer(kind: ErrorKind, retry_after: Option<Duration>) -> EdgeResponse {
+    let row = kind.response();
+    let mut response = Response::new(Full::new(Bytes::from_static(row.message.as_bytes())));
+    let status = StatusCode::from_u16(row.status);
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    headers.insert("pollenlever-outcome", HeaderValue::from_static(row.outcome.as_str()));
+    headers.insert("pollenlever-error", HeaderValue::from_static(kind.as_str()));
+    if row.outcome == Outcome::NotRun && row.come_back != ComeBack::Never {
+        insert_retry_after(headers, retry_after);
+    }
+    response
+}
+
+fn insert_retry_after(headers: &mut HeaderMap, asked: Option<Duration>) {
+    let wait = asked.unwrap_or_else(|| {
+        MIN_RETRY_AFTER + RETRY_AFTER_SPREAD.mul_f64(rand::random_range(0.0..1.0))
+    });
+    let text = format!("{:.3}", wait.as_secs_f64());
+    headers.insert(RETRY_AFTER, text.parse().expect("digits and a point"));
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -0,0 +1,369 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use pollenlever_core::admission::{
+    Admission, AdmissionSettings, PriorityAdmission, RunOutcome, Ticket, Verdict,
+};
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::id::{AttemptId, ChainId, StreamId};
+use pollenlever_core::mesh::{
+    AttemptLedger, AttemptOutcome, AttemptReply, AttemptStage, InstanceId, MeshAttempt,
+    RegistryChange, StartTime, TargetRegistry, TargetReport,
+};
+use pollenlever_core::message::GateLoad;
+use tokio::sync::oneshot;
+
+use super::HeaderNames;
+use super::failure_rate::FailureRate;
+use super::slot_guard::SlotGuard;
+use super::target_client::TargetClient;
+use super::target_result::TargetResult;
+use crate::node::Clock;
+
+/// Customer of all requests: the mesh tells none apart.
+const ANY_CUSTOMER: &str = "any";
+/// Statuses by which a target fails a request that it ran.
+const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
+
+/// The only way to the target beside this node.
+pub(super) struct Gate {
+    clock: Clock,
+    client: TargetClient,
+    state: Mutex<GateState>,
+}
+
+struct GateState {
+    registry: TargetRegistry,
+    admission: PriorityAdmission,
+    waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
+    ledger: AttemptLedger,
+    failures: FailureRate,
+    is_leaving: bool,
+    last_id: StreamId,
+}
+
+/// What an attempt needs once it has a slot.
+struct Start {
+    instance: InstanceId,
+    time_left: Duration,
+}
+
+impl Gate {
+    pub(super) fn new(target: SocketAddr, names: HeaderNames, clock: Clock) -> Gate {
+        let state = GateState {
+            registry: TargetRegistry::default(),
+            admission: PriorityAdmission::new(AdmissionSettings::default()),
+            waiting: HashMap::new(),
+            ledger: AttemptLedger::default(),
+            failures: FailureRate::default(),
+            is_leaving: false,
+            last_id: 0,
+        };
+        Gate { clock, client: TargetClient::new(target, names), state: Mutex::new(state) }
+    }
+
+    /// Takes what the target says about itself.
+    pub(super) fn report(&self, report: TargetReport) -> RegistryChange {
+        let now = self.clock.now();
+        let slots = report.slots;
+        let mut state = self.lock();
+        let before = state.registry.serving().map(|it| it.instance.clone());
+        let change = state.registry.report(now, report);
+        match change {
+            RegistryChange::Opened => {
+                state.admission.set_slots(now, slots.max(1));
+                if before != state.registry.serving().map(|it| it.instance.clone()) {
+                    self.client.forget_connections();
+                }
+            }
+            RegistryChange::Closed => state.refuse_waiting(),
+            RegistryChange::Refreshed | RegistryChange::Stale => {}
+        }
+        change
+    }
+
+    /// Takes the word of the target that it is gone.
+    pub(super) fn leave(
+        &self,
+        instance: &InstanceId,
+        started: Option<StartTime>,
+    ) -> RegistryChange {
+        let mut state = self.lock();
+        let change = state.registry.leave(instance, started);
+        if change == RegistryChange::Closed {
+            state.refuse_waiting();
+        }
+        change
+    }
+
+    /// Remembers a process of the target that left before this node started.
+    pub(super) fn note_gone(&self, instance: InstanceId, started: StartTime) {
+        self.lock().registry.note_gone((instance, started));
+    }
+
+    /// Refuses new work from now on: the node is leaving.
+    pub(super) fn close(&self) {
+        let mut state = self.lock();
+        state.is_leaving = true;
+        state.refuse_waiting();
+    }
+
+    /// The target that reported last, and whether it takes new work.
+    pub(super) fn target(&self) -> Option<(TargetReport, bool)> {
+        let state = self.lock();
+        let serves = state.registry.serving().is_some() && !state.is_leaving;
+        state.registry.current().cloned().map(|it| (it, serves))
+    }
+
+    /// Makes sure that an attempt is never started. Returns whether that is so.
+    pub(super) fn seal(&self, attempt: AttemptId) -> bool {
+        self.lock().ledger.seal(attempt) == AttemptStage::Sealed
+    }
+
+    /// Runs an attempt on the target. If the future is dropped, an idempotent request is broken off
+    /// and any other runs to its end.
+    pub(super) async fn attempt(
+        self: &Arc<Gate>,
+        head: MeshAttempt,
+        body: Bytes,
+    ) -> (AttemptReply, Bytes) {
+        let deadline = self.clock.now() + head.time_left;
+        let mut slot = match self.enter(&head, deadline).await {
+            Ok(slot) => slot,
+            Err(refusal) => return self.reply(refusal),
+        };
+        let start = match self.start(&head, deadline) {
+            Ok(start) => start,
+            Err(refusal) => return self.reply(refusal),
+        };
+        slot.started(self.clock.now());
+        if head.idempotent {
+            return self.run(slot, start, head, body).await;
+        }
+        let gate = Arc::clone(self);
+        let run = tokio::spawn(async move { gate.run(slot, start, head, body).await });
+        run.await.unwrap_or_else(|err| {
+            log::error!("run ended without a result reason={:?}", err.to_string());
+            self.reply(AttemptOutcome::Unknown)
+        })
+    }
+
+    /// Waits for a slot.
+    async fn enter(
+        self: &Arc<Gate>,
+        head: &MeshAttempt,
+        deadline: Duration,
+    ) -> Result<SlotGuard, AttemptOutcome> {
+        let (id, mut verdict) = self.offer(head, deadline)?;
+        let guard = SlotGuard::new(Arc::clone(self), id);
+        let verdict = match tokio::time::timeout(head.max_wait, &mut verdict).await {
+            Ok(verdict) => verdict.ok(),
+            Err(_) => verdict.try_recv().ok(),
+        };
+        match verdict {
+            Some(Verdict::Run(_)) => Ok(guard),
+            Some(Verdict::Shed { error, retry_after, .. }) => {
+                Err(refused(error, Some(retry_after)))
+            }
+            None => Err(refused(ErrorKind::Overloaded, None)),
+        }
+    }
+
+    fn offer(
+        &self,
+        head: &MeshAttempt,
+        deadline: Duration,
+    ) -> Result<(StreamId, oneshot::Receiver<Verdict>), AttemptOutcome> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if !state.ledger.begin(head.id) {
+            return Err(refused(ErrorKind::Overloaded, None));
+        }
+        if let Some(error) = state.refusal(head) {
+            state.ledger.seal(head.id);
+            return Err(refused(error, None));
+        }
+        state.last_id += 1;
+        let id = state.last_id;
+        let (tx, rx) = oneshot::channel();
+        state.waiting.insert(id, tx);
+        let ticket = Ticket {
+            id,
+            service: head.service.clone(),
+            importance: head.importance,
+            chain: ChainId { origin: head.id.sender, seq: head.id.seq },
+            depth: u8::from(head.is_inner),
+            customer: ANY_CUSTOMER.into(),
+            deadline,
+        };
+        let mut verdicts = Vec::new();
+        state.admission.offer(now, ticket, &mut verdicts);
+        state.tell(verdicts);
+        Ok((id, rx))
+    }
+
+    /// Checks once more whether the request may go to the target: while it waited the target may
+    /// have left, or the owner may have given up.
+    fn start(&self, head: &MeshAttempt, deadline: Duration) -> Result<Start, AttemptOutcome> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let refusal = state.refusal(head);
+        let expired = (deadline <= now).then_some(ErrorKind::DeadlineTooShort);
+        if let Some(error) = refusal.or(expired) {
+            state.ledger.seal(head.id);
+            return Err(refused(error, None));
+        }
+        if !state.ledger.start(head.id) {
+            return Err(refused(ErrorKind::Overloaded, None));
+        }
+        let serving = state.registry.serving();
+        let instance = serving.map(|it| it.instance.clone());
+        let instance = instance.ok_or_else(|| refused(ErrorKind::NoTarget, None))?;
+        Ok(Start { instance, time_left: deadline - now })
+    }
+
+    async fn run(
+        &self,
+        mut slot: SlotGuard,
+        start: Start,
+        head: MeshAttempt,
+        body: Bytes,
+    ) -> (AttemptReply, Bytes) {
+        let run = self.client.run(&start.instance, &head, start.time_left, body);
+        let result = match tokio::time::timeout(start.time_left, run).await {
+            Ok(result) => result,
+            Err(_) => TargetResult::Unknown("no answer before the deadline".to_owned()),
+        };
+        slot.ended(outcome_of(&result));
+        drop(slot);
+        self.note_result(&head, &result);
+        let (outcome, headers, body) = match result {
+            TargetResult::Answered { status, headers, body } => {
+                (AttemptOutcome::Answered(status), headers, body)
+            }
+            TargetResult::Rejected(_) => {
+                (AttemptOutcome::RejectedByTarget, Vec::new(), Bytes::new())
+            }
+            TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
+                (refused(ErrorKind::NoTarget, None), Vec::new(), Bytes::new())
+            }
+            TargetResult::Unknown(_) => (AttemptOutcome::Unknown, Vec::new(), Bytes::new()),
+        };
+        let (reply, _) = self.reply(outcome);
+        (AttemptReply { headers, ..reply }, body)
+    }
+
+    fn note_result(&self, head: &MeshAttempt, result: &TargetResult) {
+        let now = self.clock.now();
+        let id = &head.request_id;
+        let mut state = self.lock();
+        match result {
+            TargetResult::Answered { status, .. } => {
+                state.failures.add(now, FAILED_STATUSES.contains(status));
+            }
+            TargetResult::Rejected(status) => {
+                log::debug!("target rejected request={id} status={status}");
+                state.failures.add(now, true);
+            }
+            TargetResult::WrongInstance => {
+                log::info!("target closed reason=\"another instance\" request={id}");
+                state.registry.mark_unreachable();
+            }
+            TargetResult::Unreachable(reason) => {
+                log::info!("target closed reason={reason:?} request={id}");
+                state.registry.mark_unreachable();
+            }
+            TargetResult::Unknown(reason) => {
+                log::info!("run lost request={id} reason={reason:?}");
+                state.failures.add(now, true);
+            }
+        }
+    }
+
+    /// Gives a place at the gate back.
+    pub(super) fn release(&self, id: StreamId, started: Option<Duration>, outcome: RunOutcome) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.waiting.remove(&id);
+        if state.admission.remove(now, id) {
+            return;
+        }
+        let service_time = started.map_or(Duration::ZERO, |it| now.saturating_sub(it));
+        let mut verdicts = Vec::new();
+        state.admission.finished(now, id, service_time, outcome, &mut verdicts);
+        state.tell(verdicts);
+    }
+
+    fn reply(&self, outcome: AttemptOutcome) -> (AttemptReply, Bytes) {
+        let reply = AttemptReply { outcome, headers: Vec::new(), load: self.load(), routes: 0 };
+        (reply, Bytes::new())
+    }
+
+    /// Load of the gate, for the owners of requests.
+    fn load(&self) -> GateLoad {
+        let now = self.clock.now();
+        let state = self.lock();
+        let leaving = state.is_leaving || state.registry.serving().is_none();
+        let failing_permille = state.failures.permille(now);
+        GateLoad { leaving, failing_permille, ..state.admission.load(now) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl GateState {
+    /// Why a request gets no place at the gate.
+    fn refusal(&self, head: &MeshAttempt) -> Option<ErrorKind> {
+        if self.is_leaving {
+            return Some(ErrorKind::Leaving);
+        }
+        match self.registry.serving() {
+            Some(target) if target.service == head.service => None,
+            Some(_) => Some(ErrorKind::NoTarget),
+            None if self.registry.current().is_some_and(|it| it.is_draining) => {
+                Some(ErrorKind::Leaving)
+            }
+            None => Some(ErrorKind::NoTarget),
+        }
+    }
+
+    /// Refuses what waits for a slot: the target gets no new work.
+    fn refuse_waiting(&mut self) {
+        for (id, tx) in self.waiting.drain() {
+            let (error, retry_after) = (ErrorKind::Leaving, Duration::ZERO);
+            let _ = tx.send(Verdict::Shed { id, error, retry_after });
+        }
+    }
+
+    /// Passes verdicts on to those that wait. A verdict for one that has just given up is dropped;
+    /// its guard gives the slot back.
+    fn tell(&mut self, verdicts: Vec<Verdict>) {
+        for verdict in verdicts {
+            let id = match &verdict {
+                Verdict::Run(id) => *id,
+                Verdict::Shed { id, .. } => *id,
+            };
+            if let Some(tx) = self.waiting.remove(&id) {
+                let _ = tx.send(verdict);
+            }
+        }
+    }
+}
+
+fn refused(error: ErrorKind, retry_after: Option<Duration>) -> AttemptOutcome {
+    AttemptOutcome::RefusedByGate { error, retry_after }
+}
+
+/// How a run counts for the limit of concurrent runs. A rejection says nothing about it: a target
+/// also rejects at random while it has free slots.
+fn outcome_of(result: &TargetResult) -> RunOutcome {
+    match result {
+        TargetResult::Answered { .. } => RunOutcome::Answered,
+        _ => RunOutcome::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -0,0 +1,175 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pollenlever_core::id::NodeId;
+use tokio::time::timeout;
+
+use super::store_wait::StoreWait;
+use super::{MemberObject, MeshShared};
+use crate::store::{ABSENT, BoxObjectApi, NamedObject, ObjectList, Revision, StoreError};
+
+/// Kind of the objects by which nodes find each other.
+const MEMBERS_KIND: &str = "pollenlever-members";
+/// Longest time that one watch waits for a change.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest wait at the start for what an earlier process of this node has stored.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Keeps this node's object in the store, and learns of the other nodes from theirs.
+#[derive(Clone)]
+pub(super) struct MemberWatch {
+    pub(super) shared: Arc<MeshShared>,
+    pub(super) store: BoxObjectApi,
+}
+
+impl MemberWatch {
+    /// Learns of the other nodes for ever.
+    pub(super) async fn watch(self) {
+        let mut wait = StoreWait::default();
+        let mut since: Option<Revision> = None;
+        let mut known: BTreeMap<String, NodeId> = BTreeMap::new();
+        loop {
+            let read = match since {
+                Some(since) => self.store.watch(MEMBERS_KIND, since, WATCH_TIMEOUT).await,
+                None => self.store.list(MEMBERS_KIND).await,
+            };
+            match read {
+                Ok(list) => {
+                    if wait.reset() {
+                        log::info!("store regained kind={MEMBERS_KIND}");
+                    }
+                    if since.is_none() {
+                        self.forget_missing(&mut known, &list);
+                    }
+                    since = Some(list.revision);
+                    self.take(&mut known, &list);
+                }
+                Err(err) => {
+                    log::warn!(
+                        "store call failed kind={MEMBERS_KIND} reason={:?}",
+                        err.to_string()
+                    );
+                    if err == StoreError::HistoryGone {
+                        since = None;
+                    }
+                    wait.pause().await;
+                }
+            }
+        }
+    }
+
+    fn take(&self, known: &mut BTreeMap<String, NodeId>, list: &ObjectList) {
+        for object in &list.objects {
+            match MemberObject::from_value(&object.value) {
+                Some(member) => {
+                    let member = member.to_member();
+                    known.insert(object.name.clone(), member.node);
+                    self.shared.member_up(member);
+                }
+                None => log::warn!(
+                    "member object ignored reason=\"another form\" name={:?}",
+                    object.name
+                ),
+            }
+        }
+        for name in &list.deleted {
+            if let Some(node) = known.remove(name) {
+                self.shared.member_gone(node);
+            }
+        }
+    }
+
+    /// Forgets members whose objects were removed while nobody watched.
+    fn forget_missing(&self, known: &mut BTreeMap<String, NodeId>, list: &ObjectList) {
+        let is_listed = |name: &String| list.objects.iter().any(|it| it.name == *name);
+        let missing: Vec<String> = known.keys().filter(|it| !is_listed(it)).cloned().collect();
+        for name in missing {
+            if let Some(node) = known.remove(&name) {
+                self.shared.member_gone(node);
+            }
+        }
+    }
+
+    /// Keeps this node's object up to date for ever. First it reads what an earlier process of the
+    /// node has stored.
+    pub(super) async fn publish(self) {
+        let mut revision = match timeout(RECOVERY_TIMEOUT, self.recover()).await {
+            Ok(revision) => revision,
+            Err(_) => {
+                log::warn!("recovery given up reason=\"the store does not answer\"");
+                ABSENT
+            }
+        };
+        self.shared.set_recovered();
+        let mut wait = StoreWait::default();
+        loop {
+            if self.shared.is_leaving() {
+                return;
+            }
+            match self.put(revision).await {
+                Ok(written) => {
+                    wait.reset();
+                    revision = written;
+                    self.shared.own_changed.notified().await;
+                }
+                Err(StoreError::Conflict(current)) => revision = current.version,
+                Err(err) => {
+                    log::warn!("own object not stored reason={:?}", err.to_string());
+                    wait.pause().await;
+                }
+            }
+        }
+    }
+
+    /// Removes this node's object: the node has left in order.
+    pub(super) async fn retire(&self) {
+        let name = self.shared.settings().name;
+        let found = match self.store.get(MEMBERS_KIND, &name).await {
+            Ok(Some(found)) => found,
+            Ok(None) => return,
+            Err(err) => return log::warn!("own object not read reason={:?}", err.to_string()),
+        };
+        if let Err(err) = self.store.delete(MEMBERS_KIND, &name, found.version).await {
+            log::warn!("own object not removed reason={:?}", err.to_string());
+        }
+    }
+
+    async fn recover(&self) -> Revision {
+        let name = self.shared.settings().name;
+        let mut wait = StoreWait::default();
+        loop {
+            match self.store.get(MEMBERS_KIND, &name).await {
+                Ok(Some(found)) => {
+                    let object = NamedObject { name, version: found.version, value: found.value };
+                    self.note_target(&object);
+                    return found.version;
+                }
+                Ok(None) => return ABSENT,
+                Err(err) => {
+                    log::warn!("own object not read reason={:?}", err.to_string());
+                    wait.pause().await;
+                }
+            }
+        }
+    }
+
+    /// Remembers that the target has told an earlier process of this node that it leaves.
+    fn note_target(&self, object: &NamedObject) {
+        let stored = MemberObject::from_value(&object.value);
+        let target = stored.and_then(|it| it.target).filter(|it| it.is_leaving);
+        if let Some(target) = target {
+            log::info!("target known to leave instance={}", target.instance);
+            self.shared.gate.note_gone(target.instance.as_str().into(), target.started_ms);
+        }
+    }
+
+    async fn put(&self, revision: Revision) -> Result<Revision, StoreError> {
+        let settings = self.shared.settings();
+        let target = self.shared.gate.target().map(|(it, _)| it);
+        let object = MemberObject::new(&self.shared.own(), target.as_ref());
+        let value = serde_json::to_value(&object);
+        let value = value.map_err(|err| StoreError::Malformed(err.to_string()))?;
+        self.store.put(MEMBERS_KIND, &settings.name, revision, &value).await
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -0,0 +1,135 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use pollenlever_core::id::NodeId;
+use pollenlever_core::membership::Member;
+use tokio::net::TcpListener;
+use tokio::runtime::Handle;
+
+use super::control_server::serve_control;
+use super::edge_server::EdgeServer;
+use super::member_watch::MemberWatch;
+use super::mesh_handler::MeshHandler;
+use super::route_watch::RouteWatch;
+use super::{BoxMeshPlatform, MeshShared};
+use crate::node::NodeError;
+use crate::peer::{PeerClient, PeerOptions, PeerServer};
+use crate::settings::MeshSettings;
+
+/// Time for which a leaving node still takes requests: until its callers have noticed that it is
+/// not ready.
+const LINGER: Duration = Duration::from_millis(2600);
+/// Time before the end of the grace period at which a leaving node gives up its last requests.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks at whether requests are still open.
+const IDLE_CHECK: Duration = Duration::from_millis(50);
+/// Largest body between nodes, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 20;
+/// Random bits in an incarnation, below the time of the start.
+const RANDOM_BITS: u32 = 16;
+
+/// A running node of a mesh.
+pub struct MeshNode {
+    shared: Arc<MeshShared>,
+    members: MemberWatch,
+}
+
+impl MeshNode {
+    /// Binds the addresses and starts to serve on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeError`] if an address cannot be bound.
+    pub async fn start(
+        cfg: &MeshSettings,
+        platform: BoxMeshPlatform,
+    ) -> Result<MeshNode, NodeError> {
+        let me = NodeId { addr: cfg.peer, incarnation: draw_incarnation() };
+        let own = Member {
+            entry: cfg.callers,
+            region: cfg.region.as_str().into(),
+            zone: cfg.zone.as_str().into(),
+            ..Member::new(me)
+        };
+        let options = PeerOptions { local_ip: Some(cfg.peer.ip()), max_body_bytes: MAX_BODY_BYTES };
+        let peers = PeerClient::new(me, options, Handle::current());
+        let shared = Arc::new(MeshShared::new(cfg, own, platform.headers(), peers));
+        let peer_server = PeerServer {
+            me,
+            max_body_bytes: MAX_BODY_BYTES,
+            open_work: shared.open_work.clone(),
+            handler: Arc::new(MeshHandler { shared: Arc::clone(&shared) }),
+        };
+        tokio::spawn(Arc::new(peer_server).serve(bind(cfg.peer).await?));
+        let control = platform.control(Arc::clone(&shared));
+        for addr in [cfg.ready, cfg.control] {
+            tokio::spawn(serve_control(bind(addr).await?, Arc::clone(&control)));
+        }
+        let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
+        tokio::spawn(edge.serve(bind(cfg.callers).await?));
+        let members = MemberWatch { shared: Arc::clone(&shared), store: platform.store() };
+        tokio::spawn(members.clone().watch());
+        tokio::spawn(members.clone().publish());
+        tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
+        log::info!("node started node={me} name={} zone={}", cfg.name, cfg.zone);
+        Ok(MeshNode { shared, members })
+    }
+
+    /// What the parts of the node share.
+    pub fn shared(&self) -> &Arc<MeshShared> {
+        &self.shared
+    }
+
+    /// Takes changed settings into force.
+    pub fn reload(&self, cfg: MeshSettings) {
+        let before = self.shared.settings();
+        if before == cfg {
+            return;
+        }
+        let needs_restart = (before.callers, before.peer, before.target, before.store)
+            != (cfg.callers, cfg.peer, cfg.target, cfg.store);
+        if needs_restart {
+            log::warn!("changed addresses take effect at the next start");
+        }
+        log::info!("settings reloaded service={}", cfg.service);
+        self.shared.apply_settings(cfg);
+    }
+
+    /// Leaves: tells callers and nodes to go elsewhere, and ends what is open. Returns whether
+    /// everything ended within the grace period.
+    pub async fn leave(&self) -> bool {
+        let started = self.shared.clock.now();
+        let grace = self.shared.settings().stop_grace;
+        log::info!("node leaving grace_ms={}", grace.as_millis());
+        self.shared.start_leaving();
+        let members = self.members.clone();
+        tokio::spawn(async move { members.retire().await });
+        tokio::time::sleep(LINGER.min(grace / 2)).await;
+        self.shared.stop();
+        loop {
+            tokio::time::sleep(IDLE_CHECK).await;
+            let is_idle = self.shared.open_work.is_idle();
+            let elapsed = self.shared.clock.now().saturating_sub(started);
+            if is_idle || elapsed + EXIT_MARGIN >= grace {
+                // The last answers are on their way out.
+                tokio::time::sleep(IDLE_CHECK).await;
+                log::info!("node stopped idle={is_idle} after_ms={}", elapsed.as_millis());
+                return is_idle;
+            }
+        }
+    }
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener, NodeError> {
+    TcpListener::bind(addr).await.map_err(|source| NodeError::Bind { addr, source })
+}
+
+/// Draws the number of this start. It grows from start to start of a VM, so that others know which
+/// of two processes at one address is the later one.
+fn draw_incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let millis = since_epoch.as_millis() as u64;
+    let random = u64::from(rand::random::<u16>());
+    (millis << RANDOM_BITS) | random
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -0,0 +1,488 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use pollenlever_core::config::ServiceConfig;
+use pollenlever_core::id::{ANY_INCARNATION, NodeId, ServiceName};
+use pollenlever_core::membership::{Member, TargetState};
+use pollenlever_core::mesh::{
+    ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, MeshReply, MeshRequest,
+    RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+};
+use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
+use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
+use tokio::sync::{Notify, watch};
+
+use super::HeaderNames;
+use super::gate::Gate;
+use crate::node::{Clock, OpenWork};
+use crate::peer::PeerClient;
+use crate::settings::MeshSettings;
+
+/// Time over which a new target's share of load grows to its full value.
+const RAMP_UP: Duration = Duration::from_secs(3);
+/// Longest wait for the reply to an announcement or a question for routes.
+const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// First wait before a lost member is asked again; doubles with each try.
+const MIN_PROBE_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait between two tries.
+const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
+/// Tries after which a lost member is left to the store's list.
+const MAX_PROBES: u32 = 60;
+
+/// What the parts of a mesh node share.
+pub struct MeshShared {
+    /// This node.
+    pub(super) me: NodeId,
+    /// Names of headers.
+    pub(super) names: HeaderNames,
+    /// Clock of this node.
+    pub(super) clock: Clock,
+    /// The way to the target.
+    pub(super) gate: Arc<Gate>,
+    /// Streams to other nodes.
+    pub(super) peers: PeerClient,
+    /// Requests that are not yet answered.
+    pub(super) open_work: OpenWork,
+    /// Told when what the node says about itself has changed.
+    pub(super) own_changed: Notify,
+    state: Mutex<State>,
+    last_id: AtomicU64,
+    leaving: AtomicBool,
+    recovered: AtomicBool,
+    stopped: watch::Sender<bool>,
+}
+
+struct State {
+    settings: MeshSettings,
+    routes: Option<Arc<RouteTable>>,
+    splits: HashMap<Arc<str>, WeightedSplit>,
+    routing: TwoChoices,
+    members: MemberTable,
+    /// Members that do not answer, with whether the store still lists them.
+    lost: BTreeMap<SocketAddr, NodeId>,
+    budget: RetryBudget,
+    own: Member,
+}
+
+impl MeshShared {
+    pub(super) fn new(
+        cfg: &MeshSettings,
+        own: Member,
+        names: HeaderNames,
+        peers: PeerClient,
+    ) -> MeshShared {
+        let clock = Clock::default();
+        let me = own.node;
+        let routing = TwoChoices::new(
+            me,
+            own.region.clone(),
+            own.zone.clone(),
+            RoutingSettings { seed: me.incarnation, ..RoutingSettings::default() },
+        );
+        let state = State {
+            settings: cfg.clone(),
+            routes: None,
+            splits: HashMap::new(),
+            routing,
+            members: MemberTable::default(),
+            lost: BTreeMap::new(),
+            budget: RetryBudget::new(cfg.retries),
+            own,
+        };
+        MeshShared {
+            me,
+            gate: Arc::new(Gate::new(cfg.target, names.clone(), clock)),
+            names,
+            clock,
+            peers,
+            open_work: OpenWork::default(),
+            own_changed: Notify::new(),
+            state: Mutex::new(state),
+            last_id: AtomicU64::new(0),
+            leaving: AtomicBool::new(false),
+            recovered: AtomicBool::new(false),
+            stopped: watch::channel(false).0,
+        }
+    }
+
+    /// Whether callers may send new work: routes are known and the node is not leaving.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.lock().routes.is_some()
+    }
+
+    /// Whether the node knows what its target said to an earlier process of the node, or has given
+    /// up to learn it.
+    pub fn is_recovered(&self) -> bool {
+        self.recovered.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_recovered(&self) {
+        self.recovered.store(true, Ordering::Relaxed);
+    }
+
+    /// Takes what the target says about itself.
+    pub fn target_report(self: &Arc<MeshShared>, report: TargetReport) {
+        let text = format!(
+            "instance={} started={} sequence={}",
+            report.instance, report.started, report.sequence
+        );
+        let change = self.gate.report(report);
+        self.note_target(change, &text);
+    }
+
+    /// Takes the word of the target that it is gone.
+    pub fn target_left(self: &Arc<MeshShared>, instance: &InstanceId, started: Option<StartTime>) {
+        let change = self.gate.leave(instance, started);
+        self.note_target(change, &format!("instance={instance}"));
+    }
+
+    fn note_target(self: &Arc<MeshShared>, change: RegistryChange, what: &str) {
+        match change {
+            RegistryChange::Opened => log::info!("target ready {what}"),
+            RegistryChange::Closed => log::info!("target leaving {what}"),
+            RegistryChange::Stale => log::info!("target report ignored reason=stale {what}"),
+            RegistryChange::Refreshed => {}
+        }
+        if matches!(change, RegistryChange::Opened | RegistryChange::Closed) {
+            self.refresh_own();
+        }
+    }
+
+    /// Brings what the node says about itself up to date and tells the others.
+    pub(super) fn refresh_own(self: &Arc<MeshShared>) {
+        let target = self.gate.target();
+        let own = {
+            let mut state = self.lock();
+            let own = &mut state.own;
+            own.version += 1;
+            match target {
+                Some((report, serves)) => {
+                    own.service = Some(report.service);
+                    own.slots = report.slots;
+                    own.state = match (serves, report.cold_for.is_zero()) {
+                        (true, true) => TargetState::Ready,
+                        (true, false) => TargetState::Cold,
+                        (false, _) => TargetState::Leaving,
+                    };
+                }
+                None => own.state = TargetState::Absent,
+            }
+            own.clone()
+        };
+        let now = self.clock.now();
+        self.lock().routing.members_up(now, std::slice::from_ref(&own));
+        self.own_changed.notify_one();
+        self.announce_to_all();
+    }
+
+    /// What the node says about itself.
+    pub(super) fn own(&self) -> Member {
+        self.lock().own.clone()
+    }
+
+    /// Service beside this node.
+    pub(super) fn own_service(&self) -> ServiceName {
+        self.lock().settings.service.as_str().into()
+    }
+
+    /// Settings in force.
+    pub(super) fn settings(&self) -> MeshSettings {
+        self.lock().settings.clone()
+    }
+
+    /// Takes changed settings into force, as far as a running node can.
+    pub(super) fn apply_settings(&self, cfg: MeshSettings) {
+        let mut state = self.lock();
+        if state.settings.retries != cfg.retries {
+            state.budget = RetryBudget::new(cfg.retries);
+        }
+        state.settings = cfg;
+    }
+
+    /// The routes in force.
+    pub(super) fn routes(&self) -> Option<Arc<RouteTable>> {
+        self.lock().routes.clone()
+    }
+
+    /// Version of the routes in force; 0 if there are none.
+    pub(super) fn route_version(&self) -> RouteVersion {
+        self.lock().routes.as_ref().map_or(0, |it| it.version)
+    }
+
+    /// Takes routes into force unless later ones are.
+    pub(super) fn apply_routes(&self, table: RouteTable, source: &str) {
+        let mut state = self.lock();
+        let known = state.routes.as_ref().map_or(0, |it| it.version);
+        if table.version <= known && state.routes.is_some() {
+            return;
+        }
+        log::info!("routes in force version={} before={known} source={source}", table.version);
+        for service in &table.services {
+            let cfg = ServiceConfig {
+                service: service.service.clone(),
+                version: table.version,
+                ramp_up: RAMP_UP,
+                ..ServiceConfig::default()
+            };
+            state.routing.configure(Arc::new(cfg));
+        }
+        let is_kept = |name: &Arc<str>, split: &mut WeightedSplit| {
+            let route = table.routes.iter().find(|it| it.name == *name);
+            route.is_some_and(|it| split.is_of(&it.services))
+        };
+        state.splits.retain(is_kept);
+        state.routes = Some(Arc::new(table));
+    }
+
+    /// Limits of callers' connections.
+    pub(super) fn client_limits(&self) -> ClientLimits {
+        self.lock().routes.as_ref().map_or_else(ClientLimits::default, |it| it.limits)
+    }
+
+    /// The service that runs the next request of a route.
+    pub(super) fn choose_service(&self, route: &HttpRoute) -> Option<ServiceName> {
+        if let [only] = &route.services[..] {
+            return Some(only.service.clone());
+        }
+        let mut state = self.lock();
+        let split = state.splits.entry(route.name.clone());
+        let phase = || rand::random_range(0.0..1.0);
+        split.or_insert_with(|| WeightedSplit::new(&route.services, phase())).choose()
+    }
+
+    /// The gate of an attempt.
+    pub(super) fn choose_gate(&self, req: &RouteRequest<'_>) -> Result<NodeId, NoRoute> {
+        let now = self.clock.now();
+        self.lock().routing.choose(now, req)
+    }
+
+    /// Counts a request that this node owns.
+    pub(super) fn count_request(&self, service: &ServiceName) {
+        let now = self.clock.now();
+        self.lock().budget.count_request(now, service);
+    }
+
+    /// Takes a retry from the budget. Returns whether there was one.
+    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let nodes = state.members.len() + state.lost.len() + 1;
+        state.budget.take(now, service, nodes)
+    }
+
+    /// Notes that an attempt is sent; the guard takes how it ended.
+    pub(super) fn note_sent(self: &Arc<MeshShared>, gate: NodeId, bytes: u64) -> SentAttempt {
+        let now = self.clock.now();
+        self.lock().routing.sent(now, gate, bytes);
+        SentAttempt { shared: Arc::clone(self), gate, sent: now, is_open: true }
+    }
+
+    /// Draws a number that this process has not drawn before.
+    pub(super) fn draw_id(&self) -> u64 {
+        self.last_id.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Takes what a member says about itself.
+    pub(super) fn member_up(&self, member: Member) {
+        if member.node.addr == self.me.addr {
+            return;
+        }
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let changes = state.members.up(member);
+        for change in &changes {
+            if let MemberChange::Up(member) = change {
+                log::info!(
+                    "member up node={} service={} state={:?}",
+                    member.node,
+                    member.service.as_deref().unwrap_or("none"),
+                    member.state
+                );
+                state.lost.remove(&member.node.addr);
+            }
+        }
+        state.apply(now, changes);
+    }
+
+    /// Takes the news that a member has left.
+    pub(super) fn member_gone(&self, node: NodeId) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.lost.retain(|_, lost| *lost != node);
+        let changes = state.members.gone(node);
+        if changes.is_some() {
+            log::info!("member gone node={node} source=store");
+        }
+        state.apply(now, changes.into_iter().collect());
+    }
+
+    /// Takes a member that does not answer out of use and asks it again until it does.
+    pub(super) fn member_lost(self: &Arc<MeshShared>, node: NodeId) {
+        let now = self.clock.now();
+        {
+            let mut state = self.lock();
+            let changes = state.members.gone(node);
+            if changes.is_none() {
+                return;
+            }
+            log::info!("member lost node={node} reason=\"no reply\"");
+            state.lost.insert(node.addr, node);
+            state.apply(now, changes.into_iter().collect());
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move { shared.probe(node.addr).await });
+    }
+
+    /// Another process has the member's address: asks it who it is.
+    pub(super) fn member_replaced(self: &Arc<MeshShared>, node: NodeId) {
+        self.member_lost(node);
+    }
+
+    async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
+        let mut pause = MIN_PROBE_PAUSE;
+        for _ in 0..MAX_PROBES {
+            if !self.lock().lost.contains_key(&addr) || self.is_leaving() {
+                return;
+            }
+            self.announce(addr).await;
+            let spread = rand::random_range(0.75..1.25);
+            tokio::time::sleep(pause.mul_f64(spread)).await;
+            pause = (pause * 2).min(MAX_PROBE_PAUSE);
+        }
+    }
+
+    fn announce_to_all(self: &Arc<MeshShared>) {
+        let addrs: Vec<SocketAddr> = self.lock().members.iter().map(|it| it.node.addr).collect();
+        for addr in addrs {
+            let shared = Arc::clone(self);
+            tokio::spawn(async move { shared.announce(addr).await });
+        }
+    }
+
+    /// Tells the node at an address about this one and hears about it in return.
+    async fn announce(self: &Arc<MeshShared>, addr: SocketAddr) {
+        let req = MeshRequest::Announce(self.own(), self.route_version());
+        match self.ask(addr, req).await {
+            Some(MeshReply::Announced(member, routes)) => {
+                let node = member.node;
+                self.member_up(member);
+                self.note_routes(node, routes);
+            }
+            Some(reply) => log::warn!("unexpected reply node={addr} reply={reply:?}"),
+            None => {}
+        }
+    }
+
+    /// Notes the version of another node's routes and asks for them if they are newer.
+    pub(super) fn note_routes(self: &Arc<MeshShared>, node: NodeId, version: RouteVersion) {
+        let known = self.route_version();
+        if version <= known {
+            return;
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            let reply = shared.ask(node.addr, MeshRequest::Routes(known)).await;
+            if let Some(MeshReply::Routes(Some(table))) = reply {
+                shared.apply_routes(table, "peer");
+            }
+        });
+    }
+
+    async fn ask(&self, addr: SocketAddr, req: MeshRequest) -> Option<MeshReply> {
+        let to = NodeId { addr, incarnation: ANY_INCARNATION };
+        let asked = self.peers.exchange(to, PeerRequest::Mesh(req), Bytes::new());
+        match tokio::time::timeout(NEWS_TIMEOUT, asked).await {
+            Ok(Ok((PeerReply::Mesh(reply), _))) => Some(reply),
+            Ok(Ok((reply, _))) => {
+                log::warn!("unexpected reply node={addr} reply={reply:?}");
+                None
+            }
+            Ok(Err(err)) => {
+                log::debug!("no reply node={addr} reason={:?}", err.reason);
+                None
+            }
+            Err(_) => {
+                log::debug!("no reply node={addr} reason=timeout");
+                None
+            }
+        }
+    }
+
+    /// Whether the node is asked to leave.
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Refuses work of other nodes from now on and tells callers to go elsewhere.
+    pub(super) fn start_leaving(self: &Arc<MeshShared>) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.gate.close();
+        self.refresh_own();
+    }
+
+    /// Takes no new requests of callers from now on.
+    pub(super) fn stop(&self) {
+        self.stopped.send_replace(true);
+    }
+
+    /// Resolves once no new requests are taken.
+    pub(super) async fn until_stopped(&self) {
+        let mut stopped = self.stopped.subscribe();
+        // The sender lives as long as this node, so the wait cannot fail.
+        let _ = stopped.wait_for(|it| *it).await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn apply(&mut self, now: Duration, changes: Vec<MemberChange>) {
+        for change in changes {
+            match change {
+                MemberChange::Up(member) => self.routing.members_up(now, &[member]),
+                MemberChange::Gone(node) => self.routing.members_gone(now, &[node]),
+            }
+        }
+    }
+}
+
+/// An attempt that was sent and has not ended; dropped, it counts as given up.
+pub(super) struct SentAttempt {
+    shared: Arc<MeshShared>,
+    gate: NodeId,
+    sent: Duration,
+    is_open: bool,
+}
+
+impl SentAttempt {
+    /// Notes the reply.
+    pub(super) fn replied(mut self, load: &GateLoad, bytes: u64) {
+        self.is_open = false;
+        let now = self.shared.clock.now();
+        let latency = now.saturating_sub(self.sent);
+        self.shared.lock().routing.replied(now, self.gate, latency, load, bytes);
+    }
+
+    /// Notes that there was no reply.
+    pub(super) fn failed(mut self) {
+        self.is_open = false;
+        let now = self.shared.clock.now();
+        self.shared.lock().routing.failed(now, self.gate);
+        self.shared.member_lost(self.gate);
+    }
+}
+
+impl Drop for SentAttempt {
+    fn drop(&mut self) {
+        if self.is_open {
+            let now = self.shared.clock.now();
+            self.shared.lock().routing.cancelled(now, self.gate);
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -0,0 +1,33 @@
+//! A node that carries the HTTP traffic of a service mesh: callers and the target on its own VM
+//! send requests to it, and it alone hands requests to that target.
+
+mod control_server;
+mod edge_answer;
+mod edge_server;
+mod failure_rate;
+mod forwarded_headers;
+mod gate;
+mod hangup_io;
+mod header_names;
+mod member_object;
+mod member_watch;
+mod mesh_handler;
+mod mesh_node;
+mod mesh_platform;
+mod mesh_shared;
+mod owner;
+mod route_watch;
+mod run_mesh;
+mod slot_guard;
+mod store_wait;
+mod target_client;
+mod target_connection;
+mod target_result;
+
+pub use control_server::{BoxControlHandler, ControlAnswer, ControlHandler};
+pub use header_names::HeaderNames;
+pub use member_object::{MemberObject, TargetIdentity};
+pub use mesh_node::MeshNode;
+pub use mesh_platform::{BoxMeshPlatform, MeshPlatform, RouteFault};
+pub use mesh_shared::MeshShared;
+pub use run_mesh::run_mesh;
--- /dev/null
+++ b/crates/pollenlever/src/mesh/run_mesh.rs
@@ -0,0 +1,48 @@
+use std::path::Path;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use super::{BoxMeshPlatform, MeshNode};
+use crate::node::NodeError;
+use crate::settings::MeshSettings;
+
+/// Time between two looks at whether the settings file has changed.
+const RELOAD_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Runs a mesh node until it is asked to leave. SIGHUP and a changed file reload the settings.
+///
+/// # Errors
+///
+/// [`NodeError`] if the node cannot start.
+pub fn run_mesh(
+    path: &Path,
+    cfg: &MeshSettings,
+    platform: BoxMeshPlatform,
+) -> Result<(), NodeError> {
+    let thread_error = |source| NodeError::Thread { thread: "mesh", source };
+    let runtime = Builder::new_current_thread().enable_all().build().map_err(thread_error)?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate()).map_err(thread_error)?;
+        let mut hup = signal(SignalKind::hangup()).map_err(thread_error)?;
+        let node = MeshNode::start(cfg, platform).await?;
+        until_term(&node, path, &mut term, &mut hup).await;
+        node.leave().await;
+        Ok(())
+    })
+}
+
+async fn until_term(node: &MeshNode, path: &Path, term: &mut Signal, hup: &mut Signal) {
+    loop {
+        tokio::select! {
+            _ = term.recv() => return,
+            _ = hup.recv() => log::info!("reload asked"),
+            () = tokio::time::sleep(RELOAD_INTERVAL) => {}
+        }
+        match MeshSettings::load(path) {
+            Ok(cfg) => node.reload(cfg),
+            Err(err) => log::error!("settings not reloaded reason={:?}", err.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -0,0 +1,168 @@
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::CONTENT_ENCODING;
+use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use pollenlever_core::mesh::{InstanceId, MeshAttempt};
+
+use super::target_connection::TargetConnection;
+use super::target_result::TargetResult;
+use super::{HeaderNames, forwarded_headers};
+
+/// Unused connections that are kept.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Time for which a connection may be unused before a request that must not run twice is sent on
+/// it: a connection that is just being closed would leave its outcome unknown.
+const MAX_IDLE_ONCE: Duration = Duration::from_secs(1);
+/// Largest answer of a target, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// Hands requests to the target beside the node.
+#[derive(Debug)]
+pub(super) struct TargetClient {
+    addr: SocketAddr,
+    names: HeaderNames,
+    idle: Mutex<Vec<TargetConnection>>,
+}
+
+impl TargetClient {
+    pub(super) fn new(addr: SocketAddr, names: HeaderNames) -> TargetClient {
+        TargetClient { addr, names, idle: Mutex::default() }
+    }
+
+    /// Runs a request on `instance`. Dropping the future closes the connection.
+    pub(super) async fn run(
+        &self,
+        instance: &InstanceId,
+        head: &MeshAttempt,
+        time_left: Duration,
+        body: Bytes,
+    ) -> TargetResult {
+        let req = match self.request(instance, head, time_left, body) {
+            Ok(req) => req,
+            Err(reason) => return TargetResult::Unreachable(reason),
+        };
+        let mut connection = match self.connection(head.idempotent).await {
+            Ok(connection) => connection,
+            Err(reason) => return TargetResult::Unreachable(reason),
+        };
+        let response = match connection.send(req).await {
+            Ok(response) => response,
+            Err(err) => return broken(&err),
+        };
+        self.read(connection, head, response).await
+    }
+
+    /// Closes all unused connections: the target was replaced.
+    pub(super) fn forget_connections(&self) {
+        self.idle().clear();
+    }
+
+    async fn connection(&self, idempotent: bool) -> Result<TargetConnection, String> {
+        let max_idle = if idempotent { Duration::MAX } else { MAX_IDLE_ONCE };
+        loop {
+            let popped = self.idle().pop();
+            match popped {
+                Some(connection) if connection.is_usable(max_idle) => return Ok(connection),
+                Some(connection) if connection.is_usable(Duration::MAX) => {
+                    self.idle().insert(0, connection);
+                    break;
+                }
+                Some(_) => {}
+                None => break,
+            }
+        }
+        TargetConnection::open(self.addr).await
+    }
+
+    fn request(
+        &self,
+        instance: &InstanceId,
+        head: &MeshAttempt,
+        time_left: Duration,
+        body: Bytes,
+    ) -> Result<Request<Full<Bytes>>, String> {
+        let method = Method::from_bytes(head.method.as_bytes()).map_err(|err| err.to_string())?;
+        let uri: Uri = head.path.parse().map_err(|err| format!("{err}"))?;
+        let mut req = Request::new(Full::new(body));
+        *req.method_mut() = method;
+        *req.uri_mut() = uri;
+        let headers = req.headers_mut();
+        forwarded_headers::add_to(headers, &head.headers);
+        let value = |text: &str| HeaderValue::from_str(text).map_err(|err| err.to_string());
+        headers.insert(&self.names.expected_instance, value(instance)?);
+        headers.insert(&self.names.caller_service, value(&head.caller)?);
+        headers.insert(
+            &self.names.deadline_ms,
+            time_left.as_millis().to_string().parse().expect("digits"),
+        );
+        Ok(req)
+    }
+
+    async fn read(
+        &self,
+        mut connection: TargetConnection,
+        head: &MeshAttempt,
+        response: Response<Incoming>,
+    ) -> TargetResult {
+        let (parts, body) = response.into_parts();
+        let status = parts.status.as_u16();
+        if let Some(reason) = self.mismatch(head, &parts.headers, status) {
+            return TargetResult::Unknown(reason);
+        }
+        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+        let body = match collected {
+            Ok(body) => body.to_bytes(),
+            Err(err) => {
+                let reason = format!("answer cut: {err}");
+                return TargetResult::Unknown(reason);
+            }
+        };
+        if connection.rest(&parts.headers).await {
+            let mut idle = self.idle();
+            if idle.len() < MAX_IDLE_CONNECTIONS {
+                idle.push(connection);
+            }
+        }
+        if status == 421 {
+            return TargetResult::WrongInstance;
+        }
+        if parts.headers.contains_key(&self.names.not_run) {
+            return TargetResult::Rejected(status);
+        }
+        let headers = forwarded_headers::passed_on(&parts.headers);
+        TargetResult::Answered { status, headers, body }
+    }
+
+    /// Why an answer is not the target's answer to this request, if it is not.
+    fn mismatch(&self, head: &MeshAttempt, headers: &HeaderMap, status: u16) -> Option<String> {
+        let says_not_run = status == 421 || headers.contains_key(&self.names.not_run);
+        match headers.get(&self.names.request_id).map(HeaderValue::as_bytes) {
+            Some(id) if id == head.request_id.as_bytes() => {}
+            None if says_not_run => {}
+            Some(_) => return Some("answer to another request".to_owned()),
+            None => return Some("answer without a request id".to_owned()),
+        }
+        let is_success = (200..300).contains(&status);
+        if is_success && !headers.contains_key(&self.names.answer_proof) {
+            return Some("success without the target's proof".to_owned());
+        }
+        headers.contains_key(CONTENT_ENCODING).then(|| "answer with an encoding".to_owned())
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<TargetConnection>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A send that ended without the head of an answer.
+fn broken(err: &hyper::Error) -> TargetResult {
+    if err.is_canceled() {
+        return TargetResult::Unreachable("connection closed before the request".to_owned());
+    }
+    TargetResult::Unknown(err.to_string())
+}
--- /dev/null
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -0,0 +1,78 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Longest wait for a new connection to the target.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which an unused connection is kept if the target does not say how long it does.
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
+/// Time before the target's own limit at which an unused connection is given up.
+const IDLE_MARGIN: Duration = Duration::from_millis(1500);
+
+/// An open connection to the target beside the node.
+#[derive(Debug)]
+pub(super) struct TargetConnection {
+    sender: SendRequest<Full<Bytes>>,
+    idle_since: Instant,
+    idle_limit: Duration,
+}
+
+impl TargetConnection {
+    /// Connects. Dropping the connection closes it, also while the target works.
+    pub(super) async fn open(addr: SocketAddr) -> Result<TargetConnection, String> {
+        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
+        let io = connect.map_err(|_| "connect timed out".to_owned())?;
+        let io = io.map_err(|err| err.to_string())?;
+        if let Err(err) = io.set_nodelay(true) {
+            log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
+        }
+        let (sender, driver) = handshake(TokioIo::new(io)).await.map_err(|err| err.to_string())?;
+        tokio::spawn(async move {
+            if let Err(err) = driver.await {
+                log::debug!("connection to the target ended reason={:?}", err.to_string());
+            }
+        });
+        Ok(TargetConnection { sender, idle_since: Instant::now(), idle_limit: DEFAULT_IDLE })
+    }
+
+    /// Whether another request can be sent without meeting a connection that is being closed.
+    pub(super) fn is_usable(&self, max_idle: Duration) -> bool {
+        let idle = self.idle_since.elapsed();
+        self.sender.is_ready() && idle < self.idle_limit.min(max_idle)
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    pub(super) async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.sender.send_request(req).await
+    }
+
+    /// Notes that an answer was read whole. Returns whether the connection may be kept.
+    pub(super) async fn rest(&mut self, headers: &HeaderMap) -> bool {
+        self.idle_since = Instant::now();
+        if let Some(timeout) = keep_alive_timeout(headers) {
+            self.idle_limit = timeout.saturating_sub(IDLE_MARGIN);
+        }
+        let asks_to_close = headers
+            .get_all(http::header::CONNECTION)
+            .iter()
+            .any(|it| it.to_str().is_ok_and(|it| it.to_ascii_lowercase().contains("close")));
+        !asks_to_close && !self.sender.is_closed()
+    }
+}
+
+/// The time that `Keep-Alive: timeout=SECONDS` gives.
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|it| it.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- a/crates/pollenlever/src/node/open_work.rs
+++ b/crates/pollenlever/src/node/open_work.rs
@@ -33,10 +33,15 @@
         OpenWorkGuard { open: Arc::clone(&self.open) }
     }
 
+    /// Whether every reply is written.
+    pub fn is_idle(&self) -> bool {
+        self.open.load(Ordering::Relaxed) == 0
+    }
+
     /// Waits until every reply is written. Returns whether that was so within `timeout`.
     pub fn wait_idle(&self, timeout: Duration) -> bool {
         let start = Instant::now();
-        while self.open.load(Ordering::Relaxed) > 0 {
+        while !self.is_idle() {
             if start.elapsed() >= timeout {
                 return false;
             }
--- a/crates/pollenlever/src/node/peer_thread.rs
+++ b/crates/pollenlever/src/node/peer_thread.rs
@@ -4,9 +4,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::NodeError;
 use super::network_thread::NetworkThread;
 use super::shared::Shared;
+use super::{NodeError, PolicyHandler};
 use crate::control::{BoxControl, Control};
 use crate::peer::{PeerClient, PeerCommand, PeerOptions, PeerServer, run_exchanges};
 use crate::settings::Settings;
@@ -32,13 +32,16 @@
         let client = PeerClient::new(shared.me, options, thread.handle().clone());
         let sender = Arc::new(client.clone());
         let control = Control::spawn(cfg, shared.me, sender, shared.events.clone())?;
+        let handler = PolicyHandler {
+            events: shared.events.clone(),
+            streams: Arc::clone(&shared.streams),
+            control: Arc::clone(&control),
+        };
         let server = PeerServer {
             me: shared.me,
             max_body_bytes: options.max_body_bytes,
             open_work: shared.open_work.clone(),
-            events: shared.events.clone(),
-            streams: Arc::clone(&shared.streams),
-            control: Arc::clone(&control),
+            handler: Arc::new(handler),
         };
         let listener = bind(cfg.peer, &thread)?;
         thread.spawn(Arc::new(server).serve(listener));
--- a/crates/pollenlever/src/peer/connection.rs
+++ b/crates/pollenlever/src/peer/connection.rs
@@ -10,7 +10,7 @@
 use super::liveness::{Liveness, StreamGuard};
 
 /// Longest wait for a new connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Flow-control window of one stream, in bytes.
 pub(super) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
 /// Flow-control window of one connection, in bytes.
--- a/crates/pollenlever/src/peer/liveness.rs
+++ b/crates/pollenlever/src/peer/liveness.rs
@@ -4,20 +4,21 @@
 
 use h2::PingPong;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use super::unusable::Unusable;
 use super::watched_io::WatchedIo;
 
 /// Silence on a connection with work after which it is pinged.
-const PING_AFTER: Duration = Duration::from_millis(500);
+const PING_AFTER: Duration = Duration::from_millis(300);
 /// Longest wait for the answer to a ping.
-const PONG_TIMEOUT: Duration = Duration::from_secs(1);
+const PONG_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time without work and signs of life after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Stands for a connection on which no stream waits.
 const NOT_WAITING: u64 = u64::MAX;
-/// Interval at which connections are checked for silence.
-const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest time between two checks of a connection for silence.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// When a connection last carried something from its peer, and how much work waits on it.
 #[derive(Debug, Clone)]
@@ -32,6 +33,8 @@
     /// Since when a stream has waited for a sign of life; [`NOT_WAITING`] if none does.
     waiting_since_ms: AtomicU64,
     streams: AtomicUsize,
+    /// Told when a stream is opened.
+    opened: Notify,
 }
 
 /// Counts one stream of a connection as long as it lives.
@@ -47,6 +50,7 @@
             last_read_ms: AtomicU64::new(0),
             waiting_since_ms: AtomicU64::new(NOT_WAITING),
             streams: AtomicUsize::new(0),
+            opened: Notify::new(),
         };
         Liveness { state: Arc::new(state) }
     }
@@ -56,6 +60,7 @@
     pub(super) fn open_stream(&self) -> StreamGuard {
         self.state.streams.fetch_add(1, Ordering::Relaxed);
         self.state.start_waiting();
+        self.state.opened.notify_one();
         StreamGuard { state: Arc::clone(&self.state) }
     }
 
@@ -68,7 +73,7 @@
     /// it has had no work for long.
     pub(super) async fn until_unusable(&self, mut pings: PingPong) -> Unusable {
         loop {
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            self.state.until_check().await;
             if self.state.has_streams() {
                 self.state.start_waiting();
             }
@@ -92,6 +97,20 @@
         self.start.elapsed().as_millis() as u64
     }
 
+    /// Sleeps until the connection may have been silent for too long. Without work that is when a
+    /// stream is opened or the connection has been idle for too long.
+    async fn until_check(&self) {
+        if let Some(waiting) = self.waiting() {
+            let left = PING_AFTER.saturating_sub(waiting).max(MIN_CHECK_INTERVAL);
+            return tokio::time::sleep(left).await;
+        }
+        let left = IDLE_TIMEOUT.saturating_sub(self.since_read()).max(MIN_CHECK_INTERVAL);
+        tokio::select! {
+            () = self.opened.notified() => {}
+            () = tokio::time::sleep(left) => {}
+        }
+    }
+
     fn has_streams(&self) -> bool {
         self.streams.load(Ordering::Relaxed) > 0
     }
--- a/crates/pollenlever/src/peer/peer_server.rs
+++ b/crates/pollenlever/src/peer/peer_server.rs
@@ -1,19 +1,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use bytes::Bytes;
 use h2::server;
 use pollenlever_core::id::NodeId;
-use pollenlever_core::message::PeerReply;
-use pollenlever_core::policy::Event;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::BoxPeerHandler;
 use super::connection::{CONNECTION_WINDOW_BYTES, STREAM_WINDOW_BYTES};
 use super::liveness::Liveness;
 use super::serve_stream::serve_stream;
-use crate::control::BoxControl;
-use crate::node::{OpenWork, Waiters};
-use crate::ring::Ring;
+use crate::node::OpenWork;
 
 /// Streams that a peer may have open on one connection.
 const MAX_STREAMS: u32 = 4096;
@@ -24,14 +20,10 @@
     pub me: NodeId,
     /// Largest body.
     pub max_body_bytes: usize,
-    /// Where requests go.
-    pub events: Ring<Event>,
-    /// Streams that wait for a reply of the policy.
-    pub streams: Arc<Waiters<(PeerReply, Bytes)>>,
+    /// Decides about requests.
+    pub handler: BoxPeerHandler,
     /// Replies that are not yet written.
     pub open_work: OpenWork,
-    /// Takes gossip and configuration.
-    pub control: BoxControl,
 }
 
 impl PeerServer {
--- a/crates/pollenlever/src/peer/serve_stream.rs
+++ b/crates/pollenlever/src/peer/serve_stream.rs
@@ -6,13 +6,12 @@
 use http::{Request, Response};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::ANY_INCARNATION;
+use pollenlever_core::mesh::MeshRequest;
 use pollenlever_core::message::{PROTOCOL_VERSION, PeerReply, PeerRequest};
-use pollenlever_core::policy::Event;
 
 use super::message_io::{recv_message, send_message, stream_error};
 use super::{PeerServer, ReplyFrame, RequestFrame, WireError};
 use super::{decode_request, encode_reply};
-use crate::control::ControlInput;
 
 /// Reads the request on a stream, has it decided and writes the reply.
 pub(super) async fn serve_stream(
@@ -46,44 +45,23 @@
     body: Bytes,
     respond: &mut SendResponse<Bytes>,
 ) -> Option<(PeerReply, Bytes)> {
-    let is_control = matches!(frame.request, PeerRequest::Gossip(_) | PeerRequest::Config(_));
-    let is_for_any = is_control && frame.to == ANY_INCARNATION;
+    let is_for_any = frame.to == ANY_INCARNATION && is_open_to_any(&frame.request);
     if frame.to != server.me.incarnation && !is_for_any {
         return Some((PeerReply::Refused(ErrorKind::WrongIncarnation), Bytes::new()));
     }
-    match frame.request {
-        PeerRequest::Gossip(message) => {
-            let reply = server.control.receive(frame.from, ControlInput::Gossip(message));
-            Some((control_reply(reply), Bytes::new()))
-        }
-        PeerRequest::Config(message) => {
-            let reply = server.control.receive(frame.from, ControlInput::Config(message));
-            Some((control_reply(reply), Bytes::new()))
-        }
-        req => {
-            let (stream, reply) = server.streams.register();
-            let event = Event::Request { stream, from: frame.from, req, body };
-            if server.events.push(event).is_err() {
-                server.streams.forget(stream);
-                return Some((PeerReply::Refused(ErrorKind::QueueFull), Bytes::new()));
-            }
-            tokio::select! {
-                biased;
-                reply = reply => reply.ok(),
-                _ = poll_fn(|cx| respond.poll_reset(cx)) => {
-                    server.streams.forget(stream);
-                    crate::node::report(&server.events, Event::RequestCancelled(stream)).await;
-                    None
-                }
-            }
-        }
+    tokio::select! {
+        biased;
+        reply = server.handler.handle(frame.from, frame.request, body) => reply,
+        _ = poll_fn(|cx| respond.poll_reset(cx)) => None,
     }
 }
 
-fn control_reply(reply: ControlInput) -> PeerReply {
-    match reply {
-        ControlInput::Gossip(message) => PeerReply::Gossip(message),
-        ControlInput::Config(message) => PeerReply::Config(message),
+/// Whether a request may be taken by whichever process has the address.
+fn is_open_to_any(req: &PeerRequest) -> bool {
+    match req {
+        PeerRequest::Gossip(_) | PeerRequest::Config(_) => true,
+        PeerRequest::Mesh(req) => !matches!(req, MeshRequest::Attempt(_)),
+        _ => false,
     }
 }
 
--- a/crates/pollenlever/src/settings/mod.rs
+++ b/crates/pollenlever/src/settings/mod.rs
@@ -1,11 +1,13 @@
 //! Settings of the daemon, in INI.
 
 pub mod ini;
+mod mesh_settings;
 mod parse;
 mod policy_name;
 mod settings;
 mod settings_error;
 
+pub use mesh_settings::MeshSettings;
 pub use policy_name::PolicyName;
 pub use settings::Settings;
 pub use settings_error::SettingsError;
--- a/crates/pollenlever/src/store/object.rs
+++ b/crates/pollenlever/src/store/object.rs
@@ -30,4 +30,7 @@
     pub revision: Revision,
     /// The objects in order of their names.
     pub objects: Vec<NamedObject>,
+    /// Names of objects that were removed since the watch began.
+    #[serde(default)]
+    pub deleted: Vec<String>,
 }
--- a/crates/pollenlever/src/store/object_api.rs
+++ b/crates/pollenlever/src/store/object_api.rs
@@ -25,6 +25,9 @@
         value: &Value,
     ) -> StoreFuture<Revision>;
 
+    /// Removes an object if its version is `expected`.
+    fn delete(&self, kind: &str, name: &str, expected: Revision) -> StoreFuture<()>;
+
     /// Reads all objects of a kind.
     fn list(&self, kind: &str) -> StoreFuture<ObjectList>;
 
--- a/crates/pollenlever/src/store/store_client.rs
+++ b/crates/pollenlever/src/store/store_client.rs
@@ -96,6 +96,19 @@
         })
     }
 
+    fn delete(&self, kind: &str, name: &str, expected: Revision) -> StoreFuture<()> {
+        let req = self.http.delete(self.object_url(kind, name)).timeout(CALL_TIMEOUT);
+        let req = req.header("if-match", expected.to_string());
+        Box::pin(async move {
+            let response = send(req).await?;
+            match response.status() {
+                StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict(read(response).await?)),
+                StatusCode::NOT_FOUND => Ok(()),
+                _ => decode::<Written>(response).await.map(drop),
+            }
+        })
+    }
+
     fn list(&self, kind: &str) -> StoreFuture<ObjectList> {
         let url = format!("{}/v1/objects/{kind}", self.base);
         let req = self.http.get(url).timeout(CALL_TIMEOUT);
--- a/crates/pollenlever/src/store/store_error.rs
+++ b/crates/pollenlever/src/store/store_error.rs
@@ -20,6 +20,9 @@
     /// The call may have taken effect and its answer was lost.
     #[error("the store's answer was lost: {0}")]
     Lost(String),
+    /// The store no longer holds the history that a watch asks for; nothing was read.
+    #[error("the store's history does not reach back that far; list the objects again")]
+    HistoryGone,
     /// The store answered in a form that this client does not know.
     #[error("unexpected answer of the store: {0}")]
     Malformed(String),
--- a/crates/pollenlever/src/telemetry/mod.rs
+++ b/crates/pollenlever/src/telemetry/mod.rs
@@ -19,7 +19,7 @@
 
 pub use kind_burn::KindBurn;
 pub use kind_objective::KindObjective;
-pub use logging::init_logging;
+pub use logging::{init_logging, init_stdout_logging};
 pub use node_burn::NodeBurn;
 pub use node_telemetry::NodeTelemetry;
 pub use reason::Reason;
