Learn the gate's limit from failed runs; price retries by the calls they repeat

Ruled out: the limit by the concurrency of successful runs.

Change: FailureLimit falls while runs fail under overload further down and grows otherwise; gates learn from the calls of their target whether it is overload; a retry of a request that ran draws the calls that it repeats from the budget; calls made by a repeat are charged.

--- a/crates/pollenlever-core/src/admission/limit_kind.rs
+++ b/crates/pollenlever-core/src/admission/limit_kind.rs
@@ -1,4 +1,4 @@
-use super::{BoxLimit, ConcurrencyLimit, GradientLimit};
+use super::{BoxLimit, ConcurrencyLimit, FailureLimit, GradientLimit};
 
 /// How the concurrency limit of a gate is learned.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -8,6 +8,8 @@
     Concurrency,
     /// From the gradient of latency; see [`GradientLimit`].
     Gradient,
+    /// From failed runs alone; see [`FailureLimit`].
+    Failures,
 }
 
 impl LimitKind {
@@ -16,6 +18,7 @@
         match self {
             LimitKind::Concurrency => Box::new(ConcurrencyLimit::default()),
             LimitKind::Gradient => Box::new(GradientLimit::default()),
+            LimitKind::Failures => Box::new(FailureLimit::default()),
         }
     }
 }
--- a/crates/pollenlever-core/src/mesh/mesh_attempt.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_attempt.rs
@@ -7,7 +7,7 @@
 use crate::id::{AttemptId, ServiceName};
 
 /// Head of an attempt, from the owner of a request to the gate beside a target.
-#[derive(Debug, Clone, PartialEq, Eq, Encode, Decode)]
+#[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct MeshAttempt {
     /// Number of the attempt.
     pub id: AttemptId,
@@ -29,6 +29,9 @@
     pub is_inner: bool,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Chance that the request repeats one that may have run, be it by a repeat of the run that
+    /// makes the call.
+    pub repeat: f32,
     /// Time left until the caller or the route gives up.
     pub time_left: Duration,
     /// Longest time that the request may wait at the gate.
--- a/crates/pollenlever-core/src/mesh/retry_budget.rs
+++ b/crates/pollenlever-core/src/mesh/retry_budget.rs
@@ -22,7 +22,8 @@
 #[derive(Debug, Default)]
 struct Window {
     requests: VecDeque<Timestamp>,
-    retries: VecDeque<Timestamp>,
+    /// Time and cost of each retry.
+    retries: VecDeque<(Timestamp, f64)>,
 }
 
 impl RetryBudget {
@@ -39,37 +40,49 @@
         counts.expire(now, window);
     }
 
-    /// Takes one retry, if this node's share allows one among `nodes` nodes.
+    /// Takes a retry, if this node's share allows one among `nodes` nodes. `cost` counts the retry
+    /// itself and the calls that the target repeats with it.
     ///
     /// ```
     /// use std::time::Duration;
     /// use pollenlever_core::mesh::{RetryBudget, RetryBudgetSettings};
     /// let settings = RetryBudgetSettings { slack: 5.0, ..RetryBudgetSettings::default() };
     /// let mut budget = RetryBudget::new(settings);
-    /// assert!(budget.take(Duration::ZERO, &"balance".into(), 2));
-    /// assert!(budget.take(Duration::ZERO, &"balance".into(), 2));
-    /// assert!(!budget.take(Duration::ZERO, &"balance".into(), 2));
+    /// assert!(budget.take(Duration::ZERO, &"balance".into(), 1.0, 2));
+    /// assert!(budget.take(Duration::ZERO, &"balance".into(), 1.0, 2));
+    /// assert!(!budget.take(Duration::ZERO, &"balance".into(), 1.0, 2));
     /// ```
-    pub fn take(&mut self, now: Timestamp, service: &ServiceName, nodes: usize) -> bool {
+    pub fn take(&mut self, now: Timestamp, service: &ServiceName, cost: f64, nodes: usize) -> bool {
         let RetryBudgetSettings { ratio, window, slack } = self.settings;
         let counts = self.services.entry(service.clone()).or_default();
         counts.expire(now, window);
         let earned = ratio * counts.requests.len() as f64;
         let allowed = SPENT_SHARE * (earned + slack / nodes.max(1) as f64);
-        if counts.retries.len() as f64 + 1.0 > allowed {
+        let spent: f64 = counts.retries.iter().map(|(_, cost)| cost).sum();
+        if spent + cost > allowed {
             return false;
         }
-        counts.retries.push_back(now);
+        counts.retries.push_back((now, cost));
         true
     }
+
+    /// Notes a request that cannot be held back although it repeats an earlier one with the chance
+    /// `repeat`: a call of a run that is itself a retry.
+    pub fn charge(&mut self, now: Timestamp, service: &ServiceName, repeat: f64) {
+        if repeat > 0.0 {
+            let counts = self.services.entry(service.clone()).or_default();
+            counts.retries.push_back((now, repeat));
+        }
+    }
 }
 
 impl Window {
     fn expire(&mut self, now: Timestamp, window: Duration) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|it| *it + window < now) {
-                times.pop_front();
-            }
+        while self.requests.front().is_some_and(|at| *at + window < now) {
+            self.requests.pop_front();
+        }
+        while self.retries.front().is_some_and(|(at, _)| *at + window < now) {
+            self.retries.pop_front();
         }
     }
 }
--- a/crates/pollenlever-core/src/message/gate_load.rs
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -23,4 +23,9 @@
     pub crashes: u32,
     /// Lately rejected or failed runs of the target, in thousandths.
     pub failing_permille: u16,
+    /// Calls of the target that lately failed because services further down are overloaded, in
+    /// thousandths of its calls.
+    pub strained_permille: u16,
+    /// Calls that a run makes on average, those beneath them included, in hundredths.
+    pub calls_percent: u16,
 }
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use pollenlever_core::admission::{
-    Admission, AdmissionSettings, PriorityAdmission, RunOutcome, Ticket, Verdict,
+    Admission, AdmissionSettings, LimitKind, PriorityAdmission, RunOutcome, Ticket, Verdict,
 };
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{AttemptId, ChainId, StreamId};
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::HeaderNames;
+use super::callees::Callees;
 use super::failure_rate::FailureRate;
 use super::slot_guard::SlotGuard;
 use super::target_client::TargetClient;
@@ -27,6 +28,9 @@
 const ANY_CUSTOMER: &str = "any";
 /// Statuses by which a target fails a request that it ran.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
+/// Share of the target's calls that fail under overload, in thousandths, from which a failed run
+/// is put down to it.
+const STRAINED_PERMILLE: u16 = 20;
 
 /// The only way to the target beside this node.
 pub(super) struct Gate {
@@ -41,6 +45,9 @@
     waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
     ledger: AttemptLedger,
     failures: FailureRate,
+    callees: Callees,
+    /// Running requests, with the chance that each is a repeat.
+    repeats: HashMap<StreamId, f32>,
     is_leaving: bool,
     last_id: StreamId,
 }
@@ -55,10 +62,15 @@
     pub(super) fn new(target: SocketAddr, names: HeaderNames, clock: Clock) -> Gate {
         let state = GateState {
             registry: TargetRegistry::default(),
-            admission: PriorityAdmission::new(AdmissionSettings::default()),
+            admission: PriorityAdmission::new(AdmissionSettings {
+                limit: LimitKind::Failures,
+                ..AdmissionSettings::default()
+            }),
             waiting: HashMap::new(),
             ledger: AttemptLedger::default(),
             failures: FailureRate::default(),
+            callees: Callees::default(),
+            repeats: HashMap::new(),
             is_leaving: false,
             last_id: 0,
         };
@@ -140,6 +152,7 @@
             Err(refusal) => return self.reply(refusal),
         };
         slot.started(self.clock.now());
+        self.lock().repeats.insert(slot.id(), head.repeat);
         if head.idempotent {
             return self.run(slot, start, head, body).await;
         }
@@ -235,9 +248,9 @@
         let run = self.client.run(&start.instance, &head, start.time_left, body);
         let result = match tokio::time::timeout(start.time_left, run).await {
             Ok(result) => result,
-            Err(_) => TargetResult::Unknown("no answer before the deadline".to_owned()),
+            Err(_) => TargetResult::TimedOut,
         };
-        slot.ended(outcome_of(&result));
+        slot.ended(self.outcome_of(&result));
         drop(slot);
         self.note_result(&head, &result);
         let (outcome, headers, body) = match result {
@@ -250,7 +263,9 @@
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 (refused(ErrorKind::NoTarget, None), Vec::new(), Bytes::new())
             }
-            TargetResult::Unknown(_) => (AttemptOutcome::Unknown, Vec::new(), Bytes::new()),
+            TargetResult::Unknown(_) | TargetResult::TimedOut => {
+                (AttemptOutcome::Unknown, Vec::new(), Bytes::new())
+            }
         };
         let (reply, _) = self.reply(outcome);
         (AttemptReply { headers, ..reply }, body)
@@ -280,14 +295,47 @@
                 log::info!("run lost request={id} reason={reason:?}");
                 state.failures.add(now, true);
             }
+            TargetResult::TimedOut => log::info!("run timed out request={id}"),
         }
     }
 
+    /// How a run counts for the limit of concurrent runs. A failure lowers it if services further
+    /// down are overloaded or the time ran out; a target also rejects and fails at random.
+    fn outcome_of(&self, result: &TargetResult) -> RunOutcome {
+        let now = self.clock.now();
+        let is_strained = || self.lock().callees.strained_permille(now) >= STRAINED_PERMILLE;
+        match result {
+            TargetResult::Answered { status, .. } if !FAILED_STATUSES.contains(status) => {
+                RunOutcome::Answered
+            }
+            TargetResult::Answered { status: 504, .. } => RunOutcome::Failed,
+            TargetResult::Answered { .. } if is_strained() => RunOutcome::Failed,
+            TargetResult::TimedOut => RunOutcome::Failed,
+            _ => RunOutcome::Cancelled,
+        }
+    }
+
+    /// Notes how a call of the target ended. `beneath` is the number of further calls it caused.
+    pub(super) fn note_call(&self, beneath: f64, is_strained: bool) {
+        let now = self.clock.now();
+        self.lock().callees.add_call(now, beneath, is_strained);
+    }
+
+    /// Chance that a call of the target is made by a run that is itself a repeat.
+    pub(super) fn repeat_share(&self) -> f32 {
+        let state = self.lock();
+        let runs = state.repeats.len().max(1) as f32;
+        state.repeats.values().sum::<f32>() / runs
+    }
+
     /// Gives a place at the gate back.
     pub(super) fn release(&self, id: StreamId, started: Option<Duration>, outcome: RunOutcome) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.waiting.remove(&id);
+        if state.repeats.remove(&id).is_some() {
+            state.callees.add_run(now);
+        }
         if state.admission.remove(now, id) {
             return;
         }
@@ -308,7 +356,15 @@
         let state = self.lock();
         let leaving = state.is_leaving || state.registry.serving().is_none();
         let failing_permille = state.failures.permille(now);
-        GateLoad { leaving, failing_permille, ..state.admission.load(now) }
+        let strained_permille = state.callees.strained_permille(now);
+        let calls_percent = state.callees.calls_percent(now);
+        GateLoad {
+            leaving,
+            failing_permille,
+            strained_permille,
+            calls_percent,
+            ..state.admission.load(now)
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, GateState> {
@@ -358,12 +414,3 @@
 fn refused(error: ErrorKind, retry_after: Option<Duration>) -> AttemptOutcome {
     AttemptOutcome::RefusedByGate { error, retry_after }
 }
-
-/// How a run counts for the limit of concurrent runs. A rejection says nothing about it: a target
-/// also rejects at random while it has free slots.
-fn outcome_of(result: &TargetResult) -> RunOutcome {
-    match result {
-        TargetResult::Answered { .. } => RunOutcome::Answered,
-        _ => RunOutcome::Cancelled,
-    }
-}
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -266,12 +266,18 @@
         self.lock().budget.count_request(now, service);
     }
 
+    /// Charges the budget for a request that may be a repeat by its caller's being one.
+    pub(super) fn charge_repeat(&self, service: &ServiceName, repeat: f32) {
+        let now = self.clock.now();
+        self.lock().budget.charge(now, service, f64::from(repeat));
+    }
+
     /// Takes a retry from the budget. Returns whether there was one.
-    pub(super) fn take_retry(&self, service: &ServiceName) -> bool {
+    pub(super) fn take_retry(&self, service: &ServiceName, cost: f64) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
         let nodes = state.members.len() + state.lost.len() + 1;
-        state.budget.take(now, service, nodes)
+        state.budget.take(now, service, cost, nodes)
     }
 
     /// Notes that an attempt is sent; the guard takes how it ended.
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -1,6 +1,7 @@
 //! A node that carries the HTTP traffic of a service mesh: callers and the target on its own VM
 //! send requests to it, and it alone hands requests to that target.
 
+mod callees;
 mod control_server;
 mod edge_answer;
 mod edge_server;
--- a/crates/pollenlever/src/mesh/owner.rs
+++ b/crates/pollenlever/src/mesh/owner.rs
@@ -11,7 +11,7 @@
     AttemptOutcome, AttemptReply, Delivery, HttpRoute, MeshAttempt, MeshReply, MeshRequest,
     NextStep, RequestId, RouteTable,
 };
-use pollenlever_core::message::{PeerReply, PeerRequest};
+use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
 use pollenlever_core::policy::SendFailure;
 use pollenlever_core::routing::RouteRequest;
 
@@ -48,11 +48,14 @@
     /// Time at which the caller or the route gives up, by the node's clock.
     deadline: Duration,
     is_inner: bool,
+    /// Chance that the run that makes this call is itself a repeat.
+    repeat: f32,
 }
 
 /// An answer of a target.
 struct TargetAnswer {
     status: u16,
+    load: GateLoad,
     headers: Vec<(String, Vec<u8>)>,
     body: Bytes,
 }
@@ -93,6 +96,7 @@
             body,
             deadline,
             is_inner: self.is_inner,
+            repeat: if self.is_inner { self.shared.gate.repeat_share() } else { 0.0 },
             route,
         })
     }
@@ -119,12 +123,14 @@
 
     async fn deliver(&self, req: OwnedRequest) -> EdgeResponse {
         self.shared.count_request(&req.service);
+        self.shared.charge_repeat(&req.service, req.repeat);
         let left = req.deadline.saturating_sub(self.shared.clock.now());
         let mut delivery = Delivery::new(req.route.idempotent, req.route.max_attempts);
         match tokio::time::timeout(left, self.attempts(&req, &mut delivery)).await {
             Ok(response) => response,
             Err(_) => {
                 log::info!("request failed request={} error=deadline-passed", req.id);
+                self.note_call(0.0, true);
                 error_answer(ErrorKind::DeadlinePassed, None)
             }
         }
@@ -138,13 +144,18 @@
                 Ok(gate) => gate,
                 Err(step) => return self.finish(req, step, last_answer),
             };
-            let (reply, body) = self.attempt(req, gate).await;
+            let repeat = if delivery.maybe_ran() { 1.0 } else { req.repeat };
+            let (reply, body) = self.attempt(req, gate, repeat).await;
             let step = delivery.ended(gate, &reply.outcome);
+            let cost = retry_cost(delivery, &reply.load);
             if let AttemptOutcome::Answered(status) = reply.outcome {
-                last_answer = Some(TargetAnswer { status, headers: reply.headers, body });
+                let (headers, load) = (reply.headers, reply.load);
+                last_answer = Some(TargetAnswer { status, load, headers, body });
             }
             match step {
-                NextStep::Retry { is_paid } if !is_paid || self.shared.take_retry(&req.service) => {
+                NextStep::Retry { is_paid }
+                    if !is_paid || self.shared.take_retry(&req.service, cost) =>
+                {
                     log::debug!("retry request={} gate={gate} outcome={:?}", req.id, reply.outcome);
                 }
                 NextStep::Retry { .. } => return self.finish(req, delivery.fail(), last_answer),
@@ -162,12 +173,15 @@
         // What a target answered is passed on, unless the caller would take it for not run.
         let is_usable = |it: &TargetAnswer| req.route.idempotent || !says_not_run(it.status);
         if let Some(answer) = last_answer.filter(is_usable) {
+            let is_strained = answer.status >= 500 && answer.load.strained_permille > 0;
+            self.note_call(f64::from(answer.load.calls_percent) / 100.0, is_strained);
             return target_answer(answer.status, &answer.headers, answer.body);
         }
         let (kind, retry_after) = match step {
             NextStep::Fail(kind, retry_after) => (kind, retry_after),
             NextStep::Deliver | NextStep::Retry { .. } => (ErrorKind::OutcomeUnknown, None),
         };
+        self.note_call(0.0, is_overload(kind));
         log::info!(
             "request failed request={} service={} error={}",
             req.id,
@@ -200,10 +214,22 @@
         })
     }
 
-    async fn attempt(&self, req: &OwnedRequest, gate: NodeId) -> (AttemptReply, Bytes) {
+    /// Tells the gate how a call of its target ended.
+    fn note_call(&self, beneath: f64, is_strained: bool) {
+        if self.is_inner {
+            self.shared.gate.note_call(beneath, is_strained);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        req: &OwnedRequest,
+        gate: NodeId,
+        repeat: f32,
+    ) -> (AttemptReply, Bytes) {
         let now = self.shared.clock.now();
         let id = AttemptId { sender: self.shared.me, seq: self.shared.draw_id() };
-        let head = self.head(req, id, now);
+        let head = self.head(req, id, now, repeat);
         let sent = self.shared.note_sent(gate, req.body.len() as u64);
         let result = if gate == self.shared.me {
             Ok(self.shared.gate.attempt(head, req.body.clone()).await)
@@ -280,7 +306,7 @@
         matches!(reply, Ok(Ok((PeerReply::Mesh(MeshReply::Sealed(true)), _))))
     }
 
-    fn head(&self, req: &OwnedRequest, id: AttemptId, now: Duration) -> MeshAttempt {
+    fn head(&self, req: &OwnedRequest, id: AttemptId, now: Duration, repeat: f32) -> MeshAttempt {
         let time_left = req.deadline.saturating_sub(now);
         let max_wait = if req.is_inner {
             time_left / WAIT_PART_OF_INNER
@@ -298,6 +324,7 @@
             importance: req.route.importance(),
             is_inner: req.is_inner,
             idempotent: req.route.idempotent,
+            repeat,
             time_left,
             max_wait,
         }
@@ -308,6 +335,18 @@
     AttemptReply { outcome, headers: Vec::new(), load: Default::default(), routes: 0 }
 }
 
+/// What a retry draws from the budget: itself, and the calls that a target makes again if the
+/// request has run before.
+fn retry_cost(delivery: &Delivery, load: &GateLoad) -> f64 {
+    let beneath = if delivery.maybe_ran() { f64::from(load.calls_percent) / 100.0 } else { 0.0 };
+    1.0 + beneath
+}
+
+/// Whether an error says that a service is overloaded.
+fn is_overload(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::Overloaded | ErrorKind::QueueFull | ErrorKind::DeadlineTooShort)
+}
+
 /// Whether a caller takes the status as the promise that its request did not run.
 fn says_not_run(status: u16) -> bool {
     matches!(status, 408 | 421 | 429 | 503)
--- a/crates/pollenlever/src/mesh/slot_guard.rs
+++ b/crates/pollenlever/src/mesh/slot_guard.rs
@@ -20,6 +20,11 @@
         SlotGuard { gate, id, started: None, outcome: RunOutcome::Cancelled }
     }
 
+    /// Number of the place.
+    pub(super) fn id(&self) -> StreamId {
+        self.id
+    }
+
     /// Notes that the request has a slot from now on.
     pub(super) fn started(&mut self, now: Duration) {
         self.started = Some(now);
--- a/crates/pollenlever/src/mesh/target_result.rs
+++ b/crates/pollenlever/src/mesh/target_result.rs
@@ -20,4 +20,6 @@
     Unreachable(String),
     /// The request may have run: the connection failed or what came is not its answer.
     Unknown(String),
+    /// The request was sent and not answered before its deadline.
+    TimedOut,
 }
