Close callers' connections before a leaving node exits; keep overloaded work in its region

Change: at the stop all connections of callers are shut down gracefully, and the node exits once none is open. A target in another region must have a third of the near one's load; a plain request is refused after two overloaded gates; failures under strain do not count against a target.

--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -6,6 +6,9 @@
 
 /// Gates that may refuse one request before its caller is told to come back.
 const MAX_REFUSALS: u32 = 6;
+/// Overloaded gates that may refuse a request before its caller is told to come back, unless the
+/// request is urgent or work that was admitted depends on it.
+const MAX_OVERLOADED: u32 = 2;
 /// Times that one request is handed to targets at most, rejections included.
 const MAX_ARRIVALS: u32 = 6;
 /// Statuses by which a caller would take a request for not run.
@@ -33,6 +36,8 @@
 pub struct Delivery {
     idempotent: bool,
     max_targets: u32,
+    is_urgent: bool,
+    overloaded: u32,
     /// Gates whose targets were handed the request, each once.
     handed_to: Vec<NodeId>,
     /// Gates that are not asked again.
@@ -44,10 +49,13 @@
 }
 
 impl Delivery {
-    /// A request of which nothing was sent yet.
-    pub fn new(idempotent: bool, max_targets: u32) -> Delivery {
+    /// A request of which nothing was sent yet. `is_urgent` says that it is tried at more gates
+    /// while all are overloaded.
+    pub fn new(idempotent: bool, max_targets: u32, is_urgent: bool) -> Delivery {
         Delivery {
             idempotent,
+            is_urgent,
+            overloaded: 0,
             max_targets: max_targets.max(1),
             handed_to: Vec::new(),
             avoided: Vec::new(),
@@ -70,6 +78,7 @@
             AttemptOutcome::RefusedByGate { error, retry_after } => {
                 self.avoided.push(gate);
                 self.last_refusal = (*error, *retry_after);
+                self.overloaded += u32::from(*error == ErrorKind::Overloaded);
                 self.free_retry()
             }
             AttemptOutcome::NotSent => {
@@ -143,7 +152,8 @@
 
     fn free_retry(&mut self) -> NextStep {
         self.refusals += 1;
-        if self.refusals >= MAX_REFUSALS {
+        let is_hopeless = !self.is_urgent && self.overloaded >= MAX_OVERLOADED;
+        if is_hopeless || self.refusals >= MAX_REFUSALS {
             return self.fail();
         }
         // An attempt after one that arrived is one more arrival, whoever refused in between.
--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -14,6 +14,8 @@
 
 /// Factor by which a nearer full target must be fuller than a farther one to be passed over.
 const FAR_FACTOR: f64 = 1.25;
+/// The same for a target in another region, whose bytes are dear.
+const OTHER_REGION_FACTOR: f64 = 3.0;
 /// Shortest time after which a caller that found no target may come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
 
@@ -41,10 +43,12 @@
                 open.iter().copied().filter(|it| self.peer(it).tier == tier).collect();
             let Some(node) = self.pick(&in_tier) else { continue };
             let utilisation = self.peer(&node).utilisation(self.now, self.settings);
-            if utilisation < self.settings.spill_at {
+            let has_room = utilisation < self.settings.spill_at;
+            if has_room && (tier != Tier::Other || fallback.is_none()) {
                 return Ok(node);
             }
-            if fallback.is_none_or(|(_, nearer)| utilisation * FAR_FACTOR < nearer) {
+            let factor = if tier == Tier::Other { OTHER_REGION_FACTOR } else { FAR_FACTOR };
+            if fallback.is_none_or(|(_, nearer)| utilisation * factor < nearer) {
                 fallback = Some((node, utilisation));
             }
         }
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -31,7 +31,7 @@
 }
 
 impl EdgeServer {
-    /// Accepts connections until the node has left.
+    /// Accepts connections until the node stops.
     pub(super) async fn serve(self: Arc<EdgeServer>, listener: TcpListener) {
         loop {
             let accepted = tokio::select! {
@@ -56,6 +56,7 @@
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
+        let _open = self.shared.open_connections.enter();
         let io = HangupIo::new(io);
         let open = Arc::new(AtomicUsize::new(0));
         let service = service_fn(|req| {
@@ -69,6 +70,7 @@
         tokio::pin!(connection);
         let idle = self.until_idle(&io, &open);
         tokio::pin!(idle);
+        let mut is_closing = false;
         loop {
             tokio::select! {
                 biased;
@@ -80,15 +82,15 @@
                     }
                     return;
                 }
-                () = &mut idle => {
+                () = &mut idle, if !is_closing => {
+                    is_closing = true;
                     connection.as_mut().graceful_shutdown();
-                    idle.set(self.until_idle(&io, &open));
                 }
             }
         }
     }
 
-    /// Resolves once a connection has been idle for longer than it may, or the node has left.
+    /// Resolves once a connection has been idle for longer than it may, or the node stops.
     async fn until_idle(&self, io: &HangupIo, open: &AtomicUsize) {
         let stopped = self.shared.until_stopped();
         tokio::pin!(stopped);
@@ -102,10 +104,7 @@
             let wait = if is_busy { limit } else { limit.saturating_sub(idle) };
             tokio::select! {
                 () = tokio::time::sleep(wait.max(MIN_IDLE_CHECK)) => {}
-                () = &mut stopped => {
-                    tokio::time::sleep(MIN_IDLE_CHECK).await;
-                    return;
-                }
+                () = &mut stopped => return,
             }
         }
     }
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -277,7 +277,11 @@
         let mut state = self.lock();
         match result {
             TargetResult::Answered { status, .. } => {
-                state.failures.add(now, FAILED_STATUSES.contains(status));
+                let failed = FAILED_STATUSES.contains(status);
+                // Another target would fail as well if a service further down is overloaded.
+                if !failed || state.callees.strained_permille(now) < STRAINED_PERMILLE {
+                    state.failures.add(now, failed);
+                }
             }
             TargetResult::Rejected(status) => {
                 log::debug!("target rejected request={id} status={status}");
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -108,15 +108,13 @@
         tokio::time::sleep(LINGER.min(grace / 2)).await;
         self.shared.stop();
         loop {
-            tokio::time::sleep(IDLE_CHECK).await;
-            let is_idle = self.shared.open_work.is_idle();
+            let is_idle = self.shared.is_idle();
             let elapsed = self.shared.clock.now().saturating_sub(started);
             if is_idle || elapsed + EXIT_MARGIN >= grace {
-                // The last answers are on their way out.
-                tokio::time::sleep(IDLE_CHECK).await;
                 log::info!("node stopped idle={is_idle} after_ms={}", elapsed.as_millis());
                 return is_idle;
             }
+            tokio::time::sleep(IDLE_CHECK).await;
         }
     }
 }
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -47,6 +47,8 @@
     pub(super) peers: PeerClient,
     /// Requests that are not yet answered.
     pub(super) open_work: OpenWork,
+    /// Connections of callers.
+    pub(super) open_connections: OpenWork,
     /// Told when what the node says about itself has changed.
     pub(super) own_changed: Notify,
     state: Mutex<State>,
@@ -100,6 +102,7 @@
             clock,
             peers,
             open_work: OpenWork::default(),
+            open_connections: OpenWork::default(),
             own_changed: Notify::new(),
             state: Mutex::new(state),
             last_id: AtomicU64::new(0),
@@ -435,6 +438,11 @@
         self.stopped.send_replace(true);
     }
 
+    /// Whether no work is open, at this node as an owner or as a gate.
+    pub(super) fn is_idle(&self) -> bool {
+        self.open_work.is_idle() && self.open_connections.is_idle()
+    }
+
     /// Resolves once no new requests are taken.
     pub(super) async fn until_stopped(&self) {
         let mut stopped = self.stopped.subscribe();
--- a/crates/pollenlever/src/mesh/owner.rs
+++ b/crates/pollenlever/src/mesh/owner.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::config::Importance;
 use pollenlever_core::id::{AttemptId, ChainId, NodeId, ServiceName};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, Delivery, HttpRoute, MeshAttempt, MeshReply, MeshRequest,
@@ -125,7 +126,8 @@
         self.shared.count_request(&req.service);
         self.shared.charge_repeat(&req.service, req.repeat);
         let left = req.deadline.saturating_sub(self.shared.clock.now());
-        let mut delivery = Delivery::new(req.route.idempotent, req.route.max_attempts);
+        let is_urgent = req.is_inner || req.route.importance() == Importance::Critical;
+        let mut delivery = Delivery::new(req.route.idempotent, req.route.max_attempts, is_urgent);
         match tokio::time::timeout(left, self.attempts(&req, &mut delivery)).await {
             Ok(response) => response,
             Err(_) => {
