--- /dev/null
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -0,0 +1,22 @@
+//! Decisions about mesh traffic: routes, the target's identity, attempts, retries, limits.
+
+mod budget;
+mod delivery;
+mod ledger;
+mod limit;
+mod members;
+mod registry;
+mod routes;
+
+/// Names each case of one check.
+#[macro_export]
+macro_rules! cases {
+    ($check:ident: $($name:ident => $($arg:expr),+;)+) => {
+        $(
+            #[test]
+            fn $name() {
+                $check($($arg),+);
+            }
+        )+
+    };
+}
--- /dev/null
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -0,0 +1,86 @@
+use std::time::Duration;
+
+use pollenlever_core::mesh::{RegistryChange, TargetRegistry, TargetReport};
+
+use crate::cases;
+
+const NOW: Duration = Duration::from_secs(1);
+
+fn ready(instance: &str, started: u64, sequence: u64) -> TargetReport {
+    TargetReport {
+        instance: instance.into(),
+        started,
+        sequence,
+        service: "balance".into(),
+        slots: 36,
+        is_draining: false,
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn draining(instance: &str, started: u64, sequence: u64) -> TargetReport {
+    TargetReport { is_draining: true, ..ready(instance, started, sequence) }
+}
+
+/// What the last of several reports changes, and which target serves afterwards.
+fn check(reports: &[TargetReport], last: RegistryChange, serving: Option<&str>) {
+    let mut registry = TargetRegistry::default();
+    let changes: Vec<_> = reports.iter().map(|it| registry.report(NOW, it.clone())).collect();
+    assert_eq!(changes.last(), Some(&last));
+    assert_eq!(registry.serving().map(|it| &*it.instance), serving);
+}
+
+cases! { check:
+    first_report_opens => &[ready("a", 10, 1)], RegistryChange::Opened, Some("a");
+    later_report_refreshes => &[ready("a", 10, 1), ready("a", 10, 2)], RegistryChange::Refreshed, Some("a");
+    repeated_sequence_is_stale => &[ready("a", 10, 2), ready("a", 10, 2)], RegistryChange::Stale, Some("a");
+    sequence_that_goes_back_is_stale => &[draining("a", 10, 5), ready("a", 10, 4)], RegistryChange::Stale, None;
+    draining_closes => &[ready("a", 10, 1), draining("a", 10, 2)], RegistryChange::Closed, None;
+    draining_stays_closed_whatever_comes => &[draining("a", 10, 1), ready("a", 10, 2)], RegistryChange::Refreshed, None;
+    restart_under_its_id_counts_anew => &[draining("a", 10, 9), ready("a", 11, 1)], RegistryChange::Opened, Some("a");
+    successor_takes_over => &[ready("a", 10, 9), ready("b", 11, 1)], RegistryChange::Opened, Some("b");
+    late_report_of_a_predecessor_is_stale => &[ready("b", 11, 1), ready("a", 10, 99)], RegistryChange::Stale, Some("b");
+    late_drain_of_a_predecessor_is_stale => &[ready("b", 11, 1), draining("a", 10, 99)], RegistryChange::Stale, Some("b");
+}
+
+#[test]
+fn a_departure_closes_and_a_late_report_does_not_reopen() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 10, 1));
+    assert_eq!(registry.leave(&"a".into(), Some(10)), RegistryChange::Closed);
+    assert_eq!(registry.report(NOW, ready("a", 10, 2)), RegistryChange::Stale);
+    assert!(registry.serving().is_none());
+}
+
+#[test]
+fn a_departure_without_a_start_means_the_process_that_is_known() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 10, 1));
+    assert_eq!(registry.leave(&"a".into(), None), RegistryChange::Closed);
+    assert_eq!(registry.report(NOW, ready("a", 11, 1)), RegistryChange::Opened);
+}
+
+#[test]
+fn a_late_departure_of_an_earlier_process_leaves_the_later_one_open() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 11, 1));
+    assert_eq!(registry.leave(&"a".into(), Some(10)), RegistryChange::Stale);
+    assert!(registry.serving().is_some());
+}
+
+#[test]
+fn a_process_that_left_before_the_node_started_is_not_opened() {
+    let mut registry = TargetRegistry::default();
+    registry.note_gone(("a".into(), 10));
+    assert_eq!(registry.report(NOW, ready("a", 10, 7)), RegistryChange::Stale);
+    assert!(registry.serving().is_none());
+}
+
+#[test]
+fn an_unreachable_target_serves_again_after_its_next_report() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 10, 1));
+    registry.mark_unreachable();
+    assert!(registry.serving().is_none());
+    assert_eq!(registry.report(NOW, ready("a", 10, 2)), RegistryChange::Opened);
+}
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -212,7 +212,7 @@
     }
 
     /// Version of the routes in force; 0 if there are none.
-    pub(super) fn route_version(&self) -> RouteVersion {
+    pub fn route_version(&self) -> RouteVersion {
         self.lock().routes.as_ref().map_or(0, |it| it.version)
     }
 
@@ -438,6 +438,17 @@
         self.stopped.send_replace(true);
     }
 
+    /// Connections of callers that are open.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.count()
+    }
+
+    /// Other nodes whose targets take work.
+    pub fn serving_members(&self) -> usize {
+        let serves = |it: &&Member| matches!(it.state, TargetState::Ready | TargetState::Cold);
+        self.lock().members.iter().filter(serves).count()
+    }
+
     /// Whether no work is open, at this node as an owner or as a gate.
     pub(super) fn is_idle(&self) -> bool {
         self.open_work.is_idle() && self.open_connections.is_idle()
--- a/crates/pollenlever/src/node/open_work.rs
+++ b/crates/pollenlever/src/node/open_work.rs
@@ -33,9 +33,14 @@
         OpenWorkGuard { open: Arc::clone(&self.open) }
     }
 
+    /// Replies that are not yet written.
+    pub fn count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
     /// Whether every reply is written.
     pub fn is_idle(&self) -> bool {
-        self.open.load(Ordering::Relaxed) == 0
+        self.count() == 0
     }
 
     /// Waits until every reply is written. Returns whether that was so within `timeout`.
--- /dev/null
+++ b/crates/pollenlever/tests/mesh/bad_input.rs
@@ -0,0 +1,95 @@
+use super::script_target::Act;
+use super::test_mesh::{TestMesh, table};
+
+const HEAD: &str = "Host: a.example\r\nPollenlever-Request-Id: r1\r\n";
+
+/// What a node answers to bytes; nothing of them reaches its target. Afterwards it serves.
+async fn check(request: &str, expected: Option<u16>) {
+    let mesh = TestMesh::start(&[("charge", &[Act::Answer(200, "run")])]).await;
+    let mut small = table(2);
+    small.limits.max_body_bytes = 64;
+    mesh.publish(small);
+    let shared = mesh.nodes[0].node.shared();
+    super::test_mesh::until("limits in force", || shared.route_version() == 2).await;
+    let mut caller = mesh.caller().await;
+    caller.write(request).await;
+    assert_eq!(caller.answer().await.map(|it| it.status), expected);
+    assert_eq!(mesh.arrivals(), [0]);
+    assert_eq!(mesh.call("POST", "/charge/1", "good").await.status, 200);
+}
+
+macro_rules! cases {
+    ($($name:ident => $request:expr, $expected:expr;)+) => {
+        $(
+            #[tokio::test]
+            async fn $name() {
+                check(&$request, $expected).await;
+            }
+        )+
+    };
+}
+
+cases! {
+    two_lengths =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"), Some(400);
+    a_length_that_is_no_number =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: +3\r\n\r\nabc"), Some(400);
+    an_unknown_transfer_encoding =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Transfer-Encoding: x\r\n\r\nabc"), Some(400);
+    a_chunk_size_that_is_no_number =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"), Some(400);
+    a_space_before_a_colon =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}X-A : 1\r\n\r\n"), Some(400);
+    a_header_without_a_colon =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}broken\r\n\r\n"), Some(400);
+    a_request_without_an_id =>
+        "POST /charge/1 HTTP/1.1\r\nHost: a.example\r\n\r\n".to_owned(), Some(400);
+    a_request_without_a_host =>
+        "POST /charge/1 HTTP/1.1\r\nPollenlever-Request-Id: r1\r\n\r\n".to_owned(), Some(400);
+    an_unknown_host =>
+        "POST /charge/1 HTTP/1.1\r\nHost: b.example\r\nPollenlever-Request-Id: r1\r\n\r\n".to_owned(), Some(404);
+    a_path_without_the_last_slash =>
+        format!("POST /charge HTTP/1.1\r\n{HEAD}\r\n"), Some(404);
+    a_body_over_the_limit =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: 65\r\n\r\n{}", "x".repeat(65)), Some(413);
+    a_head_over_the_limit =>
+        format!("POST /charge/1 HTTP/1.1\r\n{HEAD}X-A: {}\r\n\r\n", "x".repeat(20_000)), Some(431);
+}
+
+#[tokio::test]
+async fn a_body_that_ends_early_is_not_passed_on() {
+    let mesh = TestMesh::start(&[("charge", &[Act::Answer(200, "run")])]).await;
+    let mut caller = mesh.caller().await;
+    caller.write(&format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: 10\r\n\r\nabc")).await;
+    drop(caller);
+    assert_eq!(mesh.call("POST", "/charge/1", "good").await.status, 200);
+    assert_eq!(mesh.arrivals(), [1]);
+}
+
+#[tokio::test]
+async fn a_second_request_is_not_smuggled_in_a_body() {
+    let mesh = TestMesh::start(&[("charge", &[Act::Answer(200, "run")])]).await;
+    let mut caller = mesh.caller().await;
+    let inner = "POST /charge/9 HTTP/1.1\r\nHost: a.example\r\n\r\n";
+    let head = format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: {}\r\n\r\n", inner.len());
+    caller.write(&format!("{head}{inner}")).await;
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+    assert_eq!(mesh.arrivals(), [1]);
+    assert_eq!(mesh.nodes[0].target.arrivals()[0].body, inner);
+}
+
+/// Chunks go before a length. The target gets one request with a length of its own, so that it
+/// cannot read the rest as another request.
+#[tokio::test]
+async fn a_length_beside_chunks_is_not_passed_on() {
+    let mesh = TestMesh::start(&[("charge", &[Act::Answer(200, "run")])]).await;
+    let mut caller = mesh.caller().await;
+    let body = "0\r\n\r\nPOST /charge/9 HTTP/1.1\r\n";
+    let head = format!("POST /charge/1 HTTP/1.1\r\n{HEAD}Content-Length: {}\r\n", body.len());
+    caller.write(&format!("{head}Transfer-Encoding: chunked\r\n\r\n{body}")).await;
+    assert_eq!(caller.answer().await.unwrap().status, 200);
+    let arrivals = mesh.nodes[0].target.arrivals();
+    assert_eq!(arrivals.len(), 1);
+    assert_eq!(arrivals[0].body, "");
+    assert_eq!(arrivals[0].header("transfer-encoding"), None);
+}
--- /dev/null
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -0,0 +1,152 @@
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pollenlever::store::{
+    ABSENT, NamedObject, Object, ObjectApi, ObjectList, Revision, StoreError, StoreFuture,
+};
+use serde_json::Value;
+use tokio::sync::Notify;
+
+type Key = (String, String);
+
+#[derive(Default)]
+struct State {
+    revision: Revision,
+    objects: BTreeMap<Key, Object>,
+    /// What changed, in order; a removed object has no value.
+    history: Vec<(Revision, Key, Option<Object>)>,
+    is_down: bool,
+}
+
+/// The platform's store, in memory.
+#[derive(Clone, Default)]
+pub(crate) struct MemoryStore {
+    state: Arc<Mutex<State>>,
+    changed: Arc<Notify>,
+}
+
+impl MemoryStore {
+    /// Lets every call fail, or no call any more.
+    pub(crate) fn set_down(&self, is_down: bool) {
+        self.state.lock().unwrap().is_down = is_down;
+    }
+
+    /// Writes an object whatever its version.
+    pub(crate) fn write(&self, kind: &str, name: &str, value: &Value) {
+        self.change(kind, name, Some(value));
+    }
+
+    /// Names of the objects of a kind.
+    pub(crate) fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state.lock().unwrap();
+        state.objects.keys().filter(|it| it.0 == kind).map(|it| it.1.clone()).collect()
+    }
+
+    fn change(&self, kind: &str, name: &str, value: Option<&Value>) -> Revision {
+        let mut state = self.state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        let key = (kind.to_owned(), name.to_owned());
+        let object = value.map(|it| Object { version: revision, value: it.clone() });
+        match &object {
+            Some(object) => state.objects.insert(key.clone(), object.clone()),
+            None => state.objects.remove(&key),
+        };
+        state.history.push((revision, key, object));
+        drop(state);
+        self.changed.notify_waiters();
+        revision
+    }
+
+    fn check(&self) -> Result<(), StoreError> {
+        if self.state.lock().unwrap().is_down {
+            return Err(StoreError::Unavailable("down".to_owned()));
+        }
+        Ok(())
+    }
+
+    fn since(&self, kind: &str, since: Revision) -> ObjectList {
+        let state = self.state.lock().unwrap();
+        let mut list = ObjectList { revision: state.revision, ..ObjectList::default() };
+        for (at, (of, name), object) in &state.history {
+            if *at <= since || of != kind {
+                continue;
+            }
+            list.objects.retain(|it| it.name != *name);
+            match object {
+                Some(it) => list.objects.push(NamedObject {
+                    name: name.clone(),
+                    version: it.version,
+                    value: it.value.clone(),
+                }),
+                None => list.deleted.push(name.clone()),
+            }
+        }
+        list
+    }
+
+    fn expect(&self, kind: &str, name: &str, expected: Revision) -> Result<(), StoreError> {
+        self.check()?;
+        let state = self.state.lock().unwrap();
+        let found = state.objects.get(&(kind.to_owned(), name.to_owned()));
+        if found.map_or(ABSENT, |it| it.version) == expected {
+            return Ok(());
+        }
+        Err(StoreError::Conflict(found.cloned().unwrap_or_default()))
+    }
+}
+
+impl ObjectApi for MemoryStore {
+    fn get(&self, kind: &str, name: &str) -> StoreFuture<Option<Object>> {
+        let found = self.check().map(|()| {
+            let state = self.state.lock().unwrap();
+            state.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
+        });
+        Box::pin(async move { found })
+    }
+
+    fn put(
+        &self,
+        kind: &str,
+        name: &str,
+        expected: Revision,
+        value: &Value,
+    ) -> StoreFuture<Revision> {
+        let checked = self.expect(kind, name, expected);
+        let written = checked.map(|()| self.change(kind, name, Some(value)));
+        Box::pin(async move { written })
+    }
+
+    fn delete(&self, kind: &str, name: &str, expected: Revision) -> StoreFuture<()> {
+        let checked = self.expect(kind, name, expected);
+        let removed = checked.map(|()| {
+            self.change(kind, name, None);
+        });
+        Box::pin(async move { removed })
+    }
+
+    fn list(&self, kind: &str) -> StoreFuture<ObjectList> {
+        let list = self.check().map(|()| ObjectList { deleted: vec![], ..self.since(kind, 0) });
+        Box::pin(async move { list })
+    }
+
+    fn watch(&self, kind: &str, since: Revision, timeout: Duration) -> StoreFuture<ObjectList> {
+        let (store, kind) = (self.clone(), kind.to_owned());
+        Box::pin(async move {
+            let changed = async {
+                loop {
+                    let next = store.changed.notified();
+                    store.check()?;
+                    let list = store.since(&kind, since);
+                    if !list.objects.is_empty() || !list.deleted.is_empty() {
+                        return Ok(list);
+                    }
+                    next.await;
+                }
+            };
+            let unchanged = || Ok(ObjectList { revision: since, ..ObjectList::default() });
+            tokio::time::timeout(timeout, changed).await.unwrap_or_else(|_| unchanged())
+        })
+    }
+}
--- /dev/null
+++ b/crates/pollenlever/tests/mesh/stop.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use super::script_target::Act;
+use super::test_mesh::{DEADLINE_MS, TestMesh, until};
+
+#[tokio::test]
+async fn a_leaving_node_is_not_ready_and_says_so_on_its_answers() {
+    let mesh = TestMesh::start(&[("charge", &[Act::Hang]), ("read", &[Act::Answer(200, "x")])]);
+    let mesh = mesh.await;
+    let left = async { mesh.nodes[0].node.leave().await };
+    let observed = async {
+        until("not ready", || !mesh.nodes[0].node.shared().is_ready()).await;
+        mesh.call("GET", "/read/1", "r1").await
+    };
+    let (was_idle, answer) = tokio::join!(left, observed);
+    assert!(was_idle);
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.header("connection"), Some("close"));
+    until("object removed", || !mesh.store.names("pollenlever-members").contains(&"node-0".into()))
+        .await;
+}
+
+/// A node once found itself idle, waited for its last answers to be written and exited; requests
+/// on kept connections that came meanwhile were passed on and cut.
+#[tokio::test]
+async fn no_connection_is_open_when_a_leaving_node_ends() {
+    let mesh = TestMesh::start(&[("read", &[Act::Answer(200, "x")])]).await;
+    let mut kept = mesh.caller().await;
+    kept.request("GET", "/read/1", "r1", DEADLINE_MS).await;
+    assert_eq!(kept.answer().await.unwrap().status, 200);
+    assert!(mesh.nodes[0].node.leave().await);
+    assert_eq!(mesh.nodes[0].node.shared().open_connections(), 0);
+    assert_eq!(kept.answer().await, None);
+}
+
+#[tokio::test]
+async fn a_leaving_node_waits_for_what_its_target_runs() {
+    let mesh = TestMesh::start(&[("charge", &[Act::Hold])]).await;
+    let mut caller = mesh.caller().await;
+    caller.request("POST", "/charge/1", "r1", DEADLINE_MS).await;
+    mesh.nodes[0].target.until_arrivals(1).await;
+    let left = async { mesh.nodes[0].node.leave().await };
+    let answered = async {
+        tokio::time::sleep(Duration::from_millis(3200)).await;
+        mesh.nodes[0].target.release();
+        caller.answer().await
+    };
+    let (was_idle, answer) = tokio::join!(left, answered);
+    assert!(was_idle);
+    assert_eq!(answer.unwrap().body, "held");
+}
--- /dev/null
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -0,0 +1,205 @@
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use pollenlever::mesh::{
+    BoxControlHandler, ControlAnswer, ControlHandler, HeaderNames, MeshNode, MeshPlatform,
+    MeshShared, RouteFault,
+};
+use pollenlever::settings::MeshSettings;
+use pollenlever::store::BoxObjectApi;
+use pollenlever_core::mesh::{
+    HttpRoute, RetryBudgetSettings, RouteTable, ServiceTraits, TargetReport, WeightedService,
+};
+use serde_json::{Value, json};
+
+use super::memory_store::MemoryStore;
+use super::raw_caller::{RawAnswer, RawCaller};
+use super::script_target::{Act, ScriptTarget};
+
+/// Longest wait for what a test expects.
+const WAIT: Duration = Duration::from_secs(20);
+/// Deadline of a request that is not meant to reach it.
+pub(crate) const DEADLINE_MS: u64 = 15_000;
+
+/// A platform whose route objects name a table that the test keeps.
+struct TestPlatform {
+    store: MemoryStore,
+    tables: Arc<Mutex<Vec<RouteTable>>>,
+}
+
+struct NoControl;
+
+impl ControlHandler for NoControl {
+    fn handle(&self, _method: &str, _path: &str, _body: &[u8]) -> ControlAnswer {
+        ControlAnswer { status: 404, content_type: "text/plain", body: String::new() }
+    }
+}
+
+impl MeshPlatform for TestPlatform {
+    fn headers(&self) -> HeaderNames {
+        HeaderNames::default()
+    }
+
+    fn store(&self) -> BoxObjectApi {
+        Arc::new(self.store.clone())
+    }
+
+    fn routes_object(&self) -> (&'static str, &'static str) {
+        ("routes", "main")
+    }
+
+    fn routes(&self, value: &Value) -> Result<RouteTable, RouteFault> {
+        let version = value.as_u64().ok_or_else(|| RouteFault("not a version".to_owned()))?;
+        let tables = self.tables.lock().unwrap();
+        let found = tables.iter().find(|it| it.version == version);
+        found.cloned().ok_or_else(|| RouteFault("unknown version".to_owned()))
+    }
+
+    fn control(&self, _node: Arc<MeshShared>) -> BoxControlHandler {
+        Arc::new(NoControl)
+    }
+}
+
+/// A node with the target beside it.
+pub(crate) struct TestNode {
+    pub(crate) node: MeshNode,
+    pub(crate) callers: SocketAddr,
+    pub(crate) target: ScriptTarget,
+    service: &'static str,
+}
+
+/// Nodes that share a store.
+pub(crate) struct TestMesh {
+    pub(crate) store: MemoryStore,
+    pub(crate) nodes: Vec<TestNode>,
+    tables: Arc<Mutex<Vec<RouteTable>>>,
+}
+
+impl TestMesh {
+    /// Starts a node for each service and script, and waits until each knows the others' targets.
+    ///
+    /// `/read/` may be repeated and goes to service `read`; `/charge/` must not be and goes to
+    /// service `charge`.
+    pub(crate) async fn start(targets: &[(&'static str, &[Act])]) -> TestMesh {
+        let mut mesh =
+            TestMesh { store: MemoryStore::default(), nodes: Vec::new(), tables: Arc::default() };
+        mesh.publish(table(1));
+        for (index, (service, script)) in targets.iter().enumerate() {
+            let node = mesh.start_node(index, service, script).await;
+            mesh.nodes.push(node);
+        }
+        for node in &mesh.nodes {
+            node.report_ready(1);
+        }
+        mesh.until_known().await;
+        mesh
+    }
+
+    /// Writes a table of routes to the store.
+    pub(crate) fn publish(&self, table: RouteTable) {
+        let version = table.version;
+        self.tables.lock().unwrap().push(table);
+        self.store.write("routes", "main", &json!(version));
+    }
+
+    async fn start_node(&self, index: usize, service: &'static str, script: &[Act]) -> TestNode {
+        let target = ScriptTarget::start(script).await;
+        let cfg = MeshSettings {
+            name: format!("node-{index}"),
+            callers: free_address(),
+            peer: free_address(),
+            ready: free_address(),
+            control: free_address(),
+            region: "lombardia".to_owned(),
+            zone: format!("zone-{index}"),
+            target: target.addr,
+            service: service.to_owned(),
+            retries: RetryBudgetSettings { slack: 1000.0, ..RetryBudgetSettings::default() },
+            ..MeshSettings::default()
+        };
+        let platform = TestPlatform { store: self.store.clone(), tables: Arc::clone(&self.tables) };
+        let node = MeshNode::start(&cfg, Arc::new(platform)).await.unwrap();
+        TestNode { node, callers: cfg.callers, target, service }
+    }
+
+    async fn until_known(&self) {
+        for node in &self.nodes {
+            let shared = Arc::clone(node.node.shared());
+            let count = self.nodes.len() - 1;
+            until("members known", || shared.is_ready() && shared.serving_members() == count).await;
+        }
+    }
+
+    /// Sends one request to the first node on a new connection.
+    pub(crate) async fn call(&self, method: &str, path: &str, id: &str) -> RawAnswer {
+        let mut caller = self.caller().await;
+        caller.request(method, path, id, DEADLINE_MS).await;
+        caller.answer().await.expect("an answer")
+    }
+
+    /// A new connection to the first node.
+    pub(crate) async fn caller(&self) -> RawCaller {
+        RawCaller::connect(self.nodes[0].callers).await
+    }
+
+    /// Requests that reached the target of each node.
+    pub(crate) fn arrivals(&self) -> Vec<usize> {
+        self.nodes.iter().map(|it| it.target.arrivals().len()).collect()
+    }
+}
+
+impl TestNode {
+    /// A report of the target beside the node.
+    pub(crate) fn report(&self, sequence: u64, is_draining: bool) {
+        self.node.shared().target_report(TargetReport {
+            instance: format!("i-{}", self.target.addr.port()).as_str().into(),
+            started: 1,
+            sequence,
+            service: self.service.into(),
+            slots: 4,
+            is_draining,
+            cold_for: Duration::ZERO,
+        });
+    }
+
+    pub(crate) fn report_ready(&self, sequence: u64) {
+        self.report(sequence, false);
+    }
+}
+
+/// The routes that tests use.
+pub(crate) fn table(version: u64) -> RouteTable {
+    let route = |name: &str, idempotent: bool| HttpRoute {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: format!("/{name}/").into(),
+        services: vec![WeightedService { service: name.into(), weight: 1.0 }],
+        idempotent,
+        max_attempts: 2,
+        timeout: Duration::from_secs(60),
+        latency_target: Duration::from_secs(8),
+        rank: 0,
+    };
+    let traits = |name: &str| ServiceTraits { service: name.into(), max_connections: 100 };
+    RouteTable {
+        version,
+        routes: vec![route("read", true), route("charge", false)],
+        services: vec![traits("read"), traits("charge")],
+        ..RouteTable::default()
+    }
+}
+
+/// Waits until something holds.
+pub(crate) async fn until(what: &str, holds: impl Fn() -> bool) {
+    let met = async {
+        while !holds() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT, met).await.unwrap_or_else(|_| panic!("{what} should come true"));
+}
+
+fn free_address() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
