Tell calls of the target from callers' requests by their deadlines

Change: a call expires no later than the run that makes it, so a request whose deadline lies beyond every run's is no call; a route is the callers' if a tenth of its requests are. Urgent requests are tried at three overloaded gates instead of six.

--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -6,9 +6,10 @@
 
 /// Gates that may refuse one request before its caller is told to come back.
 const MAX_REFUSALS: u32 = 6;
-/// Overloaded gates that may refuse a request before its caller is told to come back, unless the
-/// request is urgent or work that was admitted depends on it.
+/// Overloaded gates that may refuse a request before its caller is told to come back.
 const MAX_OVERLOADED: u32 = 2;
+/// The same for a request that is urgent or on which admitted work depends.
+const MAX_OVERLOADED_URGENT: u32 = 3;
 /// Times that one request is handed to targets at most, rejections included.
 const MAX_ARRIVALS: u32 = 6;
 /// Statuses by which a caller would take a request for not run.
@@ -78,7 +79,8 @@
             AttemptOutcome::RefusedByGate { error, retry_after } => {
                 self.avoided.push(gate);
                 self.last_refusal = (*error, *retry_after);
-                self.overloaded += u32::from(*error == ErrorKind::Overloaded);
+                let is_full = matches!(error, ErrorKind::Overloaded | ErrorKind::DeadlineTooShort);
+                self.overloaded += u32::from(is_full);
                 self.free_retry()
             }
             AttemptOutcome::NotSent => {
@@ -152,8 +154,8 @@
 
     fn free_retry(&mut self) -> NextStep {
         self.refusals += 1;
-        let is_hopeless = !self.is_urgent && self.overloaded >= MAX_OVERLOADED;
-        if is_hopeless || self.refusals >= MAX_REFUSALS {
+        let limit = if self.is_urgent { MAX_OVERLOADED_URGENT } else { MAX_OVERLOADED };
+        if self.overloaded >= limit || self.refusals >= MAX_REFUSALS {
             return self.fail();
         }
         // An attempt after one that arrived is one more arrival, whoever refused in between.
--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt_ledger;
 mod attempt_outcome;
+mod call_classifier;
 mod client_limits;
 mod delivery;
 mod http_route;
@@ -25,6 +26,7 @@
 
 pub use attempt_ledger::{AttemptLedger, AttemptStage};
 pub use attempt_outcome::AttemptOutcome;
+pub use call_classifier::CallClassifier;
 pub use client_limits::ClientLimits;
 pub use delivery::{Delivery, NextStep};
 pub use http_route::HttpRoute;
--- a/crates/pollenlever-core/tests/mesh/routes.rs
+++ b/crates/pollenlever-core/tests/mesh/routes.rs
@@ -1,5 +1,7 @@
+use std::time::Duration;
+
 use pollenlever_core::config::Importance;
-use pollenlever_core::mesh::{HttpRoute, RouteTable};
+use pollenlever_core::mesh::{CallClassifier, HttpRoute, RouteTable};
 
 use crate::cases;
 
@@ -39,3 +41,22 @@
     assert!((0..4).all(|rank| importance(rank) > importance(rank + 1) || rank == 3));
     assert_eq!(importance(9), Importance::Sheddable);
 }
+
+/// Whether a request is a call after others of its route, each with its deadline and that of the
+/// target's last run, in milliseconds.
+fn check_call(requests: &[(u64, Option<u64>)], expected: bool) {
+    let mut classifier = CallClassifier::default();
+    let is_call = |(deadline, last_run): &(u64, Option<u64>)| {
+        let last_run = last_run.map(Duration::from_millis);
+        classifier.is_call(&"route".into(), Duration::from_millis(*deadline), last_run)
+    };
+    assert_eq!(requests.iter().map(is_call).last(), Some(expected));
+}
+
+cases! { check_call:
+    a_deadline_within_that_of_a_run_is_a_calls => &[(700, Some(800))], true;
+    a_deadline_beyond_all_runs_is_a_callers => &[(5000, Some(800))], false;
+    without_a_run_there_are_no_calls => &[(700, None)], false;
+    one_callers_request_settles_a_route_for_a_while => &[(5000, Some(800)), (700, Some(800))], false;
+    a_stray_call_after_its_run_does_not => &[(700, Some(800)), (700, Some(800)), (700, None)], true;
+}
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -1,6 +1,5 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -39,8 +38,8 @@
                 () = self.shared.until_stopped() => return,
             };
             match accepted {
-                Ok((io, caller)) => {
-                    tokio::spawn(Arc::clone(&self).serve_connection(io, caller.ip()));
+                Ok((io, _)) => {
+                    tokio::spawn(Arc::clone(&self).serve_connection(io));
                 }
                 Err(err) => {
                     log::error!("accept failed reason={:?}", err.to_string());
@@ -50,9 +49,7 @@
         }
     }
 
-    async fn serve_connection(self: Arc<EdgeServer>, io: TcpStream, caller: IpAddr) {
-        // The target calls from its own address; clients stand elsewhere.
-        let is_inner = caller == self.shared.settings().target.ip();
+    async fn serve_connection(self: Arc<EdgeServer>, io: TcpStream) {
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
@@ -62,7 +59,7 @@
         let service = service_fn(|req| {
             let shared = Arc::clone(&self.shared);
             let open = Arc::clone(&open);
-            async move { Ok::<_, Infallible>(answer(shared, is_inner, open, req).await) }
+            async move { Ok::<_, Infallible>(answer(shared, open, req).await) }
         });
         let mut builder = http1::Builder::new();
         builder.max_buf_size(self.shared.client_limits().max_header_bytes.max(MIN_BUF_BYTES));
@@ -115,14 +112,13 @@
 
 async fn answer(
     shared: Arc<MeshShared>,
-    is_inner: bool,
     open: Arc<AtomicUsize>,
     req: Request<Incoming>,
 ) -> EdgeResponse {
     open.fetch_add(1, Ordering::Relaxed);
     let _open = OpenRequest(open);
     let is_plain = req.version() == Version::HTTP_11;
-    let mut response = Owner::new(Arc::clone(&shared), is_inner).answer(req).await;
+    let mut response = Owner::new(Arc::clone(&shared)).answer(req).await;
     if shared.is_leaving() || !is_plain {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -19,6 +19,7 @@
 use super::HeaderNames;
 use super::callees::Callees;
 use super::failure_rate::FailureRate;
+use super::owner::STRAINED_PERMILLE;
 use super::slot_guard::SlotGuard;
 use super::target_client::TargetClient;
 use super::target_result::TargetResult;
@@ -28,9 +29,6 @@
 const ANY_CUSTOMER: &str = "any";
 /// Statuses by which a target fails a request that it ran.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
-/// Share of the target's calls that fail under overload, in thousandths, from which a failed run
-/// is put down to it.
-const STRAINED_PERMILLE: u16 = 20;
 
 /// The only way to the target beside this node.
 pub(super) struct Gate {
@@ -46,12 +44,18 @@
     ledger: AttemptLedger,
     failures: FailureRate,
     callees: Callees,
-    /// Running requests, with the chance that each is a repeat.
-    repeats: HashMap<StreamId, f32>,
+    runs: HashMap<StreamId, Run>,
     is_leaving: bool,
     last_id: StreamId,
 }
 
+/// A request that the target runs.
+struct Run {
+    /// Chance that it repeats an earlier one.
+    repeat: f32,
+    deadline: Duration,
+}
+
 /// What an attempt needs once it has a slot.
 struct Start {
     instance: InstanceId,
@@ -70,7 +74,7 @@
             ledger: AttemptLedger::default(),
             failures: FailureRate::default(),
             callees: Callees::default(),
-            repeats: HashMap::new(),
+            runs: HashMap::new(),
             is_leaving: false,
             last_id: 0,
         };
@@ -152,7 +156,7 @@
             Err(refusal) => return self.reply(refusal),
         };
         slot.started(self.clock.now());
-        self.lock().repeats.insert(slot.id(), head.repeat);
+        self.lock().runs.insert(slot.id(), Run { repeat: head.repeat, deadline });
         if head.idempotent {
             return self.run(slot, start, head, body).await;
         }
@@ -328,8 +332,13 @@
     /// Chance that a call of the target is made by a run that is itself a repeat.
     pub(super) fn repeat_share(&self) -> f32 {
         let state = self.lock();
-        let runs = state.repeats.len().max(1) as f32;
-        state.repeats.values().sum::<f32>() / runs
+        let repeats: f32 = state.runs.values().map(|it| it.repeat).sum();
+        repeats / state.runs.len().max(1) as f32
+    }
+
+    /// Latest deadline of a run of the target.
+    pub(super) fn last_run_deadline(&self) -> Option<Duration> {
+        self.lock().runs.values().map(|it| it.deadline).max()
     }
 
     /// Gives a place at the gate back.
@@ -337,7 +346,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.waiting.remove(&id);
-        if state.repeats.remove(&id).is_some() {
+        if state.runs.remove(&id).is_some() {
             state.callees.add_run(now);
         }
         if state.admission.remove(now, id) {
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -9,8 +9,9 @@
 use pollenlever_core::id::{ANY_INCARNATION, NodeId, ServiceName};
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
-    ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, MeshReply, MeshRequest,
-    RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, MeshReply,
+    MeshRequest, RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport,
+    WeightedSplit,
 };
 use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
@@ -67,6 +68,7 @@
     /// Members that do not answer, with whether the store still lists them.
     lost: BTreeMap<SocketAddr, NodeId>,
     budget: RetryBudget,
+    calls: CallClassifier,
     own: Member,
 }
 
@@ -93,6 +95,7 @@
             members: MemberTable::default(),
             lost: BTreeMap::new(),
             budget: RetryBudget::new(cfg.retries),
+            calls: CallClassifier::default(),
             own,
         };
         MeshShared {
@@ -238,6 +241,7 @@
             route.is_some_and(|it| split.is_of(&it.services))
         };
         state.splits.retain(is_kept);
+        state.calls.retain(|name| table.routes.iter().any(|it| it.name == *name));
         state.routes = Some(Arc::new(table));
     }
 
@@ -257,6 +261,12 @@
         split.or_insert_with(|| WeightedSplit::new(&route.services, phase())).choose()
     }
 
+    /// Whether a request is taken for a call of the target beside this node.
+    pub(super) fn is_call(&self, route: &HttpRoute, deadline: Duration) -> bool {
+        let last_run = self.gate.last_run_deadline();
+        self.lock().calls.is_call(&route.name, deadline, last_run)
+    }
+
     /// The gate of an attempt.
     pub(super) fn choose_gate(&self, req: &RouteRequest<'_>) -> Result<NodeId, NoRoute> {
         let now = self.clock.now();
--- a/crates/pollenlever/src/mesh/owner.rs
+++ b/crates/pollenlever/src/mesh/owner.rs
@@ -27,14 +27,15 @@
 const WAIT_PART_OF_INNER: u32 = 2;
 /// Longest wait for a gate's word about an attempt whose reply was lost.
 const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Share of a target's calls that fail under overload, in thousandths, from which a failure of the
+/// target is put down to it.
+pub(super) const STRAINED_PERMILLE: u16 = 20;
 /// Deadline of a request that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
 
 /// The one that decides about a request: the node that took it from its caller.
 pub(super) struct Owner {
     shared: Arc<MeshShared>,
-    /// Whether the target beside the node makes the request.
-    is_inner: bool,
 }
 
 /// A request with what its route says about it.
@@ -62,8 +63,8 @@
 }
 
 impl Owner {
-    pub(super) fn new(shared: Arc<MeshShared>, is_inner: bool) -> Owner {
-        Owner { shared, is_inner }
+    pub(super) fn new(shared: Arc<MeshShared>) -> Owner {
+        Owner { shared }
     }
 
     /// Answers a request. If the future is dropped, the caller has hung up and the work ends.
@@ -86,7 +87,9 @@
         let id = self.request_id(&parts.headers)?;
         check_head_size(&table, &parts.headers)?;
         let service = self.shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
-        let deadline = arrived + self.time_budget(&parts.headers).min(route.timeout);
+        let time_budget = self.time_budget(&parts.headers);
+        let is_inner = self.shared.is_call(&route, arrived + time_budget);
+        let deadline = arrived + time_budget.min(route.timeout);
         let body = read_body(&table, body).await?;
         Ok(OwnedRequest {
             id,
@@ -96,8 +99,8 @@
             headers: self.passed_on(&parts.headers),
             body,
             deadline,
-            is_inner: self.is_inner,
-            repeat: if self.is_inner { self.shared.gate.repeat_share() } else { 0.0 },
+            is_inner,
+            repeat: if is_inner { self.shared.gate.repeat_share() } else { 0.0 },
             route,
         })
     }
@@ -132,7 +135,7 @@
             Ok(response) => response,
             Err(_) => {
                 log::info!("request failed request={} error=deadline-passed", req.id);
-                self.note_call(0.0, true);
+                self.note_call(&req, 0.0, true);
                 error_answer(ErrorKind::DeadlinePassed, None)
             }
         }
@@ -175,15 +178,16 @@
         // What a target answered is passed on, unless the caller would take it for not run.
         let is_usable = |it: &TargetAnswer| req.route.idempotent || !says_not_run(it.status);
         if let Some(answer) = last_answer.filter(is_usable) {
-            let is_strained = answer.status >= 500 && answer.load.strained_permille > 0;
-            self.note_call(f64::from(answer.load.calls_percent) / 100.0, is_strained);
+            let is_strained =
+                answer.status >= 500 && answer.load.strained_permille >= STRAINED_PERMILLE;
+            self.note_call(req, f64::from(answer.load.calls_percent) / 100.0, is_strained);
             return target_answer(answer.status, &answer.headers, answer.body);
         }
         let (kind, retry_after) = match step {
             NextStep::Fail(kind, retry_after) => (kind, retry_after),
             NextStep::Deliver | NextStep::Retry { .. } => (ErrorKind::OutcomeUnknown, None),
         };
-        self.note_call(0.0, is_overload(kind));
+        self.note_call(req, 0.0, is_overload(kind));
         log::info!(
             "request failed request={} service={} error={}",
             req.id,
@@ -217,8 +221,8 @@
     }
 
     /// Tells the gate how a call of its target ended.
-    fn note_call(&self, beneath: f64, is_strained: bool) {
-        if self.is_inner {
+    fn note_call(&self, req: &OwnedRequest, beneath: f64, is_strained: bool) {
+        if req.is_inner {
             self.shared.gate.note_call(beneath, is_strained);
         }
     }
