Call the store less: one list at the start, spaced watches, news from node to node

Change: the first list also brings the node's own object; it is written first when the target has reported; nodes announce themselves to those that they find; a watch of members pauses a second after a change; newer routes are asked of another node only if the store has not brought them.

--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -15,6 +15,9 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait at the start for what an earlier process of this node has stored.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after a change before the next watch: changes come in groups, and nodes tell each other
+/// about them before the store does.
+const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps this node's object in the store, and learns of the other nodes from theirs.
 #[derive(Clone)]
@@ -24,11 +27,44 @@
 }
 
 impl MemberWatch {
-    /// Learns of the other nodes for ever.
-    pub(super) async fn watch(self) {
-        let mut wait = StoreWait::default();
-        let mut since: Option<Revision> = None;
+    /// Learns of the other nodes, and tells them about this one, for ever.
+    pub(super) async fn run(self) {
         let mut known: BTreeMap<String, NodeId> = BTreeMap::new();
+        let first = timeout(RECOVERY_TIMEOUT, self.first_list()).await;
+        let mut since = None;
+        let mut own_revision = ABSENT;
+        match first {
+            Ok(list) => {
+                own_revision = self.recover(&list);
+                since = Some(list.revision);
+                self.take(&mut known, &list);
+            }
+            Err(_) => log::warn!("recovery given up reason=\"the store does not answer\""),
+        }
+        self.shared.set_recovered();
+        self.shared.announce_to_all();
+        tokio::spawn(self.clone().publish(own_revision));
+        self.watch(known, since).await;
+    }
+
+    async fn first_list(&self) -> ObjectList {
+        let mut wait = StoreWait::default();
+        loop {
+            match self.store.list(MEMBERS_KIND).await {
+                Ok(list) => return list,
+                Err(err) => {
+                    log::warn!(
+                        "store call failed kind={MEMBERS_KIND} reason={:?}",
+                        err.to_string()
+                    );
+                    wait.pause().await;
+                }
+            }
+        }
+    }
+
+    async fn watch(self, mut known: BTreeMap<String, NodeId>, mut since: Option<Revision>) {
+        let mut wait = StoreWait::default();
         loop {
             let read = match since {
                 Some(since) => self.store.watch(MEMBERS_KIND, since, WATCH_TIMEOUT).await,
@@ -44,6 +80,9 @@
                     }
                     since = Some(list.revision);
                     self.take(&mut known, &list);
+                    if !list.objects.is_empty() {
+                        tokio::time::sleep(WATCH_PAUSE).await;
+                    }
                 }
                 Err(err) => {
                     log::warn!(
@@ -91,22 +130,11 @@
         }
     }
 
-    /// Keeps this node's object up to date for ever. First it reads what an earlier process of the
-    /// node has stored.
-    pub(super) async fn publish(self) {
-        let mut revision = match timeout(RECOVERY_TIMEOUT, self.recover()).await {
-            Ok(revision) => revision,
-            Err(_) => {
-                log::warn!("recovery given up reason=\"the store does not answer\"");
-                ABSENT
-            }
-        };
-        self.shared.set_recovered();
+    /// Keeps this node's object up to date for ever, from its first change on.
+    async fn publish(self, mut revision: Revision) {
         let mut wait = StoreWait::default();
-        loop {
-            if self.shared.is_leaving() {
-                return;
-            }
+        self.shared.own_changed.notified().await;
+        while !self.shared.is_leaving() {
             match self.put(revision).await {
                 Ok(written) => {
                     wait.reset();
@@ -135,23 +163,12 @@
         }
     }
 
-    async fn recover(&self) -> Revision {
+    /// Takes what an earlier process of this node has stored. Returns the version of the object.
+    fn recover(&self, list: &ObjectList) -> Revision {
         let name = self.shared.settings().name;
-        let mut wait = StoreWait::default();
-        loop {
-            match self.store.get(MEMBERS_KIND, &name).await {
-                Ok(Some(found)) => {
-                    let object = NamedObject { name, version: found.version, value: found.value };
-                    self.note_target(&object);
-                    return found.version;
-                }
-                Ok(None) => return ABSENT,
-                Err(err) => {
-                    log::warn!("own object not read reason={:?}", err.to_string());
-                    wait.pause().await;
-                }
-            }
-        }
+        let Some(own) = list.objects.iter().find(|it| it.name == name) else { return ABSENT };
+        self.note_target(own);
+        own.version
     }
 
     /// Remembers that the target has told an earlier process of this node that it leaves.
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -69,8 +69,7 @@
         let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
         tokio::spawn(edge.serve(bind(cfg.callers).await?));
         let members = MemberWatch { shared: Arc::clone(&shared), store: platform.store() };
-        tokio::spawn(members.clone().watch());
-        tokio::spawn(members.clone().publish());
+        tokio::spawn(members.clone().run());
         tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
         log::info!("node started node={me} name={} zone={}", cfg.name, cfg.zone);
         Ok(MeshNode { shared, members })
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -27,6 +27,8 @@
 const RAMP_UP: Duration = Duration::from_secs(3);
 /// Longest wait for the reply to an announcement or a question for routes.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Wait before another node is asked for newer routes: the store mostly brings them first.
+const ROUTES_PAUSE: Duration = Duration::from_millis(300);
 /// First wait before a lost member is asked again; doubles with each try.
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait between two tries.
@@ -56,6 +58,8 @@
     last_id: AtomicU64,
     leaving: AtomicBool,
     recovered: AtomicBool,
+    /// Whether another node is being asked for its routes.
+    asks_routes: AtomicBool,
     stopped: watch::Sender<bool>,
 }
 
@@ -111,6 +115,7 @@
             last_id: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             recovered: AtomicBool::new(false),
+            asks_routes: AtomicBool::new(false),
             stopped: watch::channel(false).0,
         }
     }
@@ -374,7 +379,8 @@
         }
     }
 
-    fn announce_to_all(self: &Arc<MeshShared>) {
+    /// Tells all members about this node.
+    pub(super) fn announce_to_all(self: &Arc<MeshShared>) {
         let addrs: Vec<SocketAddr> = self.lock().members.iter().map(|it| it.node.addr).collect();
         for addr in addrs {
             let shared = Arc::clone(self);
@@ -402,15 +408,29 @@
         if version <= known {
             return;
         }
+        if self.asks_routes.swap(true, Ordering::Relaxed) {
+            return;
+        }
         let shared = Arc::clone(self);
         tokio::spawn(async move {
-            let reply = shared.ask(node.addr, MeshRequest::Routes(known)).await;
-            if let Some(MeshReply::Routes(Some(table))) = reply {
-                shared.apply_routes(table, "peer");
-            }
+            tokio::time::sleep(ROUTES_PAUSE).await;
+            shared.fetch_routes(node, version).await;
+            shared.asks_routes.store(false, Ordering::Relaxed);
         });
     }
 
+    /// Asks a node for its routes, unless they have come from the store meanwhile.
+    async fn fetch_routes(&self, node: NodeId, version: RouteVersion) {
+        let known = self.route_version();
+        if version <= known {
+            return;
+        }
+        let reply = self.ask(node.addr, MeshRequest::Routes(known)).await;
+        if let Some(MeshReply::Routes(Some(table))) = reply {
+            self.apply_routes(table, "peer");
+        }
+    }
+
     async fn ask(&self, addr: SocketAddr, req: MeshRequest) -> Option<MeshReply> {
         let to = NodeId { addr, incarnation: ANY_INCARNATION };
         let asked = self.peers.exchange(to, PeerRequest::Mesh(req), Bytes::new());
