Log each decision of the mesh with its inputs; serve metrics

Cause: an engineer has only logs and metrics to explain a failed request, and there were neither.

Change: one closed list of events (LogEvent), a line each with the inputs that decided it, their age or version. Counters, gauges and histograms at /metrics. owner.rs is split by duty.

--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -110,6 +110,16 @@
         self.maybe_ran
     }
 
+    /// Times that a target was handed the request, rejections included.
+    pub fn arrivals(&self) -> u32 {
+        self.arrivals
+    }
+
+    /// Gates that refused the request or could not be reached.
+    pub fn refusals(&self) -> u32 {
+        self.refusals
+    }
+
     /// Gates that the next attempt must not go to.
     pub fn avoided(&self) -> &[NodeId] {
         &self.avoided
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -19,7 +19,10 @@
 use super::HeaderNames;
 use super::callees::Callees;
 use super::failure_rate::FailureRate;
+use super::log_event::{LogEvent, log_event};
+use super::mesh_metrics::MeshMetrics;
 use super::owner::STRAINED_PERMILLE;
+use super::request_log::RequestLog;
 use super::slot_guard::SlotGuard;
 use super::target_client::TargetClient;
 use super::target_result::TargetResult;
@@ -30,10 +33,17 @@
 /// Statuses by which a target fails a request that it ran.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
 
+/// Shortest time between two lines about the limit of concurrent runs.
+const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Part of the logged limit by which it must differ to be logged again.
+const LIMIT_LOG_PART: u32 = 3;
+
 /// The only way to the target beside this node.
 pub(super) struct Gate {
     clock: Clock,
     client: TargetClient,
+    log: RequestLog,
+    metrics: MeshMetrics,
     state: Mutex<GateState>,
 }
 
@@ -47,6 +57,8 @@
     runs: HashMap<StreamId, Run>,
     is_leaving: bool,
     last_id: StreamId,
+    /// Limit of concurrent runs that was logged last, and when.
+    logged_limit: (u32, Duration),
 }
 
 /// A request that the target runs.
@@ -59,11 +71,17 @@
 /// What an attempt needs once it has a slot.
 struct Start {
     instance: InstanceId,
+    at: Duration,
     time_left: Duration,
 }
 
 impl Gate {
-    pub(super) fn new(target: SocketAddr, names: HeaderNames, clock: Clock) -> Gate {
+    pub(super) fn new(
+        target: SocketAddr,
+        names: HeaderNames,
+        clock: Clock,
+        metrics: MeshMetrics,
+    ) -> Gate {
         let state = GateState {
             registry: TargetRegistry::default(),
             admission: PriorityAdmission::new(AdmissionSettings {
@@ -77,8 +95,15 @@
             runs: HashMap::new(),
             is_leaving: false,
             last_id: 0,
+            logged_limit: (0, Duration::ZERO),
         };
-        Gate { clock, client: TargetClient::new(target, names), state: Mutex::new(state) }
+        Gate {
+            clock,
+            client: TargetClient::new(target, names),
+            log: RequestLog::default(),
+            metrics,
+            state: Mutex::new(state),
+        }
     }
 
     /// Takes what the target says about itself.
@@ -149,11 +174,11 @@
         let deadline = self.clock.now() + head.time_left;
         let mut slot = match self.enter(&head, deadline).await {
             Ok(slot) => slot,
-            Err(refusal) => return self.reply(refusal),
+            Err(refusal) => return self.refuse(&head, refusal),
         };
         let start = match self.start(&head, deadline) {
             Ok(start) => start,
-            Err(refusal) => return self.reply(refusal),
+            Err(refusal) => return self.refuse(&head, refusal),
         };
         slot.started(self.clock.now());
         self.lock().runs.insert(slot.id(), Run { repeat: head.repeat, deadline });
@@ -239,7 +264,7 @@
         let serving = state.registry.serving();
         let instance = serving.map(|it| it.instance.clone());
         let instance = instance.ok_or_else(|| refused(ErrorKind::NoTarget, None))?;
-        Ok(Start { instance, time_left: deadline - now })
+        Ok(Start { instance, at: now, time_left: deadline - now })
     }
 
     async fn run(
@@ -257,13 +282,12 @@
         slot.ended(self.outcome_of(&result));
         drop(slot);
         self.note_result(&head, &result);
+        self.log_run(&start, &head, &result);
         let (outcome, headers, body) = match result {
             TargetResult::Answered { status, headers, body } => {
                 (AttemptOutcome::Answered(status), headers, body)
             }
-            TargetResult::Rejected(_) => {
-                (AttemptOutcome::RejectedByTarget, Vec::new(), Bytes::new())
-            }
+            TargetResult::Rejected => (AttemptOutcome::RejectedByTarget, Vec::new(), Bytes::new()),
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 (refused(ErrorKind::NoTarget, None), Vec::new(), Bytes::new())
             }
@@ -277,7 +301,6 @@
 
     fn note_result(&self, head: &MeshAttempt, result: &TargetResult) {
         let now = self.clock.now();
-        let id = &head.request_id;
         let mut state = self.lock();
         match result {
             TargetResult::Answered { status, .. } => {
@@ -287,24 +310,71 @@
                     state.failures.add(now, failed);
                 }
             }
-            TargetResult::Rejected(status) => {
-                log::debug!("target rejected request={id} status={status}");
-                state.failures.add(now, true);
-            }
-            TargetResult::WrongInstance => {
-                log::info!("target closed reason=\"another instance\" request={id}");
-                state.registry.mark_unreachable();
-            }
-            TargetResult::Unreachable(reason) => {
-                log::info!("target closed reason={reason:?} request={id}");
+            TargetResult::Rejected | TargetResult::Unknown(_) => state.failures.add(now, true),
+            TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
+                let request = &head.request_id;
+                let reason = result.reason();
+                log_event!(LogEvent::TargetClosed, "reason={reason:?} request={request}");
                 state.registry.mark_unreachable();
             }
-            TargetResult::Unknown(reason) => {
-                log::info!("run lost request={id} reason={reason:?}");
-                state.failures.add(now, true);
-            }
-            TargetResult::TimedOut => log::info!("run timed out request={id}"),
+            TargetResult::TimedOut => {}
+        }
+    }
+
+    /// Logs the end of a run: out of the ordinary, or one of the sample.
+    fn log_run(&self, start: &Start, head: &MeshAttempt, result: &TargetResult) {
+        let now = self.clock.now();
+        let took = now.saturating_sub(start.at);
+        self.metrics.run(result.name(), Some(took.as_secs_f64()));
+        let is_ordinary = matches!(result, TargetResult::Answered { status, .. } if *status < 500);
+        if is_ordinary && !RequestLog::samples(&head.request_id) {
+            return;
         }
+        let Some(omitted) = self.log.admit(now) else { return };
+        let load = self.load();
+        log_event!(
+            LogEvent::RunEnded,
+            "request={} instance={} result={} reason={:?} took_ms={} left_ms={} in_flight={} \
+             limit={} strained_permille={} omitted={omitted}",
+            head.request_id,
+            start.instance,
+            result.name(),
+            result.reason(),
+            took.as_millis(),
+            start.time_left.saturating_sub(took).as_millis(),
+            load.in_flight,
+            load.limit,
+            load.strained_permille
+        );
+    }
+
+    /// Logs and counts an attempt that was not handed to the target.
+    fn log_refusal(&self, head: &MeshAttempt, refusal: &AttemptOutcome) {
+        let AttemptOutcome::RefusedByGate { error, retry_after } = refusal else { return };
+        self.metrics.run(error.as_str(), None);
+        let now = self.clock.now();
+        let Some(omitted) = self.log.admit(now) else { return };
+        let load = self.load();
+        log_event!(
+            LogEvent::RunRefused,
+            "request={} reason={} in_flight={} queued={} limit={} retry_after_ms={} \
+             report_age_ms={} max_wait_ms={} importance={:?} inner={} omitted={omitted}",
+            head.request_id,
+            error.as_str(),
+            load.in_flight,
+            load.queued,
+            load.limit,
+            retry_after.unwrap_or_default().as_millis(),
+            self.report_age().as_millis(),
+            head.max_wait.as_millis(),
+            head.importance,
+            head.is_inner
+        );
+    }
+
+    /// Time since the target's last report.
+    pub(super) fn report_age(&self) -> Duration {
+        self.clock.now().saturating_sub(self.lock().registry.reported_at())
     }
 
     /// How a run counts for the limit of concurrent runs. A failure lowers it if services further
@@ -356,6 +426,12 @@
         let mut verdicts = Vec::new();
         state.admission.finished(now, id, service_time, outcome, &mut verdicts);
         state.tell(verdicts);
+        state.log_limit(now);
+    }
+
+    fn refuse(&self, head: &MeshAttempt, refusal: AttemptOutcome) -> (AttemptReply, Bytes) {
+        self.log_refusal(head, &refusal);
+        self.reply(refusal)
     }
 
     fn reply(&self, outcome: AttemptOutcome) -> (AttemptReply, Bytes) {
@@ -364,7 +440,7 @@
     }
 
     /// Load of the gate, for the owners of requests.
-    fn load(&self) -> GateLoad {
+    pub(super) fn load(&self) -> GateLoad {
         let now = self.clock.now();
         let state = self.lock();
         let leaving = state.is_leaving || state.registry.serving().is_none();
@@ -401,6 +477,23 @@
         }
     }
 
+    /// Logs the limit of concurrent runs once it differs much from what was logged last.
+    fn log_limit(&mut self, now: Duration) {
+        let limit = self.admission.load(now).limit;
+        let (logged, at) = self.logged_limit;
+        let is_due = now.saturating_sub(at) >= LIMIT_LOG_INTERVAL;
+        if !is_due || limit.abs_diff(logged) <= logged / LIMIT_LOG_PART {
+            return;
+        }
+        self.logged_limit = (limit, now);
+        log_event!(
+            LogEvent::LimitChanged,
+            "limit={limit} before={logged} strained_permille={} failing_permille={}",
+            self.callees.strained_permille(now),
+            self.failures.permille(now)
+        );
+    }
+
     /// Refuses what waits for a slot: the target gets no new work.
     fn refuse_waiting(&mut self) {
         for (id, tx) in self.waiting.drain() {
--- /dev/null
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -0,0 +1,121 @@
+use log::Level;
+
+/// The closed list of events that a node logs, each with a line of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[allow(missing_docs)] // docs/OPERATIONS.md says what each means and which fields it has
+pub enum LogEvent {
+    NodeStarted,
+    NodeLeaving,
+    NodeStopped,
+    SettingsReloaded,
+    SettingsRefused,
+    StoreLost,
+    StoreRegained,
+    OwnObjectNotStored,
+    RoutesInForce,
+    RoutesRefused,
+    MemberUp,
+    MemberLost,
+    MemberGone,
+    MemberIgnored,
+    TargetReady,
+    TargetLeaving,
+    TargetClosed,
+    TargetReportIgnored,
+    RequestEnded,
+    CallerHungUp,
+    AttemptRepeated,
+    AttemptLost,
+    RunRefused,
+    RunEnded,
+    LimitChanged,
+}
+
+impl LogEvent {
+    /// All events.
+    pub const ALL: [LogEvent; 25] = [
+        LogEvent::NodeStarted,
+        LogEvent::NodeLeaving,
+        LogEvent::NodeStopped,
+        LogEvent::SettingsReloaded,
+        LogEvent::SettingsRefused,
+        LogEvent::StoreLost,
+        LogEvent::StoreRegained,
+        LogEvent::OwnObjectNotStored,
+        LogEvent::RoutesInForce,
+        LogEvent::RoutesRefused,
+        LogEvent::MemberUp,
+        LogEvent::MemberLost,
+        LogEvent::MemberGone,
+        LogEvent::MemberIgnored,
+        LogEvent::TargetReady,
+        LogEvent::TargetLeaving,
+        LogEvent::TargetClosed,
+        LogEvent::TargetReportIgnored,
+        LogEvent::RequestEnded,
+        LogEvent::CallerHungUp,
+        LogEvent::AttemptRepeated,
+        LogEvent::AttemptLost,
+        LogEvent::RunRefused,
+        LogEvent::RunEnded,
+        LogEvent::LimitChanged,
+    ];
+
+    /// Name of the event in its line.
+    ///
+    /// ```
+    /// use pollenlever::mesh::LogEvent;
+    /// assert_eq!(LogEvent::RequestEnded.as_str(), "request-ended");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            LogEvent::NodeStarted => "node-started",
+            LogEvent::NodeLeaving => "node-leaving",
+            LogEvent::NodeStopped => "node-stopped",
+            LogEvent::SettingsReloaded => "settings-reloaded",
+            LogEvent::SettingsRefused => "settings-refused",
+            LogEvent::StoreLost => "store-lost",
+            LogEvent::StoreRegained => "store-regained",
+            LogEvent::OwnObjectNotStored => "own-object-not-stored",
+            LogEvent::RoutesInForce => "routes-in-force",
+            LogEvent::RoutesRefused => "routes-refused",
+            LogEvent::MemberUp => "member-up",
+            LogEvent::MemberLost => "member-lost",
+            LogEvent::MemberGone => "member-gone",
+            LogEvent::MemberIgnored => "member-ignored",
+            LogEvent::TargetReady => "target-ready",
+            LogEvent::TargetLeaving => "target-leaving",
+            LogEvent::TargetClosed => "target-closed",
+            LogEvent::TargetReportIgnored => "target-report-ignored",
+            LogEvent::RequestEnded => "request-ended",
+            LogEvent::CallerHungUp => "caller-hung-up",
+            LogEvent::AttemptRepeated => "attempt-repeated",
+            LogEvent::AttemptLost => "attempt-lost",
+            LogEvent::RunRefused => "run-refused",
+            LogEvent::RunEnded => "run-ended",
+            LogEvent::LimitChanged => "limit-changed",
+        }
+    }
+
+    /// Level of the event's line.
+    pub fn level(self) -> Level {
+        match self {
+            LogEvent::SettingsRefused | LogEvent::RoutesRefused => Level::Error,
+            LogEvent::StoreLost
+            | LogEvent::OwnObjectNotStored
+            | LogEvent::MemberLost
+            | LogEvent::MemberIgnored
+            | LogEvent::TargetClosed => Level::Warn,
+            _ => Level::Info,
+        }
+    }
+}
+
+/// Logs an event with its fields as `key=value`.
+macro_rules! log_event {
+    ($event:expr, $($arg:tt)+) => {
+        log::log!($event.level(), "event={} {}", $event.as_str(), format_args!($($arg)+))
+    };
+}
+
+pub(super) use log_event;
--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -5,6 +5,7 @@
 use pollenlever_core::id::NodeId;
 use tokio::time::timeout;
 
+use super::log_event::{LogEvent, log_event};
 use super::store_wait::StoreWait;
 use super::{MemberObject, MeshShared};
 use crate::store::{ABSENT, BoxObjectApi, NamedObject, ObjectList, Revision, StoreError};
@@ -39,7 +40,9 @@
                 since = Some(list.revision);
                 self.take(&mut known, &list);
             }
-            Err(_) => log::warn!("recovery given up reason=\"the store does not answer\""),
+            Err(_) => {
+                log_event!(LogEvent::StoreLost, "kind={MEMBERS_KIND} reason=\"no first list\"");
+            }
         }
         self.shared.set_recovered();
         self.shared.announce_to_all();
@@ -51,12 +54,12 @@
         let mut wait = StoreWait::default();
         loop {
             match self.store.list(MEMBERS_KIND).await {
-                Ok(list) => return list,
+                Ok(list) => {
+                    self.shared.metrics.store_call(true);
+                    return list;
+                }
                 Err(err) => {
-                    log::warn!(
-                        "store call failed kind={MEMBERS_KIND} reason={:?}",
-                        err.to_string()
-                    );
+                    self.note_failure(&mut wait, &err);
                     wait.pause().await;
                 }
             }
@@ -72,8 +75,9 @@
             };
             match read {
                 Ok(list) => {
+                    self.shared.metrics.store_call(true);
                     if wait.reset() {
-                        log::info!("store regained kind={MEMBERS_KIND}");
+                        log_event!(LogEvent::StoreRegained, "kind={MEMBERS_KIND}");
                     }
                     if since.is_none() {
                         self.forget_missing(&mut known, &list);
@@ -85,10 +89,7 @@
                     }
                 }
                 Err(err) => {
-                    log::warn!(
-                        "store call failed kind={MEMBERS_KIND} reason={:?}",
-                        err.to_string()
-                    );
+                    self.note_failure(&mut wait, &err);
                     if err == StoreError::HistoryGone {
                         since = None;
                     }
@@ -98,6 +99,15 @@
         }
     }
 
+    /// Counts a failed call; the first one after a success is logged.
+    fn note_failure(&self, wait: &mut StoreWait, err: &StoreError) {
+        self.shared.metrics.store_call(false);
+        if !wait.is_failing() {
+            let reason = err.to_string();
+            log_event!(LogEvent::StoreLost, "kind={MEMBERS_KIND} reason={reason:?}");
+        }
+    }
+
     fn take(&self, known: &mut BTreeMap<String, NodeId>, list: &ObjectList) {
         for object in &list.objects {
             match MemberObject::from_value(&object.value) {
@@ -106,8 +116,9 @@
                     known.insert(object.name.clone(), member.node);
                     self.shared.member_up(member);
                 }
-                None => log::warn!(
-                    "member object ignored reason=\"another form\" name={:?}",
+                None => log_event!(
+                    LogEvent::MemberIgnored,
+                    "reason=\"another form\" name={:?}",
                     object.name
                 ),
             }
@@ -143,7 +154,7 @@
                 }
                 Err(StoreError::Conflict(current)) => revision = current.version,
                 Err(err) => {
-                    log::warn!("own object not stored reason={:?}", err.to_string());
+                    log_event!(LogEvent::OwnObjectNotStored, "reason={:?}", err.to_string());
                     wait.pause().await;
                 }
             }
@@ -176,7 +187,7 @@
         let stored = MemberObject::from_value(&object.value);
         let target = stored.and_then(|it| it.target).filter(|it| it.is_leaving);
         if let Some(target) = target {
-            log::info!("target known to leave instance={}", target.instance);
+            log_event!(LogEvent::TargetLeaving, "source=store instance={}", target.instance);
             self.shared.gate.note_gone(target.instance.as_str().into(), target.started_ms);
         }
     }
--- /dev/null
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -0,0 +1,216 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, AtomicU64};
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+use super::{BoxControlHandler, ControlAnswer, ControlHandler, MeshShared};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BOUNDS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Content type of the metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    service: String,
+    route: String,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    outcome: &'static str,
+}
+
+type FloatGauge = Gauge<f64, AtomicU64>;
+type IntGauge = Gauge<i64, AtomicI64>;
+
+/// Counters, gauges and histograms of a node; clones share them.
+#[derive(Debug, Clone)]
+pub(super) struct MeshMetrics {
+    registry: Arc<Registry>,
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
+    attempts: Family<OutcomeLabels, Counter>,
+    repeats: Family<ServiceLabels, Counter>,
+    repeats_refused: Family<ServiceLabels, Counter>,
+    runs: Family<OutcomeLabels, Counter>,
+    run_seconds: Histogram,
+    hangups: Counter,
+    store_calls: Family<OutcomeLabels, Counter>,
+    gauges: Gauges,
+}
+
+/// Gauges that are set when the metrics are read.
+#[derive(Debug, Clone, Default)]
+struct Gauges {
+    in_flight: IntGauge,
+    queued: IntGauge,
+    limit: IntGauge,
+    failing: FloatGauge,
+    strained: FloatGauge,
+    report_age: FloatGauge,
+    routes_version: IntGauge,
+    routes_age: FloatGauge,
+    members: IntGauge,
+    members_lost: IntGauge,
+    open_requests: IntGauge,
+    open_connections: IntGauge,
+}
+
+impl Gauges {
+    fn register(&self, registry: &mut Registry) {
+        let it = self.clone();
+        registry.register("gate_in_flight", "Requests that the target runs", it.in_flight);
+        registry.register("gate_queued", "Requests that wait at the gate", it.queued);
+        registry.register("gate_limit", "Requests that may run at once", it.limit);
+        registry.register("target_failing_ratio", "Runs lately rejected or failed", it.failing);
+        registry.register("calls_strained_ratio", "Calls lately failed by overload", it.strained);
+        let name = "target_report_age";
+        registry.register_with_unit(name, "Since the last report", Unit::Seconds, it.report_age);
+        registry.register("routes_version", "Version of the routes in force", it.routes_version);
+        let name = "routes_age";
+        registry.register_with_unit(
+            name,
+            "Since they came into force",
+            Unit::Seconds,
+            it.routes_age,
+        );
+        registry.register("members", "Other nodes", it.members);
+        registry.register("members_lost", "Other nodes that do not answer", it.members_lost);
+        registry.register("open_requests", "Requests that are not answered", it.open_requests);
+        registry.register("caller_connections", "Open connections", it.open_connections);
+    }
+}
+
+impl MeshMetrics {
+    pub(super) fn new() -> MeshMetrics {
+        let mut registry = Registry::with_prefix("pollenlever");
+        let histogram: fn() -> Histogram = || Histogram::new(LATENCY_BOUNDS_S);
+        let metrics = MeshMetrics {
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(histogram),
+            attempts: Family::default(),
+            repeats: Family::default(),
+            repeats_refused: Family::default(),
+            runs: Family::default(),
+            run_seconds: histogram(),
+            hangups: Counter::default(),
+            store_calls: Family::default(),
+            gauges: Gauges::default(),
+            registry: Arc::default(),
+        };
+        let it = &metrics;
+        registry.register("requests", "Answered requests of callers", it.requests.clone());
+        let help = "Time from a request to its answer";
+        registry.register_with_unit("request", help, Unit::Seconds, it.request_seconds.clone());
+        registry.register("attempts", "Attempts by how they ended", it.attempts.clone());
+        registry.register("repeats", "Attempts after one that arrived", it.repeats.clone());
+        let help = "Repeats for which the budget had no room";
+        registry.register("repeats_refused", help, it.repeats_refused.clone());
+        registry.register("runs", "Attempts at this gate by how they ended", it.runs.clone());
+        let help = "Time from the start of a run to its end";
+        registry.register_with_unit("run", help, Unit::Seconds, it.run_seconds.clone());
+        registry.register("hangups", "Callers that hung up early", it.hangups.clone());
+        registry.register("store_calls", "Calls to the store by result", it.store_calls.clone());
+        it.gauges.register(&mut registry);
+        MeshMetrics { registry: Arc::new(registry), ..metrics }
+    }
+
+    /// Counts a request that was answered.
+    pub(super) fn request(&self, service: &str, route: &str, outcome: &'static str, seconds: f64) {
+        let labels =
+            RequestLabels { service: service.to_owned(), route: route.to_owned(), outcome };
+        self.requests.get_or_create(&labels).inc();
+        let labels = ServiceLabels { service: service.to_owned() };
+        self.request_seconds.get_or_create(&labels).observe(seconds);
+    }
+
+    /// Counts an attempt that ended.
+    pub(super) fn attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts a repeat, or one for which the budget had no room.
+    pub(super) fn repeat(&self, service: &str, is_granted: bool) {
+        let labels = ServiceLabels { service: service.to_owned() };
+        let family = if is_granted { &self.repeats } else { &self.repeats_refused };
+        family.get_or_create(&labels).inc();
+    }
+
+    /// Counts an attempt that ended at this gate, with the time that it ran.
+    pub(super) fn run(&self, outcome: &'static str, seconds: Option<f64>) {
+        self.runs.get_or_create(&OutcomeLabels { outcome }).inc();
+        if let Some(seconds) = seconds {
+            self.run_seconds.observe(seconds);
+        }
+    }
+
+    /// Counts a caller that hung up before its answer.
+    pub(super) fn hangup(&self) {
+        self.hangups.inc();
+    }
+
+    /// Counts a call to the store.
+    pub(super) fn store_call(&self, is_good: bool) {
+        let outcome = if is_good { "good" } else { "failed" };
+        self.store_calls.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    fn text(&self, shared: &MeshShared) -> String {
+        let it = &self.gauges;
+        let load = shared.gate.load();
+        it.in_flight.set(i64::from(load.in_flight));
+        it.queued.set(i64::from(load.queued));
+        it.limit.set(i64::from(load.limit));
+        it.failing.set(f64::from(load.failing_permille) / 1000.0);
+        it.strained.set(f64::from(load.strained_permille) / 1000.0);
+        it.report_age.set(shared.gate.report_age().as_secs_f64());
+        it.routes_version.set(shared.route_version() as i64);
+        it.routes_age.set(shared.routes_age().as_secs_f64());
+        let (members, lost) = shared.member_counts();
+        it.members.set(members as i64);
+        it.members_lost.set(lost as i64);
+        it.open_requests.set(shared.open_work.count() as i64);
+        it.open_connections.set(shared.open_connections() as i64);
+        let mut buf = String::new();
+        encode(&mut buf, &self.registry).expect("writing to a string does not fail");
+        buf
+    }
+}
+
+/// Serves the metrics of a node.
+pub(super) struct MetricsHandler {
+    shared: Arc<MeshShared>,
+}
+
+impl MetricsHandler {
+    pub(super) fn handler(shared: Arc<MeshShared>) -> BoxControlHandler {
+        Arc::new(MetricsHandler { shared })
+    }
+}
+
+impl ControlHandler for MetricsHandler {
+    fn handle(&self, method: &str, path: &str, _body: &[u8]) -> ControlAnswer {
+        if method != "GET" || path != METRICS_PATH {
+            let body = format!("the metrics are at {METRICS_PATH}");
+            return ControlAnswer { status: 404, content_type: "text/plain", body };
+        }
+        let body = self.shared.metrics.text(&self.shared);
+        ControlAnswer { status: 200, content_type: METRICS_TYPE, body }
+    }
+}
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -9,8 +9,10 @@
 
 use super::control_server::serve_control;
 use super::edge_server::EdgeServer;
+use super::log_event::{LogEvent, log_event};
 use super::member_watch::MemberWatch;
 use super::mesh_handler::MeshHandler;
+use super::mesh_metrics::MetricsHandler;
 use super::route_watch::RouteWatch;
 use super::{BoxMeshPlatform, MeshShared};
 use crate::node::NodeError;
@@ -66,12 +68,22 @@
         for addr in [cfg.ready, cfg.control] {
             tokio::spawn(serve_control(bind(addr).await?, Arc::clone(&control)));
         }
+        if let Some(addr) = cfg.metrics {
+            let handler = MetricsHandler::handler(Arc::clone(&shared));
+            tokio::spawn(serve_control(bind(addr).await?, handler));
+        }
         let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
         tokio::spawn(edge.serve(bind(cfg.callers).await?));
         let members = MemberWatch { shared: Arc::clone(&shared), store: platform.store() };
         tokio::spawn(members.clone().run());
         tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
-        log::info!("node started node={me} name={} zone={}", cfg.name, cfg.zone);
+        log_event!(
+            LogEvent::NodeStarted,
+            "node={me} name={} zone={} service={}",
+            cfg.name,
+            cfg.zone,
+            cfg.service
+        );
         Ok(MeshNode { shared, members })
     }
 
@@ -88,10 +100,11 @@
         }
         let needs_restart = (before.callers, before.peer, before.target, before.store)
             != (cfg.callers, cfg.peer, cfg.target, cfg.store);
-        if needs_restart {
-            log::warn!("changed addresses take effect at the next start");
-        }
-        log::info!("settings reloaded service={}", cfg.service);
+        log_event!(
+            LogEvent::SettingsReloaded,
+            "service={} needs_restart={needs_restart}",
+            cfg.service
+        );
         self.shared.apply_settings(cfg);
     }
 
@@ -100,7 +113,7 @@
     pub async fn leave(&self) -> bool {
         let started = self.shared.clock.now();
         let grace = self.shared.settings().stop_grace;
-        log::info!("node leaving grace_ms={}", grace.as_millis());
+        log_event!(LogEvent::NodeLeaving, "grace_ms={}", grace.as_millis());
         self.shared.start_leaving();
         let members = self.members.clone();
         tokio::spawn(async move { members.retire().await });
@@ -110,7 +123,8 @@
             let is_idle = self.shared.is_idle();
             let elapsed = self.shared.clock.now().saturating_sub(started);
             if is_idle || elapsed + EXIT_MARGIN >= grace {
-                log::info!("node stopped idle={is_idle} after_ms={}", elapsed.as_millis());
+                let after_ms = elapsed.as_millis();
+                log_event!(LogEvent::NodeStopped, "idle={is_idle} after_ms={after_ms}");
                 return is_idle;
             }
             tokio::time::sleep(IDLE_CHECK).await;
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -19,6 +19,9 @@
 
 use super::HeaderNames;
 use super::gate::Gate;
+use super::log_event::{LogEvent, log_event};
+use super::mesh_metrics::MeshMetrics;
+use super::request_log::RequestLog;
 use crate::node::{Clock, OpenWork};
 use crate::peer::PeerClient;
 use crate::settings::MeshSettings;
@@ -52,6 +55,10 @@
     pub(super) open_work: OpenWork,
     /// Connections of callers.
     pub(super) open_connections: OpenWork,
+    /// Bounds lines about single requests.
+    pub(super) request_log: RequestLog,
+    /// Counters and histograms.
+    pub(super) metrics: MeshMetrics,
     /// Told when what the node says about itself has changed.
     pub(super) own_changed: Notify,
     state: Mutex<State>,
@@ -66,6 +73,8 @@
 struct State {
     settings: MeshSettings,
     routes: Option<Arc<RouteTable>>,
+    /// Time at which the routes came into force.
+    routes_since: Duration,
     splits: HashMap<Arc<str>, WeightedSplit>,
     routing: TwoChoices,
     members: MemberTable,
@@ -84,6 +93,7 @@
         peers: PeerClient,
     ) -> MeshShared {
         let clock = Clock::default();
+        let metrics = MeshMetrics::new();
         let me = own.node;
         let routing = TwoChoices::new(
             me,
@@ -94,6 +104,7 @@
         let state = State {
             settings: cfg.clone(),
             routes: None,
+            routes_since: Duration::ZERO,
             splits: HashMap::new(),
             routing,
             members: MemberTable::default(),
@@ -104,12 +115,14 @@
         };
         MeshShared {
             me,
-            gate: Arc::new(Gate::new(cfg.target, names.clone(), clock)),
+            gate: Arc::new(Gate::new(cfg.target, names.clone(), clock, metrics.clone())),
             names,
             clock,
             peers,
             open_work: OpenWork::default(),
             open_connections: OpenWork::default(),
+            request_log: RequestLog::default(),
+            metrics,
             own_changed: Notify::new(),
             state: Mutex::new(state),
             last_id: AtomicU64::new(0),
@@ -153,9 +166,11 @@
 
     fn note_target(self: &Arc<MeshShared>, change: RegistryChange, what: &str) {
         match change {
-            RegistryChange::Opened => log::info!("target ready {what}"),
-            RegistryChange::Closed => log::info!("target leaving {what}"),
-            RegistryChange::Stale => log::info!("target report ignored reason=stale {what}"),
+            RegistryChange::Opened => log_event!(LogEvent::TargetReady, "{what}"),
+            RegistryChange::Closed => log_event!(LogEvent::TargetLeaving, "{what}"),
+            RegistryChange::Stale => {
+                log_event!(LogEvent::TargetReportIgnored, "reason=stale {what}");
+            }
             RegistryChange::Refreshed => {}
         }
         if matches!(change, RegistryChange::Opened | RegistryChange::Closed) {
@@ -224,6 +239,17 @@
         self.lock().routes.as_ref().map_or(0, |it| it.version)
     }
 
+    /// Time since the routes came into force.
+    pub(super) fn routes_age(&self) -> Duration {
+        self.clock.now().saturating_sub(self.lock().routes_since)
+    }
+
+    /// Other nodes, and those of them that do not answer.
+    pub(super) fn member_counts(&self) -> (usize, usize) {
+        let state = self.lock();
+        (state.members.len(), state.lost.len())
+    }
+
     /// Takes routes into force unless later ones are.
     pub(super) fn apply_routes(&self, table: RouteTable, source: &str) {
         let mut state = self.lock();
@@ -231,7 +257,12 @@
         if table.version <= known && state.routes.is_some() {
             return;
         }
-        log::info!("routes in force version={} before={known} source={source}", table.version);
+        log_event!(
+            LogEvent::RoutesInForce,
+            "version={} before={known} source={source}",
+            table.version
+        );
+        state.routes_since = self.clock.now();
         for service in &table.services {
             let cfg = ServiceConfig {
                 service: service.service.clone(),
@@ -320,8 +351,9 @@
         let changes = state.members.up(member);
         for change in &changes {
             if let MemberChange::Up(member) = change {
-                log::info!(
-                    "member up node={} service={} state={:?}",
+                log_event!(
+                    LogEvent::MemberUp,
+                    "node={} service={} state={:?}",
                     member.node,
                     member.service.as_deref().unwrap_or("none"),
                     member.state
@@ -339,7 +371,7 @@
         state.lost.retain(|_, lost| *lost != node);
         let changes = state.members.gone(node);
         if changes.is_some() {
-            log::info!("member gone node={node} source=store");
+            log_event!(LogEvent::MemberGone, "node={node} source=store");
         }
         state.apply(now, changes.into_iter().collect());
     }
@@ -353,7 +385,7 @@
             if changes.is_none() {
                 return;
             }
-            log::info!("member lost node={node} reason=\"no reply\"");
+            log_event!(LogEvent::MemberLost, "node={node} reason=\"no reply\"");
             state.lost.insert(node.addr, node);
             state.apply(now, changes.into_iter().collect());
         }
@@ -361,11 +393,6 @@
         tokio::spawn(async move { shared.probe(node.addr).await });
     }
 
-    /// Another process has the member's address: asks it who it is.
-    pub(super) fn member_replaced(self: &Arc<MeshShared>, node: NodeId) {
-        self.member_lost(node);
-    }
-
     async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
         let mut pause = MIN_PROBE_PAUSE;
         for _ in 0..MAX_PROBES {
--- /dev/null
+++ b/crates/pollenlever/src/mesh/owned_request.rs
@@ -0,0 +1,155 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, header::HOST};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::config::Importance;
+use pollenlever_core::id::{AttemptId, ServiceName};
+use pollenlever_core::mesh::{HttpRoute, MeshAttempt, RequestId, RouteTable, RouteVersion};
+
+use super::{MeshShared, forwarded_headers};
+
+/// Part of the latency target for which a request may wait at a gate.
+const WAIT_PART_OF_TARGET: u32 = 8;
+/// Part of the time left for which a call of a target may wait at a gate: its caller has been
+/// admitted already, and refusing it wastes that work.
+const WAIT_PART_OF_INNER: u32 = 2;
+/// Deadline of a request that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(30);
+
+/// A request with what its route says about it.
+pub(super) struct OwnedRequest {
+    pub(super) id: RequestId,
+    pub(super) service: ServiceName,
+    pub(super) route: HttpRoute,
+    /// Version of the routes that it follows.
+    pub(super) routes: RouteVersion,
+    method: String,
+    path: String,
+    headers: Vec<(String, Vec<u8>)>,
+    pub(super) body: Bytes,
+    /// Time at which it came, by the node's clock.
+    pub(super) arrived: Duration,
+    /// Time at which the caller or the route gives up, by the node's clock.
+    pub(super) deadline: Duration,
+    /// Whether the target beside the node makes the request.
+    pub(super) is_inner: bool,
+    /// Chance that the run that makes this call is itself a repeat.
+    pub(super) repeat: f32,
+}
+
+impl OwnedRequest {
+    /// Reads a request whole and finds its route.
+    ///
+    /// # Errors
+    ///
+    /// The error kind with which the request is answered.
+    pub(super) async fn read(
+        shared: &MeshShared,
+        req: Request<Incoming>,
+    ) -> Result<OwnedRequest, ErrorKind> {
+        let arrived = shared.clock.now();
+        let table = shared.routes().ok_or(ErrorKind::NoConfiguration)?;
+        let (parts, body) = req.into_parts();
+        let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
+        let host = host.or(parts.uri.host()).ok_or(ErrorKind::MalformedRequest)?;
+        let path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
+        let route = table.find(host, &path).ok_or(ErrorKind::UnknownRequestKind)?.clone();
+        let id = request_id(shared, &parts.headers)?;
+        check_head_size(&table, &parts.headers)?;
+        let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
+        let time_budget = time_budget(shared, &parts.headers);
+        let is_inner = shared.is_call(&route, arrived + time_budget);
+        let deadline = arrived + time_budget.min(route.timeout);
+        let body = read_body(&table, body).await?;
+        Ok(OwnedRequest {
+            id,
+            service,
+            routes: table.version,
+            method: parts.method.as_str().to_owned(),
+            path,
+            headers: passed_on(shared, &parts.headers),
+            body,
+            arrived,
+            deadline,
+            is_inner,
+            repeat: if is_inner { shared.gate.repeat_share() } else { 0.0 },
+            route,
+        })
+    }
+
+    /// Whether the request is tried at more gates while all are overloaded.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.is_inner || self.route.importance() == Importance::Critical
+    }
+
+    /// Head of an attempt that is sent now.
+    pub(super) fn head(
+        &self,
+        shared: &MeshShared,
+        id: AttemptId,
+        now: Duration,
+        repeat: f32,
+    ) -> MeshAttempt {
+        let time_left = self.deadline.saturating_sub(now);
+        let max_wait = if self.is_inner {
+            time_left / WAIT_PART_OF_INNER
+        } else {
+            (self.route.latency_target / WAIT_PART_OF_TARGET).min(time_left)
+        };
+        MeshAttempt {
+            id,
+            request_id: self.id.clone(),
+            service: self.service.clone(),
+            caller: shared.own_service(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            importance: self.route.importance(),
+            is_inner: self.is_inner,
+            idempotent: self.route.idempotent,
+            repeat,
+            time_left,
+            max_wait,
+        }
+    }
+}
+
+fn request_id(shared: &MeshShared, headers: &HeaderMap) -> Result<RequestId, ErrorKind> {
+    let id = headers.get(&shared.names.request_id).and_then(|it| it.to_str().ok());
+    id.map(RequestId::from).ok_or(ErrorKind::MalformedRequest)
+}
+
+fn time_budget(shared: &MeshShared, headers: &HeaderMap) -> Duration {
+    let text = headers.get(&shared.names.deadline_ms).and_then(|it| it.to_str().ok());
+    let millis = text.and_then(|it| it.trim().parse().ok());
+    millis.map_or(DEFAULT_DEADLINE, Duration::from_millis)
+}
+
+/// The headers for the target, without those that the node sets itself.
+fn passed_on(shared: &MeshShared, headers: &HeaderMap) -> Vec<(String, Vec<u8>)> {
+    let names = &shared.names;
+    let mut headers = headers.clone();
+    for name in [&names.deadline_ms, &names.expected_instance, &names.caller_service] {
+        headers.remove(name);
+    }
+    forwarded_headers::passed_on(&headers)
+}
+
+fn check_head_size(table: &RouteTable, headers: &HeaderMap) -> Result<(), ErrorKind> {
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    if bytes > table.limits.max_header_bytes { Err(ErrorKind::HeaderTooLarge) } else { Ok(()) }
+}
+
+async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, ErrorKind> {
+    match Limited::new(body, table.limits.max_body_bytes).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(err) if err.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
+        Err(err) => {
+            log::debug!("body of a request not read reason={:?}", err.to_string());
+            Err(ErrorKind::MalformedRequest)
+        }
+    }
+}
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -3,6 +3,7 @@
 
 use serde_json::Value;
 
+use super::log_event::{LogEvent, log_event};
 use super::store_wait::StoreWait;
 use super::{BoxMeshPlatform, MeshShared};
 use crate::store::{ObjectList, Revision, StoreError};
@@ -30,14 +31,19 @@
             };
             match read {
                 Ok(list) => {
+                    self.shared.metrics.store_call(true);
                     if wait.reset() {
-                        log::info!("store regained kind={kind}");
+                        log_event!(LogEvent::StoreRegained, "kind={kind}");
                     }
                     since = Some(list.revision);
                     self.take(&list);
                 }
                 Err(err) => {
-                    log::warn!("store call failed kind={kind} reason={:?}", err.to_string());
+                    self.shared.metrics.store_call(false);
+                    if !wait.is_failing() {
+                        let reason = err.to_string();
+                        log_event!(LogEvent::StoreLost, "kind={kind} reason={reason:?}");
+                    }
                     if err == StoreError::HistoryGone {
                         since = None;
                     }
@@ -57,7 +63,7 @@
     fn apply(&self, value: &Value) {
         match self.platform.routes(value) {
             Ok(table) => self.shared.apply_routes(table, "store"),
-            Err(err) => log::error!("routes refused reason={:?}", err.to_string()),
+            Err(err) => log_event!(LogEvent::RoutesRefused, "reason={:?}", err.to_string()),
         }
     }
 }
--- a/crates/pollenlever/src/mesh/run_mesh.rs
+++ b/crates/pollenlever/src/mesh/run_mesh.rs
@@ -4,6 +4,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
+use super::log_event::{LogEvent, log_event};
 use super::{BoxMeshPlatform, MeshNode};
 use crate::node::NodeError;
 use crate::settings::MeshSettings;
@@ -37,12 +38,15 @@
     loop {
         tokio::select! {
             _ = term.recv() => return,
-            _ = hup.recv() => log::info!("reload asked"),
+            _ = hup.recv() => {}
             () = tokio::time::sleep(RELOAD_INTERVAL) => {}
         }
         match MeshSettings::load(path) {
             Ok(cfg) => node.reload(cfg),
-            Err(err) => log::error!("settings not reloaded reason={:?}", err.to_string()),
+            Err(err) => {
+                let reason = err.to_string();
+                log_event!(LogEvent::SettingsRefused, "reason={reason:?}");
+            }
         }
     }
 }
--- a/crates/pollenlever/src/mesh/store_wait.rs
+++ b/crates/pollenlever/src/mesh/store_wait.rs
@@ -19,9 +19,14 @@
         self.next = (self.next * 2).min(MAX_WAIT);
     }
 
+    /// Whether the last call failed.
+    pub(super) fn is_failing(&self) -> bool {
+        self.next > MIN_WAIT
+    }
+
     /// Notes that a call succeeded. Returns whether the one before had failed.
     pub(super) fn reset(&mut self) -> bool {
-        let had_failed = self.next > MIN_WAIT;
+        let had_failed = self.is_failing();
         self.next = MIN_WAIT;
         had_failed
     }
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -132,7 +132,7 @@
             return TargetResult::WrongInstance;
         }
         if parts.headers.contains_key(&self.names.not_run) {
-            return TargetResult::Rejected(status);
+            return TargetResult::Rejected;
         }
         let headers = forwarded_headers::passed_on(&parts.headers);
         TargetResult::Answered { status, headers, body }
--- a/crates/pollenlever/src/mesh/target_result.rs
+++ b/crates/pollenlever/src/mesh/target_result.rs
@@ -12,8 +12,8 @@
         /// Whole body.
         body: Bytes,
     },
-    /// The target said that it did not run the request; its status.
-    Rejected(u16),
+    /// The target said that it did not run the request.
+    Rejected,
     /// Another target has the address.
     WrongInstance,
     /// Nothing was sent: the target takes no connections.
@@ -23,3 +23,26 @@
     /// The request was sent and not answered before its deadline.
     TimedOut,
 }
+
+impl TargetResult {
+    /// Name of the result in logs and metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            TargetResult::Answered { status: 500.., .. } => "target-error",
+            TargetResult::Answered { .. } => "answered",
+            TargetResult::Rejected => "rejected-by-target",
+            TargetResult::WrongInstance => "wrong-instance",
+            TargetResult::Unreachable(_) => "unreachable",
+            TargetResult::Unknown(_) => "unknown",
+            TargetResult::TimedOut => "timed-out",
+        }
+    }
+
+    /// What was seen, where the name does not say it.
+    pub(super) fn reason(&self) -> &str {
+        match self {
+            TargetResult::Unreachable(reason) | TargetResult::Unknown(reason) => reason,
+            _ => self.name(),
+        }
+    }
+}
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -31,6 +31,8 @@
     pub ready: SocketAddr,
     /// `[node] control`: HTTP address at which the target reports.
     pub control: SocketAddr,
+    /// `[node] metrics`: HTTP address at which metrics are served, if any.
+    pub metrics: Option<SocketAddr>,
     /// `[node] region`.
     pub region: String,
     /// `[node] zone`.
@@ -90,6 +92,7 @@
         set(&mut self.peer, reader.required("peer", values::address));
         set(&mut self.ready, reader.required("ready", values::address));
         set(&mut self.control, reader.required("control", values::address));
+        self.metrics = reader.optional("metrics", values::address);
         set(&mut self.region, reader.required("region", values::place_name));
         set(&mut self.zone, reader.required("zone", values::place_name));
     }
@@ -123,6 +126,7 @@
             peer: loopback(7100),
             ready: loopback(7400),
             control: loopback(7500),
+            metrics: None,
             region: String::new(),
             zone: String::new(),
             target: loopback(7200),
