--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -24,6 +24,7 @@
 pub use admission_settings::AdmissionSettings;
 pub use chain_hash::{chain_hash, chain_share};
 pub use concurrency_limit::ConcurrencyLimit;
+pub(crate) use decayed::Decayed;
 pub use failure_limit::FailureLimit;
 pub use fifo_admission::FifoAdmission;
 pub use gradient_limit::GradientLimit;
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -1,24 +1,20 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
-use pollenlever_core::admission::{
-    Admission, AdmissionSettings, LimitKind, PriorityAdmission, RunOutcome, Ticket, Verdict,
-};
+use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{AttemptId, ChainId, StreamId};
 use pollenlever_core::mesh::{
-    AttemptLedger, AttemptOutcome, AttemptReply, AttemptStage, InstanceId, MeshAttempt,
-    RegistryChange, StartTime, TargetRegistry, TargetReport,
+    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, MeshAttempt, RegistryChange, StartTime,
+    TargetReport,
 };
 use pollenlever_core::message::GateLoad;
 use tokio::sync::oneshot;
 
 use super::HeaderNames;
-use super::callees::Callees;
-use super::failure_rate::FailureRate;
+use super::gate_state::{GateState, Run};
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
 use super::owner::STRAINED_PERMILLE;
@@ -33,46 +29,24 @@
 /// Statuses by which a target fails a request that it ran.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
 
-/// Shortest time between two lines about the limit of concurrent runs.
-const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Part of the logged limit by which it must differ to be logged again.
-const LIMIT_LOG_PART: u32 = 3;
-
 /// The only way to the target beside this node.
 pub(super) struct Gate {
-    clock: Clock,
+    pub(super) clock: Clock,
     client: TargetClient,
-    log: RequestLog,
-    metrics: MeshMetrics,
+    /// Bounds lines about single attempts.
+    pub(super) log: RequestLog,
+    /// Counters and histograms.
+    pub(super) metrics: MeshMetrics,
     state: Mutex<GateState>,
 }
 
-struct GateState {
-    registry: TargetRegistry,
-    admission: PriorityAdmission,
-    waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
-    ledger: AttemptLedger,
-    failures: FailureRate,
-    callees: Callees,
-    runs: HashMap<StreamId, Run>,
-    is_leaving: bool,
-    last_id: StreamId,
-    /// Limit of concurrent runs that was logged last, and when.
-    logged_limit: (u32, Duration),
-}
-
-/// A request that the target runs.
-struct Run {
-    /// Chance that it repeats an earlier one.
-    repeat: f32,
-    deadline: Duration,
-}
-
 /// What an attempt needs once it has a slot.
-struct Start {
-    instance: InstanceId,
-    at: Duration,
-    time_left: Duration,
+pub(super) struct Start {
+    pub(super) instance: InstanceId,
+    /// Start of the run, by the node's clock.
+    pub(super) at: Duration,
+    /// Time from then until the request's deadline.
+    pub(super) time_left: Duration,
 }
 
 impl Gate {
@@ -82,21 +56,7 @@
         clock: Clock,
         metrics: MeshMetrics,
     ) -> Gate {
-        let state = GateState {
-            registry: TargetRegistry::default(),
-            admission: PriorityAdmission::new(AdmissionSettings {
-                limit: LimitKind::Failures,
-                ..AdmissionSettings::default()
-            }),
-            waiting: HashMap::new(),
-            ledger: AttemptLedger::default(),
-            failures: FailureRate::default(),
-            callees: Callees::default(),
-            runs: HashMap::new(),
-            is_leaving: false,
-            last_id: 0,
-            logged_limit: (0, Duration::ZERO),
-        };
+        let state = GateState::default();
         Gate {
             clock,
             client: TargetClient::new(target, names),
@@ -321,57 +281,6 @@
         }
     }
 
-    /// Logs the end of a run: out of the ordinary, or one of the sample.
-    fn log_run(&self, start: &Start, head: &MeshAttempt, result: &TargetResult) {
-        let now = self.clock.now();
-        let took = now.saturating_sub(start.at);
-        self.metrics.run(result.name(), Some(took.as_secs_f64()));
-        let is_ordinary = matches!(result, TargetResult::Answered { status, .. } if *status < 500);
-        if is_ordinary && !RequestLog::samples(&head.request_id) {
-            return;
-        }
-        let Some(omitted) = self.log.admit(now) else { return };
-        let load = self.load();
-        log_event!(
-            LogEvent::RunEnded,
-            "request={} instance={} result={} reason={:?} took_ms={} left_ms={} in_flight={} \
-             limit={} strained_permille={} omitted={omitted}",
-            head.request_id,
-            start.instance,
-            result.name(),
-            result.reason(),
-            took.as_millis(),
-            start.time_left.saturating_sub(took).as_millis(),
-            load.in_flight,
-            load.limit,
-            load.strained_permille
-        );
-    }
-
-    /// Logs and counts an attempt that was not handed to the target.
-    fn log_refusal(&self, head: &MeshAttempt, refusal: &AttemptOutcome) {
-        let AttemptOutcome::RefusedByGate { error, retry_after } = refusal else { return };
-        self.metrics.run(error.as_str(), None);
-        let now = self.clock.now();
-        let Some(omitted) = self.log.admit(now) else { return };
-        let load = self.load();
-        log_event!(
-            LogEvent::RunRefused,
-            "request={} reason={} in_flight={} queued={} limit={} retry_after_ms={} \
-             report_age_ms={} max_wait_ms={} importance={:?} inner={} omitted={omitted}",
-            head.request_id,
-            error.as_str(),
-            load.in_flight,
-            load.queued,
-            load.limit,
-            retry_after.unwrap_or_default().as_millis(),
-            self.report_age().as_millis(),
-            head.max_wait.as_millis(),
-            head.importance,
-            head.is_inner
-        );
-    }
-
     /// Time since the target's last report.
     pub(super) fn report_age(&self) -> Duration {
         self.clock.now().saturating_sub(self.lock().registry.reported_at())
@@ -461,62 +370,6 @@
     }
 }
 
-impl GateState {
-    /// Why a request gets no place at the gate.
-    fn refusal(&self, head: &MeshAttempt) -> Option<ErrorKind> {
-        if self.is_leaving {
-            return Some(ErrorKind::Leaving);
-        }
-        match self.registry.serving() {
-            Some(target) if target.service == head.service => None,
-            Some(_) => Some(ErrorKind::NoTarget),
-            None if self.registry.current().is_some_and(|it| it.is_draining) => {
-                Some(ErrorKind::Leaving)
-            }
-            None => Some(ErrorKind::NoTarget),
-        }
-    }
-
-    /// Logs the limit of concurrent runs once it differs much from what was logged last.
-    fn log_limit(&mut self, now: Duration) {
-        let limit = self.admission.load(now).limit;
-        let (logged, at) = self.logged_limit;
-        let is_due = now.saturating_sub(at) >= LIMIT_LOG_INTERVAL;
-        if !is_due || limit.abs_diff(logged) <= logged / LIMIT_LOG_PART {
-            return;
-        }
-        self.logged_limit = (limit, now);
-        log_event!(
-            LogEvent::LimitChanged,
-            "limit={limit} before={logged} strained_permille={} failing_permille={}",
-            self.callees.strained_permille(now),
-            self.failures.permille(now)
-        );
-    }
-
-    /// Refuses what waits for a slot: the target gets no new work.
-    fn refuse_waiting(&mut self) {
-        for (id, tx) in self.waiting.drain() {
-            let (error, retry_after) = (ErrorKind::Leaving, Duration::ZERO);
-            let _ = tx.send(Verdict::Shed { id, error, retry_after });
-        }
-    }
-
-    /// Passes verdicts on to those that wait. A verdict for one that has just given up is dropped;
-    /// its guard gives the slot back.
-    fn tell(&mut self, verdicts: Vec<Verdict>) {
-        for verdict in verdicts {
-            let id = match &verdict {
-                Verdict::Run(id) => *id,
-                Verdict::Shed { id, .. } => *id,
-            };
-            if let Some(tx) = self.waiting.remove(&id) {
-                let _ = tx.send(verdict);
-            }
-        }
-    }
-}
-
 fn refused(error: ErrorKind, retry_after: Option<Duration>) -> AttemptOutcome {
     AttemptOutcome::RefusedByGate { error, retry_after }
 }
--- /dev/null
+++ b/crates/pollenlever/src/mesh/gate_log.rs
@@ -0,0 +1,60 @@
+use pollenlever_core::mesh::{AttemptOutcome, MeshAttempt};
+
+use super::gate::{Gate, Start};
+use super::log_event::{LogEvent, log_event};
+use super::request_log::RequestLog;
+use super::target_result::TargetResult;
+
+/// Lines and counts about single attempts.
+impl Gate {
+    /// Logs the end of a run: out of the ordinary, or one of the sample.
+    pub(super) fn log_run(&self, start: &Start, head: &MeshAttempt, result: &TargetResult) {
+        let now = self.clock.now();
+        let took = now.saturating_sub(start.at);
+        self.metrics.run(result.name(), Some(took.as_secs_f64()));
+        let is_ordinary = matches!(result, TargetResult::Answered { status, .. } if *status < 500);
+        if is_ordinary && !RequestLog::samples(&head.request_id) {
+            return;
+        }
+        let Some(omitted) = self.log.admit(now) else { return };
+        let load = self.load();
+        log_event!(
+            LogEvent::RunEnded,
+            "request={} instance={} result={} reason={:?} took_ms={} left_ms={} in_flight={} \
+             limit={} strained_permille={} omitted={omitted}",
+            head.request_id,
+            start.instance,
+            result.name(),
+            result.reason(),
+            took.as_millis(),
+            start.time_left.saturating_sub(took).as_millis(),
+            load.in_flight,
+            load.limit,
+            load.strained_permille
+        );
+    }
+
+    /// Logs and counts an attempt that was not handed to the target.
+    pub(super) fn log_refusal(&self, head: &MeshAttempt, refusal: &AttemptOutcome) {
+        let AttemptOutcome::RefusedByGate { error, retry_after } = refusal else { return };
+        self.metrics.run(error.as_str(), None);
+        let now = self.clock.now();
+        let Some(omitted) = self.log.admit(now) else { return };
+        let load = self.load();
+        log_event!(
+            LogEvent::RunRefused,
+            "request={} reason={} in_flight={} queued={} limit={} retry_after_ms={} \
+             report_age_ms={} max_wait_ms={} importance={:?} inner={} omitted={omitted}",
+            head.request_id,
+            error.as_str(),
+            load.in_flight,
+            load.queued,
+            load.limit,
+            retry_after.unwrap_or_default().as_millis(),
+            self.report_age().as_millis(),
+            head.max_wait.as_millis(),
+            head.importance,
+            head.is_inner
+        );
+    }
+}
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -4,16 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::Bytes;
 use pollenlever_core::config::ServiceConfig;
-use pollenlever_core::id::{ANY_INCARNATION, NodeId, ServiceName};
+use pollenlever_core::id::{NodeId, ServiceName};
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, MeshReply,
-    MeshRequest, RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport,
-    WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, RegistryChange,
+    RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
 };
-use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
 
@@ -28,17 +25,6 @@
 
 /// Time over which a new target's share of load grows to its full value.
 const RAMP_UP: Duration = Duration::from_secs(3);
-/// Longest wait for the reply to an announcement or a question for routes.
-const NEWS_TIMEOUT: Duration = Duration::from_secs(1);
-/// Wait before another node is asked for newer routes: the store mostly brings them first.
-const ROUTES_PAUSE: Duration = Duration::from_millis(300);
-/// First wait before a lost member is asked again; doubles with each try.
-const MIN_PROBE_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait between two tries.
-const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
-/// Tries after which a lost member is left to the store's list.
-const MAX_PROBES: u32 = 60;
-
 /// What the parts of a mesh node share.
 pub struct MeshShared {
     /// This node.
@@ -66,23 +52,23 @@
     leaving: AtomicBool,
     recovered: AtomicBool,
     /// Whether another node is being asked for its routes.
-    asks_routes: AtomicBool,
+    pub(super) asks_routes: AtomicBool,
     stopped: watch::Sender<bool>,
 }
 
-struct State {
-    settings: MeshSettings,
-    routes: Option<Arc<RouteTable>>,
+pub(super) struct State {
+    pub(super) settings: MeshSettings,
+    pub(super) routes: Option<Arc<RouteTable>>,
     /// Time at which the routes came into force.
-    routes_since: Duration,
-    splits: HashMap<Arc<str>, WeightedSplit>,
-    routing: TwoChoices,
-    members: MemberTable,
+    pub(super) routes_since: Duration,
+    pub(super) splits: HashMap<Arc<str>, WeightedSplit>,
+    pub(super) routing: TwoChoices,
+    pub(super) members: MemberTable,
     /// Members that do not answer, with whether the store still lists them.
-    lost: BTreeMap<SocketAddr, NodeId>,
-    budget: RetryBudget,
-    calls: CallClassifier,
-    own: Member,
+    pub(super) lost: BTreeMap<SocketAddr, NodeId>,
+    pub(super) budget: RetryBudget,
+    pub(super) calls: CallClassifier,
+    pub(super) own: Member,
 }
 
 impl MeshShared {
@@ -329,155 +315,11 @@
         state.budget.take(now, service, cost, nodes)
     }
 
-    /// Notes that an attempt is sent; the guard takes how it ended.
-    pub(super) fn note_sent(self: &Arc<MeshShared>, gate: NodeId, bytes: u64) -> SentAttempt {
-        let now = self.clock.now();
-        self.lock().routing.sent(now, gate, bytes);
-        SentAttempt { shared: Arc::clone(self), gate, sent: now, is_open: true }
-    }
-
     /// Draws a number that this process has not drawn before.
     pub(super) fn draw_id(&self) -> u64 {
         self.last_id.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    /// Takes what a member says about itself.
-    pub(super) fn member_up(&self, member: Member) {
-        if member.node.addr == self.me.addr {
-            return;
-        }
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let changes = state.members.up(member);
-        for change in &changes {
-            if let MemberChange::Up(member) = change {
-                log_event!(
-                    LogEvent::MemberUp,
-                    "node={} service={} state={:?}",
-                    member.node,
-                    member.service.as_deref().unwrap_or("none"),
-                    member.state
-                );
-                state.lost.remove(&member.node.addr);
-            }
-        }
-        state.apply(now, changes);
-    }
-
-    /// Takes the news that a member has left.
-    pub(super) fn member_gone(&self, node: NodeId) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        state.lost.retain(|_, lost| *lost != node);
-        let changes = state.members.gone(node);
-        if changes.is_some() {
-            log_event!(LogEvent::MemberGone, "node={node} source=store");
-        }
-        state.apply(now, changes.into_iter().collect());
-    }
-
-    /// Takes a member that does not answer out of use and asks it again until it does.
-    pub(super) fn member_lost(self: &Arc<MeshShared>, node: NodeId) {
-        let now = self.clock.now();
-        {
-            let mut state = self.lock();
-            let changes = state.members.gone(node);
-            if changes.is_none() {
-                return;
-            }
-            log_event!(LogEvent::MemberLost, "node={node} reason=\"no reply\"");
-            state.lost.insert(node.addr, node);
-            state.apply(now, changes.into_iter().collect());
-        }
-        let shared = Arc::clone(self);
-        tokio::spawn(async move { shared.probe(node.addr).await });
-    }
-
-    async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
-        let mut pause = MIN_PROBE_PAUSE;
-        for _ in 0..MAX_PROBES {
-            if !self.lock().lost.contains_key(&addr) || self.is_leaving() {
-                return;
-            }
-            self.announce(addr).await;
-            let spread = rand::random_range(0.75..1.25);
-            tokio::time::sleep(pause.mul_f64(spread)).await;
-            pause = (pause * 2).min(MAX_PROBE_PAUSE);
-        }
-    }
-
-    /// Tells all members about this node.
-    pub(super) fn announce_to_all(self: &Arc<MeshShared>) {
-        let addrs: Vec<SocketAddr> = self.lock().members.iter().map(|it| it.node.addr).collect();
-        for addr in addrs {
-            let shared = Arc::clone(self);
-            tokio::spawn(async move { shared.announce(addr).await });
-        }
-    }
-
-    /// Tells the node at an address about this one and hears about it in return.
-    async fn announce(self: &Arc<MeshShared>, addr: SocketAddr) {
-        let req = MeshRequest::Announce(self.own(), self.route_version());
-        match self.ask(addr, req).await {
-            Some(MeshReply::Announced(member, routes)) => {
-                let node = member.node;
-                self.member_up(member);
-                self.note_routes(node, routes);
-            }
-            Some(reply) => log::warn!("unexpected reply node={addr} reply={reply:?}"),
-            None => {}
-        }
-    }
-
-    /// Notes the version of another node's routes and asks for them if they are newer.
-    pub(super) fn note_routes(self: &Arc<MeshShared>, node: NodeId, version: RouteVersion) {
-        let known = self.route_version();
-        if version <= known {
-            return;
-        }
-        if self.asks_routes.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let shared = Arc::clone(self);
-        tokio::spawn(async move {
-            tokio::time::sleep(ROUTES_PAUSE).await;
-            shared.fetch_routes(node, version).await;
-            shared.asks_routes.store(false, Ordering::Relaxed);
-        });
-    }
-
-    /// Asks a node for its routes, unless they have come from the store meanwhile.
-    async fn fetch_routes(&self, node: NodeId, version: RouteVersion) {
-        let known = self.route_version();
-        if version <= known {
-            return;
-        }
-        let reply = self.ask(node.addr, MeshRequest::Routes(known)).await;
-        if let Some(MeshReply::Routes(Some(table))) = reply {
-            self.apply_routes(table, "peer");
-        }
-    }
-
-    async fn ask(&self, addr: SocketAddr, req: MeshRequest) -> Option<MeshReply> {
-        let to = NodeId { addr, incarnation: ANY_INCARNATION };
-        let asked = self.peers.exchange(to, PeerRequest::Mesh(req), Bytes::new());
-        match tokio::time::timeout(NEWS_TIMEOUT, asked).await {
-            Ok(Ok((PeerReply::Mesh(reply), _))) => Some(reply),
-            Ok(Ok((reply, _))) => {
-                log::warn!("unexpected reply node={addr} reply={reply:?}");
-                None
-            }
-            Ok(Err(err)) => {
-                log::debug!("no reply node={addr} reason={:?}", err.reason);
-                None
-            }
-            Err(_) => {
-                log::debug!("no reply node={addr} reason=timeout");
-                None
-            }
-        }
-    }
-
     /// Whether the node is asked to leave.
     pub(super) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
@@ -518,13 +360,13 @@
         let _ = stopped.wait_for(|it| *it).await;
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 impl State {
-    fn apply(&mut self, now: Duration, changes: Vec<MemberChange>) {
+    pub(super) fn apply(&mut self, now: Duration, changes: Vec<MemberChange>) {
         for change in changes {
             match change {
                 MemberChange::Up(member) => self.routing.members_up(now, &[member]),
@@ -533,38 +375,3 @@
         }
     }
 }
-
-/// An attempt that was sent and has not ended; dropped, it counts as given up.
-pub(super) struct SentAttempt {
-    shared: Arc<MeshShared>,
-    gate: NodeId,
-    sent: Duration,
-    is_open: bool,
-}
-
-impl SentAttempt {
-    /// Notes the reply.
-    pub(super) fn replied(mut self, load: &GateLoad, bytes: u64) {
-        self.is_open = false;
-        let now = self.shared.clock.now();
-        let latency = now.saturating_sub(self.sent);
-        self.shared.lock().routing.replied(now, self.gate, latency, load, bytes);
-    }
-
-    /// Notes that there was no reply.
-    pub(super) fn failed(mut self) {
-        self.is_open = false;
-        let now = self.shared.clock.now();
-        self.shared.lock().routing.failed(now, self.gate);
-        self.shared.member_lost(self.gate);
-    }
-}
-
-impl Drop for SentAttempt {
-    fn drop(&mut self) {
-        if self.is_open {
-            let now = self.shared.clock.now();
-            self.shared.lock().routing.cancelled(now, self.gate);
-        }
-    }
-}
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -1,13 +1,13 @@
 //! A node that carries the HTTP traffic of a service mesh: callers and the target on its own VM
 //! send requests to it, and it alone hands requests to that target.
 
-mod callees;
 mod control_server;
 mod edge_answer;
 mod edge_server;
-mod failure_rate;
 mod forwarded_headers;
 mod gate;
+mod gate_log;
+mod gate_state;
 mod hangup_io;
 mod header_names;
 mod log_event;
@@ -18,12 +18,14 @@
 mod mesh_node;
 mod mesh_platform;
 mod mesh_shared;
+mod neighbours;
 mod open_request;
 mod owned_request;
 mod owner;
 mod request_log;
 mod route_watch;
 mod run_mesh;
+mod sent_attempt;
 mod slot_guard;
 mod store_wait;
 mod target_client;
