Keep a target out that left before the restarted node had heard it

Ruled out: the stored object (the store was down at the restart) and the order of sequences.

Change: a departure without a start means every process of that instance that has started until now; it is kept, and stored for a later process of the node.

Test: core mesh registry a_departure_before_any_report_keeps_the_target_out.

--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -42,7 +42,7 @@
 pub use retry_budget_settings::RetryBudgetSettings;
 pub use route_table::{RouteTable, RouteVersion};
 pub use service_traits::ServiceTraits;
-pub use target_registry::{RegistryChange, TargetRegistry};
+pub use target_registry::{Lifetime, RegistryChange, TargetRegistry};
 pub use target_report::{InstanceId, StartTime, TargetReport};
 pub use weighted_service::WeightedService;
 pub use weighted_split::WeightedSplit;
--- a/crates/pollenlever-core/src/mesh/target_registry.rs
+++ b/crates/pollenlever-core/src/mesh/target_registry.rs
@@ -6,8 +6,8 @@
 /// Targets that are remembered as gone.
 const MAX_GONE: usize = 64;
 
-/// One process of a target.
-type Lifetime = (InstanceId, StartTime);
+/// A target and the latest start of a process that is meant.
+pub type Lifetime = (InstanceId, StartTime);
 
 /// What a report changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -37,8 +37,7 @@
 impl TargetRegistry {
     /// Takes a report of a target.
     pub fn report(&mut self, now: Timestamp, report: TargetReport) -> RegistryChange {
-        let lifetime = (report.instance.clone(), report.started);
-        if self.is_stale(&report) || self.gone.contains(&lifetime) {
+        if self.is_stale(&report) || self.is_gone(&report) {
             return RegistryChange::Stale;
         }
         let was_open = self.serving().is_some();
@@ -60,15 +59,20 @@
         }
     }
 
-    /// Takes the word of a target that it is gone. `started` may be left out.
-    pub fn leave(&mut self, instance: &InstanceId, started: Option<StartTime>) -> RegistryChange {
+    /// Takes the word of a target that it is gone. `started` may be left out; then it means the
+    /// process that is known, or else every one that has started until `now`, in milliseconds of
+    /// Unix time.
+    pub fn leave(
+        &mut self,
+        instance: &InstanceId,
+        started: Option<StartTime>,
+        now: StartTime,
+    ) -> RegistryChange {
         let current = self.current.as_ref().filter(|it| it.instance == *instance);
-        let lifetime_start = started.or(current.map(|it| it.started));
+        let known = current.map(|it| it.started);
         let matching = current.filter(|it| started.is_none_or(|at| at == it.started));
         let (is_known, closes) = (matching.is_some(), matching.is_some_and(|it| !it.is_draining));
-        if let Some(started) = lifetime_start {
-            self.note_gone((instance.clone(), started));
-        }
+        self.note_gone((instance.clone(), started.or(known).unwrap_or(now)));
         if !is_known {
             return RegistryChange::Stale;
         }
@@ -78,7 +82,7 @@
         if closes { RegistryChange::Closed } else { RegistryChange::Refreshed }
     }
 
-    /// Remembers a process that left before this node started.
+    /// Remembers that a target is gone, with the latest start of a process that is meant.
     pub fn note_gone(&mut self, lifetime: Lifetime) {
         if self.gone.contains(&lifetime) {
             return;
@@ -89,6 +93,11 @@
         self.gone.push_back(lifetime);
     }
 
+    /// The target that left last.
+    pub fn last_gone(&self) -> Option<&Lifetime> {
+        self.gone.back()
+    }
+
     /// Notes that the target refused a connection or has another identity: it gets no work until
     /// its next report.
     pub fn mark_unreachable(&mut self) {
@@ -110,6 +119,11 @@
         self.reported_at
     }
 
+    fn is_gone(&self, report: &TargetReport) -> bool {
+        let mut gone = self.gone.iter();
+        gone.any(|(instance, last)| *instance == report.instance && report.started <= *last)
+    }
+
     fn is_stale(&self, report: &TargetReport) -> bool {
         let Some(current) = &self.current else { return false };
         if report.started != current.started {
--- a/crates/pollenlever-core/tests/mesh/registry.rs
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -47,7 +47,7 @@
 fn a_departure_closes_and_a_late_report_does_not_reopen() {
     let mut registry = TargetRegistry::default();
     registry.report(NOW, ready("a", 10, 1));
-    assert_eq!(registry.leave(&"a".into(), Some(10)), RegistryChange::Closed);
+    assert_eq!(registry.leave(&"a".into(), Some(10), 50), RegistryChange::Closed);
     assert_eq!(registry.report(NOW, ready("a", 10, 2)), RegistryChange::Stale);
     assert!(registry.serving().is_none());
 }
@@ -56,7 +56,7 @@
 fn a_departure_without_a_start_means_the_process_that_is_known() {
     let mut registry = TargetRegistry::default();
     registry.report(NOW, ready("a", 10, 1));
-    assert_eq!(registry.leave(&"a".into(), None), RegistryChange::Closed);
+    assert_eq!(registry.leave(&"a".into(), None, 50), RegistryChange::Closed);
     assert_eq!(registry.report(NOW, ready("a", 11, 1)), RegistryChange::Opened);
 }
 
@@ -64,7 +64,7 @@
 fn a_late_departure_of_an_earlier_process_leaves_the_later_one_open() {
     let mut registry = TargetRegistry::default();
     registry.report(NOW, ready("a", 11, 1));
-    assert_eq!(registry.leave(&"a".into(), Some(10)), RegistryChange::Stale);
+    assert_eq!(registry.leave(&"a".into(), Some(10), 50), RegistryChange::Stale);
     assert!(registry.serving().is_some());
 }
 
@@ -84,3 +84,15 @@
     assert!(registry.serving().is_none());
     assert_eq!(registry.report(NOW, ready("a", 10, 2)), RegistryChange::Opened);
 }
+
+/// A node was restarted between a target's reports; the target's departure, which named no start,
+/// was acknowledged and forgotten, and its next heartbeat opened the gate.
+#[test]
+fn a_departure_before_any_report_keeps_the_target_out() {
+    let mut registry = TargetRegistry::default();
+    registry.leave(&"a".into(), None, 50);
+    assert_eq!(registry.report(NOW, ready("a", 10, 7)), RegistryChange::Stale);
+    assert!(registry.serving().is_none());
+    assert_eq!(registry.last_gone(), Some(&("a".into(), 50)));
+    assert_eq!(registry.report(NOW, ready("a", 51, 1)), RegistryChange::Opened);
+}
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -1,14 +1,14 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{AttemptId, ChainId, StreamId};
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, MeshAttempt, RegistryChange, StartTime,
-    TargetReport,
+    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, Lifetime, MeshAttempt, RegistryChange,
+    StartTime, TargetReport,
 };
 use pollenlever_core::message::GateLoad;
 use tokio::sync::oneshot;
@@ -93,7 +93,7 @@
         started: Option<StartTime>,
     ) -> RegistryChange {
         let mut state = self.lock();
-        let change = state.registry.leave(instance, started);
+        let change = state.registry.leave(instance, started, unix_ms());
         if change == RegistryChange::Closed {
             state.refuse_waiting();
         }
@@ -105,6 +105,11 @@
         self.lock().registry.note_gone((instance, started));
     }
 
+    /// The target that left last.
+    pub(super) fn last_gone(&self) -> Option<Lifetime> {
+        self.lock().registry.last_gone().cloned()
+    }
+
     /// Refuses new work from now on: the node is leaving.
     pub(super) fn close(&self) {
         let mut state = self.lock();
@@ -370,6 +375,11 @@
     }
 }
 
+fn unix_ms() -> StartTime {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as StartTime
+}
+
 fn refused(error: ErrorKind, retry_after: Option<Duration>) -> AttemptOutcome {
     AttemptOutcome::RefusedByGate { error, retry_after }
 }
--- a/crates/pollenlever/src/mesh/member_object.rs
+++ b/crates/pollenlever/src/mesh/member_object.rs
@@ -27,15 +27,25 @@
 pub struct TargetIdentity {
     /// Name that the target drew.
     pub instance: String,
-    /// Start of its process, in milliseconds of Unix time.
+    /// Latest start of a process that is meant, in milliseconds of Unix time.
     pub started_ms: u64,
     /// Whether it said that it leaves.
     pub is_leaving: bool,
 }
 
+impl From<&TargetReport> for TargetIdentity {
+    fn from(report: &TargetReport) -> TargetIdentity {
+        TargetIdentity {
+            instance: report.instance.to_string(),
+            started_ms: report.started,
+            is_leaving: report.is_draining,
+        }
+    }
+}
+
 impl MemberObject {
     /// Form of `member` beside `target`.
-    pub fn new(member: &Member, target: Option<&TargetReport>) -> MemberObject {
+    pub fn new(member: &Member, target: Option<TargetIdentity>) -> MemberObject {
         MemberObject {
             peer: member.node.addr,
             incarnation: member.node.incarnation,
@@ -45,11 +55,7 @@
             service: member.service.as_ref().map(ToString::to_string),
             state: state_name(member.state).to_owned(),
             slots: member.slots,
-            target: target.map(|it| TargetIdentity {
-                instance: it.instance.to_string(),
-                started_ms: it.started,
-                is_leaving: it.is_draining,
-            }),
+            target,
         }
     }
 
--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -7,7 +7,7 @@
 
 use super::log_event::{LogEvent, log_event};
 use super::store_wait::StoreWait;
-use super::{MemberObject, MeshShared};
+use super::{MemberObject, MeshShared, TargetIdentity};
 use crate::store::{ABSENT, BoxObjectApi, NamedObject, ObjectList, Revision, StoreError};
 
 /// Kind of the objects by which nodes find each other.
@@ -192,10 +192,19 @@
         }
     }
 
+    /// The target beside the node, or else the one that left last.
+    fn target_identity(&self) -> Option<TargetIdentity> {
+        if let Some((report, _)) = self.shared.gate.target() {
+            return Some(TargetIdentity::from(&report));
+        }
+        let (instance, started) = self.shared.gate.last_gone()?;
+        let instance = instance.to_string();
+        Some(TargetIdentity { instance, started_ms: started, is_leaving: true })
+    }
+
     async fn put(&self, revision: Revision) -> Result<Revision, StoreError> {
         let settings = self.shared.settings();
-        let target = self.shared.gate.target().map(|(it, _)| it);
-        let object = MemberObject::new(&self.shared.own(), target.as_ref());
+        let object = MemberObject::new(&self.shared.own(), self.target_identity());
         let value = serde_json::to_value(&object);
         let value = value.map_err(|err| StoreError::Malformed(err.to_string()))?;
         self.store.put(MEMBERS_KIND, &settings.name, revision, &value).await
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -148,6 +148,8 @@
     pub fn target_left(self: &Arc<MeshShared>, instance: &InstanceId, started: Option<StartTime>) {
         let change = self.gate.leave(instance, started);
         self.note_target(change, &format!("instance={instance}"));
+        // What is stored keeps a later process of this node from taking the target for ready.
+        self.own_changed.notify_one();
     }
 
     fn note_target(self: &Arc<MeshShared>, change: RegistryChange, what: &str) {
