Remove the objects of members that do not answer

Cause: objects never expire, so a node that was lost for good stayed listed for every newcomer.

Change: a member that has not answered for 10 s is looked up, and its object removed at its revision if it is still that of the silent process; a node that was merely cut off sees that its object is gone and stores it again.

Test: mesh config a_node_whose_object_was_removed_stores_it_again.

--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -16,6 +16,10 @@
 const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
 /// Longest wait at the start for what an earlier process of this node has stored.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for which a member must not have answered before its object is removed.
+const REMOVE_AFTER: Duration = Duration::from_secs(10);
+/// Time between two looks for such members; spread, so that mostly one node removes an object.
+const REMOVE_INTERVAL: Duration = Duration::from_secs(4);
 /// Time after a change before the next watch: changes come in groups, and nodes tell each other
 /// about them before the store does.
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
@@ -47,6 +51,7 @@
         self.shared.set_recovered();
         self.shared.announce_to_all();
         tokio::spawn(self.clone().publish(own_revision));
+        tokio::spawn(self.clone().remove_lost());
         self.watch(known, since).await;
     }
 
@@ -114,6 +119,7 @@
                 Some(member) => {
                     let member = member.to_member();
                     known.insert(object.name.clone(), member.node);
+                    self.shared.name_member(member.node, &object.name);
                     self.shared.member_up(member);
                 }
                 None => log_event!(
@@ -123,6 +129,10 @@
                 ),
             }
         }
+        let own = self.shared.settings().name;
+        if list.deleted.contains(&own) {
+            self.shared.own_changed.notify_one();
+        }
         for name in &list.deleted {
             if let Some(node) = known.remove(name) {
                 self.shared.member_gone(node);
@@ -161,6 +171,33 @@
         }
     }
 
+    /// Removes the objects of members that have not answered for long. A member that is there after
+    /// all sees that and stores its object again.
+    async fn remove_lost(self) {
+        loop {
+            tokio::time::sleep(REMOVE_INTERVAL.mul_f64(rand::random_range(0.5..1.5))).await;
+            for (name, node) in self.shared.lost_since(REMOVE_AFTER) {
+                if let Err(err) = self.remove_if_lost(&name, node).await {
+                    let reason = err.to_string();
+                    log::info!("object of a lost member not removed name={name} reason={reason:?}");
+                }
+            }
+        }
+    }
+
+    /// Removes a member's object if it is still that of the process that does not answer.
+    async fn remove_if_lost(&self, name: &str, node: NodeId) -> Result<(), StoreError> {
+        let found = self.store.get(MEMBERS_KIND, name).await?;
+        let Some(found) = found else { return Ok(()) };
+        let is_same =
+            MemberObject::from_value(&found.value).is_some_and(|it| it.to_member().node == node);
+        if !is_same {
+            return Ok(());
+        }
+        log_event!(LogEvent::MemberGone, "node={node} source=silence");
+        self.store.delete(MEMBERS_KIND, name, found.version).await
+    }
+
     /// Removes this node's object: the node has left in order.
     pub(super) async fn retire(&self) {
         let name = self.shared.settings().name;
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -64,8 +64,10 @@
     pub(super) splits: HashMap<Arc<str>, WeightedSplit>,
     pub(super) routing: TwoChoices,
     pub(super) members: MemberTable,
-    /// Members that do not answer, with whether the store still lists them.
-    pub(super) lost: BTreeMap<SocketAddr, NodeId>,
+    /// Members that do not answer, with the time since when.
+    pub(super) lost: BTreeMap<SocketAddr, (NodeId, Duration)>,
+    /// Names of members in the store.
+    pub(super) names: HashMap<NodeId, String>,
     pub(super) budget: RetryBudget,
     pub(super) calls: CallClassifier,
     pub(super) own: Member,
@@ -95,6 +97,7 @@
             routing,
             members: MemberTable::default(),
             lost: BTreeMap::new(),
+            names: HashMap::new(),
             budget: RetryBudget::new(cfg.retries),
             calls: CallClassifier::default(),
             own,
--- a/crates/pollenlever/src/mesh/neighbours.rs
+++ b/crates/pollenlever/src/mesh/neighbours.rs
@@ -52,7 +52,8 @@
     pub(super) fn member_gone(&self, node: NodeId) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.lost.retain(|_, lost| *lost != node);
+        state.lost.retain(|_, (lost, _)| *lost != node);
+        state.names.remove(&node);
         let changes = state.members.gone(node);
         if changes.is_some() {
             log_event!(LogEvent::MemberGone, "node={node} source=store");
@@ -70,13 +71,26 @@
                 return;
             }
             log_event!(LogEvent::MemberLost, "node={node} reason=\"no reply\"");
-            state.lost.insert(node.addr, node);
+            state.lost.insert(node.addr, (node, now));
             state.apply(now, changes.into_iter().collect());
         }
         let shared = Arc::clone(self);
         tokio::spawn(async move { shared.probe(node.addr).await });
     }
 
+    /// Notes under which name the store lists a member.
+    pub(super) fn name_member(&self, node: NodeId, name: &str) {
+        self.lock().names.insert(node, name.to_owned());
+    }
+
+    /// Members that the store lists and that have not answered for some time.
+    pub(super) fn lost_since(&self, age: Duration) -> Vec<(String, NodeId)> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let old = state.lost.values().filter(|(_, since)| *since + age <= now);
+        old.filter_map(|(node, _)| Some((state.names.get(node)?.clone(), *node))).collect()
+    }
+
     async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
         let mut pause = MIN_PROBE_PAUSE;
         for _ in 0..MAX_PROBES {
--- a/crates/pollenlever/tests/mesh/config.rs
+++ b/crates/pollenlever/tests/mesh/config.rs
@@ -70,3 +70,12 @@
     until_version(&mesh, 2).await;
     assert_eq!(mesh.call("GET", "/read/1", "r1").await.status, 404);
 }
+
+#[tokio::test]
+async fn a_node_whose_object_was_removed_stores_it_again() {
+    let mesh = two_services().await;
+    let is_stored = || mesh.store.names("pollenlever-members").contains(&"node-0".to_owned());
+    until("object stored", is_stored).await;
+    mesh.store.remove("pollenlever-members", "node-0");
+    until("object stored again", is_stored).await;
+}
--- a/crates/pollenlever/tests/mesh/memory_store.rs
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -37,6 +37,11 @@
         self.change(kind, name, Some(value));
     }
 
+    /// Removes an object whatever its version.
+    pub(crate) fn remove(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
     /// Names of the objects of a kind.
     pub(crate) fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
