Join what nodes logged about a request: pollenlever trace

Lines of several nodes' logs in the order of cause and effect, whatever their clocks say, and the gates whose logs are missing.

--- a/crates/pollenlever/src/cli/tool_command.rs
+++ b/crates/pollenlever/src/cli/tool_command.rs
@@ -28,6 +28,13 @@
         /// How many.
         count: u32,
     },
+    /// Show what nodes logged about a request.
+    Trace {
+        /// Id of the request.
+        request: String,
+        /// Logs of nodes.
+        files: Vec<PathBuf>,
+    },
     /// Show service-level burn.
     ReportBurn {
         /// Manifest with objectives and regions that nodes may not know.
--- a/crates/pollenlever/src/cli/tool_flags.rs
+++ b/crates/pollenlever/src/cli/tool_flags.rs
@@ -82,6 +82,16 @@
             optional --count count: u32
         }
 
+        /// Show what nodes logged about one request and the calls made for it, in the order of
+        /// cause and effect, and which nodes' logs are missing.
+        cmd trace {
+            /// The id of the request.
+            required request: String
+
+            /// Logs of nodes, one file each.
+            repeated file: PathBuf
+        }
+
         /// Reports over all nodes.
         cmd report {
             /// Show service-level burn by service and kind of request: the objective, good and
@@ -112,6 +122,7 @@
     Status(Status),
     Drain(Drain),
     Keys(Keys),
+    Trace(Trace),
     Report(Report),
 }
 
@@ -145,6 +156,12 @@
     pub count: Option<u32>,
 }
 
+#[derive(Debug)]
+pub struct Trace {
+    pub request: String,
+    pub file: Vec<PathBuf>,
+}
+
 #[derive(Debug)]
 pub struct Report {
     pub subcommand: ReportCmd,
--- a/crates/pollenlever/src/tool/command/mod.rs
+++ b/crates/pollenlever/src/tool/command/mod.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod report_burn;
 mod status;
+mod trace;
 
 pub use command::{BoxCommand, Command};
 
@@ -37,6 +38,7 @@
             Box::new(drain::Drain { client, node: node(options)?, target, wait })
         }
         ToolCommand::Keys { count } => Box::new(keys::Keys { client, node: node(options)?, count }),
+        ToolCommand::Trace { request, files } => Box::new(trace::Trace { request, files }),
         ToolCommand::ReportBurn { manifest } => {
             Box::new(report_burn::ReportBurn { client, node: node(options)?, manifest })
         }
--- a/crates/pollenlever/src/tool/mod.rs
+++ b/crates/pollenlever/src/tool/mod.rs
@@ -8,6 +8,7 @@
 pub mod output;
 mod run;
 mod tool_error;
+pub mod trace;
 
 pub use exit::Exit;
 pub use format::Format;
--- a/crates/pollenlever/src/tool/tool_error.rs
+++ b/crates/pollenlever/src/tool/tool_error.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use thiserror::Error;
 
@@ -35,6 +36,14 @@
         "no node has the address {0}; take one from the column `entry` of `pollenlever status`"
     )]
     UnknownTarget(SocketAddr),
+    /// A log cannot be read.
+    #[error("cannot read the log {}: {source}; check the path", path.display())]
+    Log {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        source: std::io::Error,
+    },
     /// The tool itself could not start.
     #[error("cannot start: {0}")]
     Start(String),
@@ -48,7 +57,10 @@
                 Exit::Usage
             }
             ToolError::Manifest(_) => Exit::ManifestRefused,
-            ToolError::Node(_) | ToolError::Store { .. } | ToolError::Start(_) => Exit::Failed,
+            ToolError::Node(_)
+            | ToolError::Store { .. }
+            | ToolError::Log { .. }
+            | ToolError::Start(_) => Exit::Failed,
         }
     }
 }
