--- a/crates/pollenlever/src/tool/trace/log_line.rs
+++ b/crates/pollenlever/src/tool/trace/log_line.rs
@@ -29,8 +29,8 @@
         let at = line.find("event=")?;
         let text = line[at..].trim_end();
         // Whatever stands before the time of day, such as a collector's own prefix, is left out.
-        let words = line[..at].split_ascii_whitespace();
-        let time = words.filter(|it| it.contains('T') && it.ends_with('Z')).last();
+        let mut words = line[..at].split_ascii_whitespace();
+        let time = words.rfind(|it| it.contains('T') && it.ends_with('Z'));
         Some(LogLine {
             file: file.to_owned(),
             time: time.unwrap_or_default().to_owned(),
