Failed try: attempts that lapse count against a target; a test of failing targets

An owner gives an attempt up at the deadline, so it never gets the load that would say that a slow target fails. Tried: count attempts without a reply at their deadline per target and avoid it for a second. The gate's own count of failures already reaches the owners by other replies. Kept: a test that a target whose gate says that it fails is avoided and tried again.

--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -185,3 +185,11 @@
     };
     assert_eq!(series(), series());
 }
+
+#[test]
+fn a_target_that_is_failing_is_avoided_and_tried_again() {
+    let mut routing = routing();
+    report(&mut routing, ms(0), 0, &GateLoad { failing_permille: 300, ..GateLoad::default() });
+    assert_eq!(number_of(choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap()), 1);
+    assert_eq!(number_of(choose(&mut routing, ms(2_000), Importance::Normal, &[]).unwrap()), 0);
+}
