A removed object takes no node out of use that answers

Cause, from reading the code: a node that is cut off from the others but reaches the store counts all of them as lost and after 10 s removes their objects; every node would have dropped the others until they had stored themselves again.

Change: an object that is gone makes a node ask the member first; a node removes objects only if two members answer for each one that does not. One mapping from status to store error for both clients.

--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -135,7 +135,7 @@
         }
         for name in &list.deleted {
             if let Some(node) = known.remove(name) {
-                self.shared.member_gone(node);
+                self.shared.member_unlisted(node);
             }
         }
     }
@@ -146,7 +146,7 @@
         let missing: Vec<String> = known.keys().filter(|it| !is_listed(it)).cloned().collect();
         for name in missing {
             if let Some(node) = known.remove(&name) {
-                self.shared.member_gone(node);
+                self.shared.member_unlisted(node);
             }
         }
     }
--- a/crates/pollenlever/src/mesh/neighbours.rs
+++ b/crates/pollenlever/src/mesh/neighbours.rs
@@ -20,6 +20,8 @@
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait between two tries.
 const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
+/// Members that must answer for each one that does not, so that a node trusts its own view.
+const MIN_ANSWERING: usize = 2;
 /// Tries after which a lost member is left to the store's list.
 const MAX_PROBES: u32 = 60;
 
@@ -48,8 +50,18 @@
         state.apply(now, changes);
     }
 
-    /// Takes the news that a member has left.
-    pub(super) fn member_gone(&self, node: NodeId) {
+    /// The store no longer lists a member: takes it out of use unless it answers. A node that was
+    /// cut off from the others may have removed the objects of all of them.
+    pub(super) fn member_unlisted(self: &Arc<MeshShared>, node: NodeId) {
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            if !shared.announce(node.addr).await {
+                shared.member_gone(node);
+            }
+        });
+    }
+
+    fn member_gone(&self, node: NodeId) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.lost.retain(|_, (lost, _)| *lost != node);
@@ -83,10 +95,14 @@
         self.lock().names.insert(node, name.to_owned());
     }
 
-    /// Members that the store lists and that have not answered for some time.
+    /// Members that the store lists and that have not answered for some time; none if so many do
+    /// not answer that it may be this node that is cut off.
     pub(super) fn lost_since(&self, age: Duration) -> Vec<(String, NodeId)> {
         let now = self.clock.now();
         let state = self.lock();
+        if state.lost.len() * MIN_ANSWERING > state.members.len() {
+            return Vec::new();
+        }
         let old = state.lost.values().filter(|(_, since)| *since + age <= now);
         old.filter_map(|(node, _)| Some((state.names.get(node)?.clone(), *node))).collect()
     }
@@ -113,17 +129,22 @@
         }
     }
 
-    /// Tells the node at an address about this one and hears about it in return.
-    async fn announce(self: &Arc<MeshShared>, addr: SocketAddr) {
+    /// Tells the node at an address about this one and hears about it in return. Returns whether it
+    /// answered.
+    async fn announce(self: &Arc<MeshShared>, addr: SocketAddr) -> bool {
         let req = MeshRequest::Announce(self.own(), self.route_version());
         match self.ask(addr, req).await {
             Some(MeshReply::Announced(member, routes)) => {
                 let node = member.node;
                 self.member_up(member);
                 self.note_routes(node, routes);
+                true
+            }
+            Some(reply) => {
+                log::warn!("unexpected reply node={addr} reply={reply:?}");
+                false
             }
-            Some(reply) => log::warn!("unexpected reply node={addr} reply={reply:?}"),
-            None => {}
+            None => false,
         }
     }
 
--- a/crates/pollenlever/src/store/store_client.rs
+++ b/crates/pollenlever/src/store/store_client.rs
@@ -134,24 +134,13 @@
 }
 
 async fn send(req: RequestBuilder) -> Result<Response, StoreError> {
-    req.send().await.map_err(|err| {
-        if err.is_connect() {
-            StoreError::Unavailable(err.to_string())
-        } else {
-            StoreError::Lost(err.to_string())
-        }
-    })
+    req.send().await.map_err(|err| StoreError::from_failed_call(&err))
 }
 
 async fn decode<T: DeserializeOwned>(response: Response) -> Result<T, StoreError> {
-    let status = response.status();
-    match status {
+    match response.status() {
         StatusCode::OK => read(response).await,
-        StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
-        StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Limited),
-        StatusCode::SERVICE_UNAVAILABLE => Err(StoreError::Unavailable(status.to_string())),
-        _ if status.is_server_error() => Err(StoreError::Lost(status.to_string())),
-        _ => Err(StoreError::Malformed(status.to_string())),
+        status => Err(StoreError::from_status(status.as_u16())),
     }
 }
 
--- a/crates/pollenlever/src/store/store_error.rs
+++ b/crates/pollenlever/src/store/store_error.rs
@@ -29,6 +29,33 @@
 }
 
 impl StoreError {
+    /// The error that a status other than success says, if it carries no object.
+    ///
+    /// ```
+    /// use pollenlever::store::StoreError;
+    /// assert_eq!(StoreError::from_status(429), StoreError::Limited);
+    /// assert!(matches!(StoreError::from_status(500), StoreError::Lost(_)));
+    /// ```
+    pub fn from_status(status: u16) -> StoreError {
+        match status {
+            410 => StoreError::HistoryGone,
+            413 => StoreError::TooLarge,
+            429 => StoreError::Limited,
+            503 => StoreError::Unavailable(format!("status {status}")),
+            500.. => StoreError::Lost(format!("status {status}")),
+            _ => StoreError::Malformed(format!("status {status}")),
+        }
+    }
+
+    /// The error of a call that got no answer.
+    pub fn from_failed_call(err: &reqwest::Error) -> StoreError {
+        if err.is_connect() {
+            StoreError::Unavailable(err.to_string())
+        } else {
+            StoreError::Lost(err.to_string())
+        }
+    }
+
     /// Version of the object that the store holds, if the error tells.
     pub fn current_version(&self) -> Option<Revision> {
         match self {
--- a/crates/pollenlever/tests/mesh/config.rs
+++ b/crates/pollenlever/tests/mesh/config.rs
@@ -79,3 +79,25 @@
     mesh.store.remove("pollenlever-members", "node-0");
     until("object stored again", is_stored).await;
 }
+
+/// A node that is cut off from the others may remove their objects; they serve all the same.
+#[tokio::test]
+async fn a_removed_object_takes_no_node_that_answers_out_of_use() {
+    let mesh = two_services().await;
+    let is_stored = || mesh.store.names("pollenlever-members").contains(&"node-1".to_owned());
+    until("object stored", is_stored).await;
+    mesh.store.set_read_only(true);
+    mesh.store.remove("pollenlever-members", "node-1");
+    // Another member, by which the test sees that the removal has been read.
+    let marker = serde_json::json!({
+        "peer": "127.0.0.1:1", "incarnation": 1, "version": 1, "region": "r", "zone": "z",
+        "service": "marker", "state": "ready", "slots": 1,
+    });
+    mesh.store.write("pollenlever-members", "marker", &marker);
+    let shared = mesh.nodes[0].node.shared();
+    until("both members known", || shared.serving_members() == 2).await;
+    for call in 0..20 {
+        let answer = mesh.call("POST", "/charge/1", &format!("r{call}")).await;
+        assert_eq!(answer.body, "charge");
+    }
+}
--- a/crates/pollenlever/tests/mesh/memory_store.rs
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -17,6 +17,7 @@
     /// What changed, in order; a removed object has no value.
     history: Vec<(Revision, Key, Option<Object>)>,
     is_down: bool,
+    is_read_only: bool,
 }
 
 /// The platform's store, in memory.
@@ -32,6 +33,11 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// Lets every write of a node fail, or none any more.
+    pub(crate) fn set_read_only(&self, is_read_only: bool) {
+        self.state.lock().unwrap().is_read_only = is_read_only;
+    }
+
     /// Writes an object whatever its version.
     pub(crate) fn write(&self, kind: &str, name: &str, value: &Value) {
         self.change(kind, name, Some(value));
@@ -94,6 +100,9 @@
     fn expect(&self, kind: &str, name: &str, expected: Revision) -> Result<(), StoreError> {
         self.check()?;
         let state = self.state.lock().unwrap();
+        if state.is_read_only {
+            return Err(StoreError::Unavailable("read only".to_owned()));
+        }
         let found = state.objects.get(&(kind.to_owned(), name.to_owned()));
         if found.map_or(ABSENT, |it| it.version) == expected {
             return Ok(());
