A lapsed run that refuses requests after a good one: known red, with its test

ServiceTimes takes the deviation from the old mean: after one run that lapses at its deadline D and a fast one, mean plus deviation is still D, whatever the weight, so a request that has D left is refused.

--- /dev/null
+++ b/crates/pollenlever-core/tests/admission/estimate.rs
@@ -0,0 +1,38 @@
+use std::time::Duration;
+
+use pollenlever_core::admission::{
+    Admission, AdmissionSettings, PriorityAdmission, RunOutcome, Ticket, Verdict,
+};
+use pollenlever_core::config::Importance;
+
+const DEADLINE: Duration = Duration::from_secs(5);
+
+fn ticket(id: u64, now: Duration) -> Ticket {
+    Ticket {
+        id,
+        service: "balance".into(),
+        importance: Importance::Normal,
+        chain: "127.0.0.1:7101@1f~2a".parse().unwrap(),
+        depth: 0,
+        customer: "bologna".into(),
+        deadline: now + DEADLINE,
+    }
+}
+
+/// One run lapses at its deadline, the next is answered at once. The target is well, so a third
+/// request is not refused for want of time.
+#[test]
+fn one_lapsed_run_does_not_refuse_requests_after_a_good_one() {
+    let mut admission = PriorityAdmission::new(AdmissionSettings::default());
+    let mut verdicts = Vec::new();
+    admission.set_slots(Duration::ZERO, 4);
+    admission.offer(Duration::ZERO, ticket(1, Duration::ZERO), &mut verdicts);
+    let lapsed = DEADLINE + Duration::from_millis(3);
+    admission.finished(lapsed, 1, lapsed, RunOutcome::Failed, &mut verdicts);
+    let later = lapsed + Duration::from_secs(3);
+    admission.offer(later, ticket(2, later), &mut verdicts);
+    let ended = later + Duration::from_millis(10);
+    admission.finished(ended, 2, Duration::from_millis(10), RunOutcome::Answered, &mut verdicts);
+    admission.offer(ended, ticket(3, ended), &mut verdicts);
+    assert_eq!(verdicts, [Verdict::Run(1), Verdict::Run(2), Verdict::Run(3)]);
+}
--- a/crates/pollenlever-core/tests/admission/main.rs
+++ b/crates/pollenlever-core/tests/admission/main.rs
@@ -1,6 +1,7 @@
 //! Admission at one gate and through a chain of gates.
 
 mod chain;
+mod estimate;
 mod fairness;
 mod limit;
 mod order;
