--- a/crates/pollenlever-core/src/mesh/http_route.rs
+++ b/crates/pollenlever-core/src/mesh/http_route.rs
@@ -14,7 +14,7 @@
     /// Host of the requests, in lower case and without a port.
     pub host: Arc<str>,
     /// Prefix of their paths, with a slash at both ends.
-    pub path_prefix: Arc<str>,
+    pub prefix: Arc<str>,
     /// Services that run the requests.
     pub services: Vec<WeightedService>,
     /// Whether a request may run more than once.
@@ -51,12 +51,12 @@
     ///
     /// ```
     /// use pollenlever_core::mesh::HttpRoute;
-    /// let route = HttpRoute { path_prefix: "/a/".into(), ..HttpRoute::default() };
+    /// let route = HttpRoute { prefix: "/a/".into(), ..HttpRoute::default() };
     /// assert!(route.covers("/a/7"));
     /// assert!(!route.covers("/a"));
     /// ```
     pub fn covers(&self, path: &str) -> bool {
-        path.starts_with(&*self.path_prefix)
+        path.starts_with(&*self.prefix)
     }
 }
 
@@ -65,7 +65,7 @@
         HttpRoute {
             name: "default".into(),
             host: "localhost".into(),
-            path_prefix: "/".into(),
+            prefix: "/".into(),
             services: Vec::new(),
             idempotent: false,
             max_attempts: 1,
--- a/crates/pollenlever-core/src/mesh/route_table.rs
+++ b/crates/pollenlever-core/src/mesh/route_table.rs
@@ -25,17 +25,17 @@
     ///
     /// ```
     /// use pollenlever_core::mesh::{HttpRoute, RouteTable};
-    /// let long = HttpRoute { path_prefix: "/a/b/".into(), ..HttpRoute::default() };
+    /// let long = HttpRoute { prefix: "/a/b/".into(), ..HttpRoute::default() };
     /// let routes = vec![HttpRoute::default(), long];
     /// let table = RouteTable { routes, ..RouteTable::default() };
-    /// assert_eq!(&*table.find("LOCALHOST:80", "/a/b/c?d").unwrap().path_prefix, "/a/b/");
+    /// assert_eq!(&*table.find("LOCALHOST:80", "/a/b/c?d").unwrap().prefix, "/a/b/");
     /// assert!(table.find("elsewhere", "/a/b/c").is_none());
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&HttpRoute> {
         let host = host.split(':').next().unwrap_or_default();
         let path = path.split('?').next().unwrap_or_default();
         let covering = self.routes.iter().filter(|it| it.host.eq_ignore_ascii_case(host));
-        covering.filter(|it| it.covers(path)).max_by_key(|it| it.path_prefix.len())
+        covering.filter(|it| it.covers(path)).max_by_key(|it| it.prefix.len())
     }
 
     /// What is declared about a service.
--- a/crates/pollenlever-core/tests/mesh/routes.rs
+++ b/crates/pollenlever-core/tests/mesh/routes.rs
@@ -9,7 +9,7 @@
     let route = |host: &str, prefix: &str| HttpRoute {
         name: format!("{host}{prefix}").into(),
         host: host.into(),
-        path_prefix: prefix.into(),
+        prefix: prefix.into(),
         ..HttpRoute::default()
     };
     let routes =
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -173,7 +173,7 @@
     let route = |name: &str, idempotent: bool| HttpRoute {
         name: name.into(),
         host: "a.example".into(),
-        path_prefix: format!("/{name}/").into(),
+        prefix: format!("/{name}/").into(),
         services: vec![WeightedService { service: name.into(), weight: 1.0 }],
         idempotent,
         max_attempts: 2,
