Give test nodes addresses that no connection can take

The tests bound port 0 to learn a free port and released it; a connection of another test took it meanwhile.

Change: each node of a test run has a loopback address of its own, and ports below those that the system gives to connections. Checks and bounds are as they were.

--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -1,4 +1,5 @@
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -105,12 +106,14 @@
 
     async fn start_node(&self, index: usize, service: &'static str, script: &[Act]) -> TestNode {
         let target = ScriptTarget::start(script).await;
+        let ip = own_ip();
+        let at = |port| SocketAddr::from((ip, port));
         let cfg = MeshSettings {
             name: format!("node-{index}"),
-            callers: free_address(),
-            peer: free_address(),
-            ready: free_address(),
-            control: free_address(),
+            callers: at(7000),
+            peer: at(7100),
+            ready: at(7200),
+            control: at(7300),
             region: "lombardia".to_owned(),
             zone: format!("zone-{index}"),
             target: target.addr,
@@ -200,6 +203,11 @@
     tokio::time::timeout(WAIT, met).await.unwrap_or_else(|_| panic!("{what} should come true"));
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// A loopback address that no other node of this test run has. Its ports are below those that the
+/// system gives to connections, so that none of these can take one.
+fn own_ip() -> Ipv4Addr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = 64 + (std::process::id() % 128) as u8;
+    Ipv4Addr::new(127, process, high, low)
 }
