--- a/crates/pollenlever/src/mesh/header_names.rs
+++ b/crates/pollenlever/src/mesh/header_names.rs
@@ -20,8 +20,6 @@
     pub answer_proof: HeaderName,
     /// Present if the target did not run the request.
     pub not_run: HeaderName,
-    /// Running and waiting requests and slots of a target, separated by commas.
-    pub target_load: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -33,7 +31,6 @@
             caller_service: HeaderName::from_static("pollenlever-caller"),
             answer_proof: HeaderName::from_static("pollenlever-proof"),
             not_run: HeaderName::from_static("pollenlever-not-run"),
-            target_load: HeaderName::from_static("pollenlever-load"),
         }
     }
 }
--- a/crates/pollenlever/tests/mesh/stop.rs
+++ b/crates/pollenlever/tests/mesh/stop.rs
@@ -1,4 +1,6 @@
-use std::time::Duration;
+use std::net::SocketAddr;
+
+use tokio::net::TcpStream;
 
 use super::script_target::Act;
 use super::test_mesh::{DEADLINE_MS, TestMesh, until};
@@ -41,7 +43,7 @@
     mesh.nodes[0].target.until_arrivals(1).await;
     let left = async { mesh.nodes[0].node.leave().await };
     let answered = async {
-        tokio::time::sleep(Duration::from_millis(3200)).await;
+        until_refused(mesh.nodes[0].callers).await;
         mesh.nodes[0].target.release();
         caller.answer().await
     };
@@ -49,3 +51,9 @@
     assert!(was_idle);
     assert_eq!(answer.unwrap().body, "held");
 }
+
+/// Waits until a node takes no new connections.
+async fn until_refused(addr: SocketAddr) {
+    let refused = async { while TcpStream::connect(addr).await.is_ok() {} };
+    tokio::time::timeout(super::test_mesh::WAIT, refused).await.expect("the node should stop");
+}
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -19,7 +19,7 @@
 use super::script_target::{Act, ScriptTarget};
 
 /// Longest wait for what a test expects.
-const WAIT: Duration = Duration::from_secs(20);
+pub(crate) const WAIT: Duration = Duration::from_secs(20);
 /// Deadline of a request that is not meant to reach it.
 pub(crate) const DEADLINE_MS: u64 = 15_000;
 
