Leave no deviation behind where a sample moves the mean of service times

Cause: the deviation was updated with the distance to the mean before the sample. Ruled out: leaving lapsed runs out of the samples; runs that a target drags out are what the estimate is for. Change: the deviation shrinks by the weight that the mean has moved by, as in an exponentially weighted variance.

--- a/crates/pollenlever-core/src/admission/service_times.rs
+++ b/crates/pollenlever-core/src/admission/service_times.rs
@@ -44,9 +44,7 @@
         self.at = now;
         let first = Estimate { mean: sample, deviation: 0.0, at: now };
         let estimate = self.by_class.entry(class).or_insert(first);
-        let weight = weight(now, estimate.at);
-        estimate.deviation += weight * ((sample - estimate.mean).abs() - estimate.deviation);
-        estimate.mean += weight * (sample - estimate.mean);
+        estimate.add(weight(now, estimate.at), sample);
         estimate.at = now;
     }
 
@@ -66,6 +64,15 @@
     }
 }
 
+impl Estimate {
+    fn add(&mut self, weight: f64, sample: f64) {
+        let distance = sample - self.mean;
+        self.mean += weight * distance;
+        // A sample that moves the mean to itself leaves no deviation behind.
+        self.deviation = (1.0 - weight) * (self.deviation + weight * distance.abs());
+    }
+}
+
 /// Weight of a sample after one at `last`; rare samples weigh more.
 fn weight(now: Timestamp, last: Timestamp) -> f64 {
     let gap = now.saturating_sub(last).as_secs_f64();
