Learn the number of runs at once from which a target slows down

Ruled out: a fixed part of the slots left free, which costs targets without a knee; the gradient of latency, which cannot tell a slow spell from a full target. Change: Saturation holds two numbers of runs in turn while a target is busy, compares throughput by Little's law, and caps the limit where more runs bring less. Only targets that make no calls are compared. The tests with a knee fail without the change.

--- a/crates/pollenlever-core/src/admission/admission.rs
+++ b/crates/pollenlever-core/src/admission/admission.rs
@@ -29,6 +29,10 @@
         verdicts: &mut Vec<Verdict>,
     );
 
+    /// Takes whether the target calls other services while it runs requests; its service times then
+    /// say little about itself.
+    fn note_calls(&mut self, _makes_calls: bool) {}
+
     /// Takes what the target says about itself; a hint that may lag or mislead.
     fn notice(&mut self, now: Timestamp, notice: &TargetNotice);
 
--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -15,6 +15,7 @@
 mod priority_admission;
 mod queue;
 mod recent_shed;
+mod saturation;
 mod service_times;
 mod shed_level;
 mod ticket;
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -4,6 +4,7 @@
 use super::customer_usage::CustomerUsage;
 use super::queue::Queue;
 use super::recent_shed::RecentShed;
+use super::saturation::Saturation;
 use super::service_times::ServiceTimes;
 use super::shed_level::ShedLevel;
 use super::waiting::Waiting;
@@ -45,8 +46,10 @@
 pub struct PriorityAdmission {
     settings: AdmissionSettings,
     limit: BoxLimit,
+    saturation: Saturation,
+    makes_calls: bool,
     queue: Queue,
-    running: BTreeMap<StreamId, (Importance, u8)>,
+    running: BTreeMap<StreamId, Running>,
     service_times: ServiceTimes,
     usage: CustomerUsage,
     recent_shed: RecentShed,
@@ -55,11 +58,20 @@
     next_wakeup: Option<Timestamp>,
 }
 
+/// A request that the target runs.
+struct Running {
+    class: (Importance, u8),
+    /// Runs at its start, itself included.
+    at_once: u32,
+}
+
 impl PriorityAdmission {
     /// Admission with nothing learned yet.
     pub fn new(settings: AdmissionSettings) -> PriorityAdmission {
         PriorityAdmission {
             limit: settings.limit.build(),
+            saturation: Saturation::default(),
+            makes_calls: false,
             queue: Queue::default(),
             running: BTreeMap::new(),
             service_times: ServiceTimes::default(),
@@ -72,9 +84,15 @@
         }
     }
 
+    /// Requests that may run at once.
+    fn limit(&self) -> u32 {
+        let limit = self.limit.get();
+        if self.makes_calls { limit.max(1) } else { limit.min(self.saturation.get()).max(1) }
+    }
+
     /// Time between two ends of runs while the gate is full.
     fn pace(&self) -> Duration {
-        self.service_times.mean() / self.limit.get().max(1)
+        self.service_times.mean() / self.limit()
     }
 
     fn is_standing(&self, now: Timestamp) -> bool {
@@ -167,12 +185,13 @@
     }
 
     fn start(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
-        while self.running.len() < self.limit.get().max(1) as usize {
+        while self.running.len() < self.limit() as usize {
             let order = self.order(now);
             let Some(best) = self.pop_best(now, order) else { return };
             let Ticket { id, importance, customer, .. } = &best.ticket;
             self.usage.add(now, *importance, customer);
-            self.running.insert(*id, best.class());
+            let at_once = self.running.len() as u32 + 1;
+            self.running.insert(*id, Running { class: best.class(), at_once });
             verdicts.push(Verdict::Run(*id));
         }
     }
@@ -217,6 +236,7 @@
 impl Admission for PriorityAdmission {
     fn set_slots(&mut self, _now: Timestamp, slots: u32) {
         self.limit.set_slots(slots);
+        self.saturation.set_slots(slots);
     }
 
     fn offer(&mut self, now: Timestamp, ticket: Ticket, verdicts: &mut Vec<Verdict>) {
@@ -245,7 +265,10 @@
         verdicts: &mut Vec<Verdict>,
     ) {
         let in_flight = self.running.len() as u32;
-        if let Some(class) = self.running.remove(&id) {
+        if let Some(Running { class, at_once }) = self.running.remove(&id) {
+            if outcome == RunOutcome::Answered && !self.makes_calls {
+                self.saturation.sample(now, class, service_time, at_once);
+            }
             self.limit.finished(now, service_time, outcome, in_flight);
             let unfinished = matches!(outcome, RunOutcome::Failed | RunOutcome::Cancelled);
             let too_slow = unfinished && service_time > self.service_times.mean();
@@ -256,6 +279,10 @@
         self.advance(now, verdicts);
     }
 
+    fn note_calls(&mut self, makes_calls: bool) {
+        self.makes_calls = makes_calls;
+    }
+
     fn notice(&mut self, _now: Timestamp, _notice: &TargetNotice) {}
 
     fn tick(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
@@ -270,7 +297,7 @@
         GateLoad {
             in_flight: self.running.len() as u32,
             queued: self.queue.len() as u32,
-            limit: self.limit.get(),
+            limit: self.limit(),
             shed_below: self.shed_level.get(),
             backlog: self.pace() * self.queue.len() as u32,
             ..GateLoad::default()
--- a/crates/pollenlever-core/src/mesh/callees.rs
+++ b/crates/pollenlever-core/src/mesh/callees.rs
@@ -6,6 +6,9 @@
 /// Time over which calls and runs are counted.
 const MEMORY: Duration = Duration::from_secs(2);
 
+/// Number of calls, faded with time, at which a target counts as making none.
+const FORGOTTEN: f64 = 0.01;
+
 /// What the calls that the target makes tell about the services further down.
 #[derive(Debug, Default)]
 pub struct Callees {
@@ -52,6 +55,11 @@
         }
     }
 
+    /// Whether the target lately made calls.
+    pub fn makes_calls(&self, now: Timestamp) -> bool {
+        self.calls.get(now, MEMORY) > FORGOTTEN
+    }
+
     /// Calls that a run makes, those beneath them included, in hundredths.
     pub fn calls_percent(&self, now: Timestamp) -> u16 {
         let runs = self.runs.get(now, MEMORY);
--- a/crates/pollenlever-core/tests/admission/main.rs
+++ b/crates/pollenlever-core/tests/admission/main.rs
@@ -5,6 +5,7 @@
 mod fairness;
 mod limit;
 mod order;
+mod saturation;
 mod weigh;
 
 use std::time::Duration;
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -338,6 +338,8 @@
         }
         let service_time = started.map_or(Duration::ZERO, |it| now.saturating_sub(it));
         let mut verdicts = Vec::new();
+        let makes_calls = state.callees.makes_calls(now);
+        state.admission.note_calls(makes_calls);
         state.admission.finished(now, id, service_time, outcome, &mut verdicts);
         state.tell(verdicts);
         state.log_limit(now);
