--- a/crates/pollenlever-core/tests/mesh/members.rs
+++ b/crates/pollenlever-core/tests/mesh/members.rs
@@ -1,6 +1,8 @@
+use std::time::Duration;
+
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::Member;
-use pollenlever_core::mesh::{MemberChange, MemberTable};
+use pollenlever_core::mesh::{LostMembers, MemberChange, MemberTable};
 
 fn member(incarnation: u64, version: u64) -> Member {
     let node = NodeId { addr: "127.0.0.1:7101".parse().unwrap(), incarnation };
@@ -34,3 +36,43 @@
     assert_eq!(table.gone(member(2, 1).node), Some(MemberChange::Gone(member(2, 1).node)));
     assert!(table.is_empty());
 }
+
+fn nodes(count: u16) -> Vec<NodeId> {
+    (1..=count).map(|port| format!("127.0.0.1:{port}@1").parse().unwrap()).collect()
+}
+
+/// Nodes whose turn it is to remove what the store holds of the lost member.
+fn removers(lost: &LostMembers, at: Duration, answering: &[NodeId]) -> usize {
+    answering.iter().filter(|me| !lost.due(at, **me, answering).is_empty()).count()
+}
+
+#[test]
+fn one_node_after_another_may_remove_a_lost_member() {
+    let answering = nodes(60);
+    let mut lost = LostMembers::default();
+    lost.insert(Duration::from_secs(1), "127.0.0.1:99@7".parse().unwrap());
+    let counts =
+        [10, 11, 15, 19, 60].map(|at| removers(&lost, Duration::from_secs(at), &answering));
+    assert_eq!(counts, [0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn a_node_that_loses_many_members_at_once_removes_none() {
+    let answering = nodes(5);
+    let mut lost = LostMembers::default();
+    for node in nodes(8).into_iter().skip(5) {
+        lost.insert(Duration::ZERO, node);
+    }
+    assert_eq!(removers(&lost, Duration::from_secs(60), &answering), 0);
+}
+
+#[test]
+fn a_member_that_answers_again_is_not_lost() {
+    let answering = nodes(5);
+    let lost_one: NodeId = "127.0.0.1:99@7".parse().unwrap();
+    let mut lost = LostMembers::default();
+    lost.insert(Duration::ZERO, lost_one);
+    lost.found(lost_one.addr);
+    assert!(lost.is_empty());
+    assert_eq!(removers(&lost, Duration::from_secs(60), &answering), 0);
+}
--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -1,46 +1,56 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use pollenlever_core::id::NodeId;
+use serde_json::Value;
 use tokio::time::timeout;
 
 use super::log_event::{LogEvent, log_event};
-use super::store_wait::StoreWait;
+use super::store_wait::{StoreWait, relist_pause};
 use super::{MemberObject, MeshShared, TargetIdentity};
 use crate::store::{ABSENT, BoxObjectApi, NamedObject, ObjectList, Revision, StoreError};
 
 /// Kind of the objects by which nodes find each other.
 const MEMBERS_KIND: &str = "pollenlever-members";
-/// Longest time that one watch waits for a change.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Longest time that one watch waits for a change; the platform allows no longer one.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest wait between watches that fail: nodes tell each other what is urgent.
+const MAX_WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Longest wait between writes, and between the first reads, that fail.
+const MAX_WRITE_WAIT: Duration = Duration::from_secs(1);
 /// Longest wait at the start for what an earlier process of this node has stored.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time for which a member must not have answered before its object is removed.
-const REMOVE_AFTER: Duration = Duration::from_secs(10);
-/// Time between two looks for such members; spread, so that mostly one node removes an object.
-const REMOVE_INTERVAL: Duration = Duration::from_secs(4);
-/// Time after a change before the next watch: changes come in groups, and nodes tell each other
-/// about them before the store does.
-const WATCH_PAUSE: Duration = Duration::from_secs(1);
+/// Time between two looks for members whose objects are to be removed.
+const REMOVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after a change before the next watch: changes come in groups.
+const MIN_WATCH_PAUSE: Duration = Duration::from_secs(2);
+/// The same once the other nodes have been telling all that the store tells.
+const MAX_WATCH_PAUSE: Duration = Duration::from_secs(8);
 
 /// Keeps this node's object in the store, and learns of the other nodes from theirs.
 #[derive(Clone)]
 pub(super) struct MemberWatch {
     pub(super) shared: Arc<MeshShared>,
     pub(super) store: BoxObjectApi,
+    /// Revision of this node's object, as far as is known.
+    own_revision: Arc<AtomicU64>,
 }
 
 impl MemberWatch {
+    pub(super) fn new(shared: Arc<MeshShared>, store: BoxObjectApi) -> MemberWatch {
+        MemberWatch { shared, store, own_revision: Arc::new(AtomicU64::new(ABSENT)) }
+    }
+
     /// Learns of the other nodes, and tells them about this one, for ever.
     pub(super) async fn run(self) {
         let mut known: BTreeMap<String, NodeId> = BTreeMap::new();
         let first = timeout(RECOVERY_TIMEOUT, self.first_list()).await;
         let mut since = None;
-        let mut own_revision = ABSENT;
         match first {
             Ok(list) => {
-                own_revision = self.recover(&list);
+                self.recover(&list);
                 since = Some(list.revision);
                 self.take(&mut known, &list);
             }
@@ -50,13 +60,13 @@
         }
         self.shared.set_recovered();
         self.shared.announce_to_all();
-        tokio::spawn(self.clone().publish(own_revision));
+        tokio::spawn(self.clone().publish());
         tokio::spawn(self.clone().remove_lost());
         self.watch(known, since).await;
     }
 
     async fn first_list(&self) -> ObjectList {
-        let mut wait = StoreWait::default();
+        let mut wait = StoreWait::new(MAX_WRITE_WAIT);
         loop {
             match self.store.list(MEMBERS_KIND).await {
                 Ok(list) => {
@@ -72,7 +82,8 @@
     }
 
     async fn watch(self, mut known: BTreeMap<String, NodeId>, mut since: Option<Revision>) {
-        let mut wait = StoreWait::default();
+        let mut wait = StoreWait::new(MAX_WATCH_WAIT);
+        let mut pause = MIN_WATCH_PAUSE;
         loop {
             let read = match since {
                 Some(since) => self.store.watch(MEMBERS_KIND, since, WATCH_TIMEOUT).await,
@@ -88,16 +99,17 @@
                         self.forget_missing(&mut known, &list);
                     }
                     since = Some(list.revision);
-                    self.take(&mut known, &list);
-                    if !list.objects.is_empty() {
-                        tokio::time::sleep(WATCH_PAUSE).await;
-                    }
+                    let is_news = self.take(&mut known, &list);
+                    pause =
+                        if is_news { MIN_WATCH_PAUSE } else { (pause * 2).min(MAX_WATCH_PAUSE) };
+                    tokio::time::sleep(pause).await;
+                }
+                Err(StoreError::HistoryGone) => {
+                    since = None;
+                    relist_pause().await;
                 }
                 Err(err) => {
                     self.note_failure(&mut wait, &err);
-                    if err == StoreError::HistoryGone {
-                        since = None;
-                    }
                     wait.pause().await;
                 }
             }
@@ -113,14 +125,16 @@
         }
     }
 
-    fn take(&self, known: &mut BTreeMap<String, NodeId>, list: &ObjectList) {
+    /// Takes what the store says about members. Returns whether that was news.
+    fn take(&self, known: &mut BTreeMap<String, NodeId>, list: &ObjectList) -> bool {
+        let mut is_news = false;
         for object in &list.objects {
             match MemberObject::from_value(&object.value) {
                 Some(member) => {
                     let member = member.to_member();
                     known.insert(object.name.clone(), member.node);
                     self.shared.name_member(member.node, &object.name);
-                    self.shared.member_up(member);
+                    is_news |= self.shared.member_up(member);
                 }
                 None => log_event!(
                     LogEvent::MemberIgnored,
@@ -138,6 +152,7 @@
                 self.shared.member_unlisted(node);
             }
         }
+        is_news
     }
 
     /// Forgets members whose objects were removed while nobody watched.
@@ -152,17 +167,17 @@
     }
 
     /// Keeps this node's object up to date for ever, from its first change on.
-    async fn publish(self, mut revision: Revision) {
-        let mut wait = StoreWait::default();
+    async fn publish(self) {
+        let mut wait = StoreWait::new(MAX_WRITE_WAIT);
         self.shared.own_changed.notified().await;
         while !self.shared.is_leaving() {
-            match self.put(revision).await {
+            match self.put(self.own_revision()).await {
                 Ok(written) => {
                     wait.reset();
-                    revision = written;
+                    self.note_own_revision(written);
                     self.shared.own_changed.notified().await;
                 }
-                Err(StoreError::Conflict(current)) => revision = current.version,
+                Err(StoreError::Conflict(current)) => self.note_own_revision(current.version),
                 Err(err) => {
                     log_event!(LogEvent::OwnObjectNotStored, "reason={:?}", err.to_string());
                     wait.pause().await;
@@ -175,8 +190,8 @@
     /// all sees that and stores its object again.
     async fn remove_lost(self) {
         loop {
-            tokio::time::sleep(REMOVE_INTERVAL.mul_f64(rand::random_range(0.5..1.5))).await;
-            for (name, node) in self.shared.lost_since(REMOVE_AFTER) {
+            tokio::time::sleep(REMOVE_INTERVAL).await;
+            for (name, node) in self.shared.members_to_remove() {
                 if let Err(err) = self.remove_if_lost(&name, node).await {
                     let reason = err.to_string();
                     log::info!("object of a lost member not removed name={name} reason={reason:?}");
@@ -188,35 +203,44 @@
     /// Removes a member's object if it is still that of the process that does not answer.
     async fn remove_if_lost(&self, name: &str, node: NodeId) -> Result<(), StoreError> {
         let found = self.store.get(MEMBERS_KIND, name).await?;
-        let Some(found) = found else { return Ok(()) };
-        let is_same =
-            MemberObject::from_value(&found.value).is_some_and(|it| it.to_member().node == node);
-        if !is_same {
-            return Ok(());
+        let same = found.filter(|it| is_stored_by(node, &it.value));
+        if let Some(found) = same {
+            log_event!(LogEvent::MemberGone, "node={node} source=silence");
+            self.store.delete(MEMBERS_KIND, name, found.version).await?;
         }
-        log_event!(LogEvent::MemberGone, "node={node} source=silence");
-        self.store.delete(MEMBERS_KIND, name, found.version).await
+        // Its object is gone, or a later process has stored one and will be heard of.
+        self.shared.member_gone(node);
+        Ok(())
     }
 
     /// Removes this node's object: the node has left in order.
     pub(super) async fn retire(&self) {
         let name = self.shared.settings().name;
-        let found = match self.store.get(MEMBERS_KIND, &name).await {
-            Ok(Some(found)) => found,
-            Ok(None) => return,
-            Err(err) => return log::warn!("own object not read reason={:?}", err.to_string()),
-        };
-        if let Err(err) = self.store.delete(MEMBERS_KIND, &name, found.version).await {
+        let mut removed = self.store.delete(MEMBERS_KIND, &name, self.own_revision()).await;
+        if let Err(StoreError::Conflict(current)) = &removed
+            && is_stored_by(self.shared.me, &current.value)
+        {
+            removed = self.store.delete(MEMBERS_KIND, &name, current.version).await;
+        }
+        if let Err(err) = removed {
             log::warn!("own object not removed reason={:?}", err.to_string());
         }
     }
 
-    /// Takes what an earlier process of this node has stored. Returns the version of the object.
-    fn recover(&self, list: &ObjectList) -> Revision {
+    fn own_revision(&self) -> Revision {
+        self.own_revision.load(Ordering::Relaxed)
+    }
+
+    fn note_own_revision(&self, revision: Revision) {
+        self.own_revision.store(revision, Ordering::Relaxed);
+    }
+
+    /// Takes what an earlier process of this node has stored.
+    fn recover(&self, list: &ObjectList) {
         let name = self.shared.settings().name;
-        let Some(own) = list.objects.iter().find(|it| it.name == name) else { return ABSENT };
+        let Some(own) = list.objects.iter().find(|it| it.name == name) else { return };
         self.note_target(own);
-        own.version
+        self.note_own_revision(own.version);
     }
 
     /// Remembers that the target has told an earlier process of this node that it leaves.
@@ -247,3 +271,8 @@
         self.store.put(MEMBERS_KIND, &settings.name, revision, &value).await
     }
 }
+
+/// Whether the process `node` has stored the value.
+fn is_stored_by(node: NodeId, value: &Value) -> bool {
+    MemberObject::from_value(value).is_some_and(|it| it.to_member().node == node)
+}
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -74,7 +74,7 @@
         }
         let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
         tokio::spawn(edge.serve(bind(cfg.callers).await?));
-        let members = MemberWatch { shared: Arc::clone(&shared), store: platform.store() };
+        let members = MemberWatch::new(Arc::clone(&shared), platform.store());
         tokio::spawn(members.clone().run());
         tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
         log_event!(
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -1,5 +1,4 @@
-use std::collections::{BTreeMap, HashMap};
-use std::net::SocketAddr;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -8,8 +7,8 @@
 use pollenlever_core::id::{NodeId, ServiceName};
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, MemberChange, MemberTable, RegistryChange,
-    RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, LostMembers, MemberChange, MemberTable,
+    RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
@@ -64,8 +63,8 @@
     pub(super) splits: HashMap<Arc<str>, WeightedSplit>,
     pub(super) routing: TwoChoices,
     pub(super) members: MemberTable,
-    /// Members that do not answer, with the time since when.
-    pub(super) lost: BTreeMap<SocketAddr, (NodeId, Duration)>,
+    /// Members that do not answer.
+    pub(super) lost: LostMembers,
     /// Names of members in the store.
     pub(super) names: HashMap<NodeId, String>,
     pub(super) budget: RetryBudget,
@@ -96,7 +95,7 @@
             splits: HashMap::new(),
             routing,
             members: MemberTable::default(),
-            lost: BTreeMap::new(),
+            lost: LostMembers::default(),
             names: HashMap::new(),
             budget: RetryBudget::new(cfg.retries),
             calls: CallClassifier::default(),
--- a/crates/pollenlever/src/mesh/neighbours.rs
+++ b/crates/pollenlever/src/mesh/neighbours.rs
@@ -20,21 +20,20 @@
 const MIN_PROBE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest wait between two tries.
 const MAX_PROBE_PAUSE: Duration = Duration::from_secs(2);
-/// Members that must answer for each one that does not, so that a node trusts its own view.
-const MIN_ANSWERING: usize = 2;
 /// Tries after which a lost member is left to the store's list.
 const MAX_PROBES: u32 = 60;
 
 /// What nodes tell each other about themselves and their routes.
 impl MeshShared {
-    /// Takes what a member says about itself.
-    pub(super) fn member_up(&self, member: Member) {
+    /// Takes what a member says about itself. Returns whether that was news.
+    pub(super) fn member_up(&self, member: Member) -> bool {
         if member.node.addr == self.me.addr {
-            return;
+            return false;
         }
         let now = self.clock.now();
         let mut state = self.lock();
         let changes = state.members.up(member);
+        let is_news = !changes.is_empty();
         for change in &changes {
             if let MemberChange::Up(member) = change {
                 log_event!(
@@ -44,10 +43,11 @@
                     member.service.as_deref().unwrap_or("none"),
                     member.state
                 );
-                state.lost.remove(&member.node.addr);
+                state.lost.found(member.node.addr);
             }
         }
         state.apply(now, changes);
+        is_news
     }
 
     /// The store no longer lists a member: takes it out of use unless it answers. A node that was
@@ -61,10 +61,11 @@
         });
     }
 
-    fn member_gone(&self, node: NodeId) {
+    /// Forgets a process that is gone for good.
+    pub(super) fn member_gone(&self, node: NodeId) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.lost.retain(|_, (lost, _)| *lost != node);
+        state.lost.forget(node);
         state.names.remove(&node);
         let changes = state.members.gone(node);
         if changes.is_some() {
@@ -83,7 +84,7 @@
                 return;
             }
             log_event!(LogEvent::MemberLost, "node={node} reason=\"no reply\"");
-            state.lost.insert(node.addr, (node, now));
+            state.lost.insert(now, node);
             state.apply(now, changes.into_iter().collect());
         }
         let shared = Arc::clone(self);
@@ -95,22 +96,20 @@
         self.lock().names.insert(node, name.to_owned());
     }
 
-    /// Members that the store lists and that have not answered for some time; none if so many do
-    /// not answer that it may be this node that is cut off.
-    pub(super) fn lost_since(&self, age: Duration) -> Vec<(String, NodeId)> {
+    /// Lost members whose objects this node is to remove now, with the names of the objects.
+    pub(super) fn members_to_remove(&self) -> Vec<(String, NodeId)> {
         let now = self.clock.now();
         let state = self.lock();
-        if state.lost.len() * MIN_ANSWERING > state.members.len() {
-            return Vec::new();
-        }
-        let old = state.lost.values().filter(|(_, since)| *since + age <= now);
-        old.filter_map(|(node, _)| Some((state.names.get(node)?.clone(), *node))).collect()
+        let others = state.members.iter().map(|it| it.node);
+        let answering: Vec<NodeId> = others.chain([self.me]).collect();
+        let due = state.lost.due(now, self.me, &answering);
+        due.into_iter().filter_map(|it| Some((state.names.get(&it)?.clone(), it))).collect()
     }
 
     async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
         let mut pause = MIN_PROBE_PAUSE;
         for _ in 0..MAX_PROBES {
-            if !self.lock().lost.contains_key(&addr) || self.is_leaving() {
+            if !self.lock().lost.contains(addr) || self.is_leaving() {
                 return;
             }
             self.announce(addr).await;
--- a/crates/pollenlever/src/store/object_api.rs
+++ b/crates/pollenlever/src/store/object_api.rs
@@ -31,6 +31,12 @@
     /// Reads all objects of a kind.
     fn list(&self, kind: &str) -> StoreFuture<ObjectList>;
 
+    /// Reads all objects of a kind, as they are or were some seconds ago, where that is cheaper. A
+    /// watch from the list's revision tells what has changed since.
+    fn list_maybe_stale(&self, kind: &str) -> StoreFuture<ObjectList> {
+        self.list(kind)
+    }
+
     /// Waits at most `timeout` for objects that changed after `since`.
     fn watch(&self, kind: &str, since: Revision, timeout: Duration) -> StoreFuture<ObjectList>;
 }
