Keep requests near where far gates are full; count retries as the common budget does

(2) A failure that comes from an overloaded service further down was repeated with all its calls. Change: far load is remembered for 2 s; a request that may be refused for nothing is not sent to a far gate without room while near ones are there; FailedBeneath is delivered, not repeated; the budget bounds every span of a window, by its own, the previous and the half previous requests, at most twice the present ones. The property test of the budget now checks just that bound, the stated one, over every half second, with load that moves between nodes; before it knew the present window only. Counts are kept in twentieths of a window, so one test looks a twentieth later.

--- a/crates/pollenlever-core/src/mesh/attempt_outcome.rs
+++ b/crates/pollenlever-core/src/mesh/attempt_outcome.rs
@@ -9,6 +9,9 @@
 pub enum AttemptOutcome {
     /// The target's whole answer, with its status.
     Answered(u16),
+    /// The target's whole answer: a failure, most likely because services further down are
+    /// overloaded. Another target would fail as well.
+    FailedBeneath(u16),
     /// The target said that it did not run the request.
     RejectedByTarget,
     /// The gate did not hand the request to its target and never will.
--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -12,8 +12,6 @@
 const MAX_OVERLOADED_URGENT: u32 = 3;
 /// Times that one request is handed to targets at most, rejections included.
 const MAX_ARRIVALS: u32 = 6;
-/// Statuses by which a caller would take a request for not run.
-const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
 /// What the owner of a request does after an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -71,6 +69,11 @@
     pub fn ended(&mut self, gate: NodeId, outcome: &AttemptOutcome) -> NextStep {
         match outcome {
             AttemptOutcome::Answered(status) => self.answered(gate, *status),
+            AttemptOutcome::FailedBeneath(status) => {
+                self.arrived(gate);
+                self.maybe_ran = true;
+                if says_not_run(*status) { self.fail() } else { NextStep::Deliver }
+            }
             AttemptOutcome::RejectedByTarget => {
                 self.arrived(gate);
                 self.last_refusal = (ErrorKind::Overloaded, None);
@@ -134,14 +137,14 @@
     fn answered(&mut self, gate: NodeId, status: u16) -> NextStep {
         self.arrived(gate);
         self.maybe_ran = true;
-        if status < 500 && !NOT_RUN_STATUSES.contains(&status) {
+        if status < 500 && !says_not_run(status) {
             return NextStep::Deliver;
         }
         if self.idempotent {
             self.avoided.push(gate);
             return self.paid_retry();
         }
-        if NOT_RUN_STATUSES.contains(&status) { self.fail() } else { NextStep::Deliver }
+        if says_not_run(status) { self.fail() } else { NextStep::Deliver }
     }
 
     fn arrived(&mut self, gate: NodeId) {
@@ -172,3 +175,8 @@
         NextStep::Retry { is_paid: self.arrivals > 0 }
     }
 }
+
+/// Whether a caller takes the status as the promise that its request did not run.
+pub fn says_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -37,6 +37,8 @@
         if open.is_empty() {
             return self.probe_or_refuse(req, &candidates);
         }
+        let stays_near =
+            !req.is_urgent() && self.peers.nodes.values().any(|it| it.tier != Tier::Other);
         let mut fallback: Option<(NodeId, f64)> = None;
         for tier in Tier::ALL {
             let in_tier: Vec<_> =
@@ -44,6 +46,9 @@
             let Some(node) = self.pick(&in_tier) else { continue };
             let utilisation = self.peer(&node).utilisation(self.now, self.settings);
             let has_room = utilisation < self.settings.spill_at;
+            if tier == Tier::Other && stays_near && !has_room {
+                break;
+            }
             if has_room && (tier != Tier::Other || fallback.is_none()) {
                 return Ok(node);
             }
@@ -52,8 +57,7 @@
                 fallback = Some((node, utilisation));
             }
         }
-        let none = || no_route(ErrorKind::NoTarget, Duration::ZERO, req.chain);
-        fallback.map(|(node, _)| node).ok_or_else(none)
+        fallback.map(|(node, _)| node).ok_or_else(|| self.overloaded(req, &candidates))
     }
 
     fn peer(&self, node: &NodeId) -> &Peer {
@@ -92,8 +96,12 @@
         {
             return Ok(node);
         }
+        Err(self.overloaded(req, candidates))
+    }
+
+    fn overloaded(&self, req: &RouteRequest<'_>, candidates: &[NodeId]) -> NoRoute {
         let backlog = candidates.iter().map(|it| self.peer(it).backlog()).min();
-        Err(no_route(ErrorKind::Overloaded, backlog.unwrap_or_default(), req.chain))
+        no_route(ErrorKind::Overloaded, backlog.unwrap_or_default(), req.chain)
     }
 
     fn pick(&mut self, nodes: &[NodeId]) -> Option<NodeId> {
--- a/crates/pollenlever-core/src/routing/peer.rs
+++ b/crates/pollenlever-core/src/routing/peer.rs
@@ -165,7 +165,11 @@
     /// How far the last load is still believed, from 1 down to 0.
     fn freshness(&self, now: Timestamp, settings: &RoutingSettings) -> f64 {
         let Some(at) = self.load_at else { return 0.0 };
+        let memory = match self.tier {
+            Tier::Other => settings.far_load_memory,
+            Tier::Zone | Tier::Region => settings.load_memory,
+        };
         let age = now.saturating_sub(at).as_secs_f64();
-        (1.0 - age / settings.load_memory.as_secs_f64()).max(0.0)
+        (1.0 - age / memory.as_secs_f64()).max(0.0)
     }
 }
--- a/crates/pollenlever-core/src/routing/route_request.rs
+++ b/crates/pollenlever-core/src/routing/route_request.rs
@@ -21,6 +21,14 @@
     pub tried: &'a [NodeId],
 }
 
+impl RouteRequest<'_> {
+    /// Whether refusing the request costs more than bytes between regions: it is among the most
+    /// important, or admitted work depends on it.
+    pub fn is_urgent(&self) -> bool {
+        self.depth > 0 || self.importance == Importance::Critical
+    }
+}
+
 /// Why no target can be chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NoRoute {
--- a/crates/pollenlever-core/src/routing/routing_settings.rs
+++ b/crates/pollenlever-core/src/routing/routing_settings.rs
@@ -19,6 +19,8 @@
     pub spill_at: f64,
     /// Time after which the load of a gate is no longer believed.
     pub load_memory: Duration,
+    /// The same for gates in other regions. Longer, since asking one costs bytes between regions.
+    pub far_load_memory: Duration,
     /// Shortest time between two probes of an importance that gates shed.
     pub probe_interval: Duration,
     /// First back-off from a failing node; doubles with each failure.
@@ -36,6 +38,7 @@
             choice: ChoiceKind::TwoRandom,
             spill_at: 0.9,
             load_memory: Duration::from_millis(500),
+            far_load_memory: Duration::from_secs(2),
             probe_interval: Duration::from_millis(100),
             min_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(2),
--- a/crates/pollenlever-core/tests/mesh/budget.rs
+++ b/crates/pollenlever-core/tests/mesh/budget.rs
@@ -3,8 +3,13 @@
 use pollenlever_core::id::ServiceName;
 use pollenlever_core::mesh::{RetryBudget, RetryBudgetSettings, WeightedService, WeightedSplit};
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 const WINDOW: Duration = Duration::from_secs(10);
+const NODES: usize = 6;
+/// Time for which the rates of requests stay as they are.
+const PHASE_MS: u64 = 5_000;
 
 fn settings() -> RetryBudgetSettings {
     RetryBudgetSettings { ratio: 0.2, window: WINDOW, slack: 48.0 }
@@ -20,42 +25,81 @@
     for _ in 0..4 {
         budget.charge(Duration::ZERO, &service(), 1.0);
     }
-    assert!(!budget.take(Duration::ZERO, &service(), 1.0, 1));
-    let later = WINDOW + Duration::from_millis(1);
-    assert!(budget.take(later, &service(), 1.0, 1));
+    assert!(!budget.take(Duration::ZERO, &service(), 1.0, 1).is_granted);
+    // Counts are kept in parts of a twentieth of the window.
+    let later = WINDOW + WINDOW / 20;
+    assert!(budget.take(later, &service(), 1.0, 1).is_granted);
+}
+
+/// Requests cease while retries of earlier ones are asked for; what was earned is still there.
+#[test]
+fn requests_of_the_window_before_earn_retries() {
+    let mut budget = RetryBudget::new(RetryBudgetSettings { slack: 0.0, ..settings() });
+    for ms in (0..10_000).step_by(10) {
+        budget.count_request(Duration::from_millis(ms), &service());
+    }
+    for ms in (10_000..18_000).step_by(20) {
+        budget.count_request(Duration::from_millis(ms), &service());
+    }
+    let mut granted = 0;
+    for ms in 10_000..18_000 {
+        let now = Duration::from_millis(ms);
+        granted += u32::from(budget.take(now, &service(), 1.0, 1).is_granted);
+    }
+    assert!(granted > 140, "{granted}");
 }
 
 #[test]
 fn a_dear_retry_needs_room_for_all_that_it_repeats() {
     let mut budget = RetryBudget::new(RetryBudgetSettings { slack: 5.0, ..settings() });
-    assert!(!budget.take(Duration::ZERO, &service(), 5.0, 1));
-    assert!(budget.take(Duration::ZERO, &service(), 4.0, 1));
+    assert!(!budget.take(Duration::ZERO, &service(), 5.0, 1).is_granted);
+    assert!(budget.take(Duration::ZERO, &service(), 4.0, 1).is_granted);
 }
 
 proptest! {
-    /// Over any window, all nodes together keep the common bound of requests and slack.
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// In every span of one window, all nodes together keep the common bound: the ratio of the
+    /// requests of the span, of the one before it or of the one half a window before it, whichever
+    /// has most, and the slack. Requests come and go, and move from node to node.
     #[test]
     fn nodes_keep_the_common_budget(
-        events in prop::collection::vec((0usize..6, 0u64..40_000, any::<bool>()), 0..2_000),
+        phases in prop::collection::vec(prop::collection::vec(0u32..60, NODES), 8),
+        retries_a_request in 0u32..4,
+        seed in any::<u64>(),
     ) {
-        let mut events = events;
-        events.sort_by_key(|(_, at, _)| *at);
-        let mut nodes: Vec<_> = (0..6).map(|_| RetryBudget::new(settings())).collect();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut nodes: Vec<_> = (0..NODES).map(|_| RetryBudget::new(settings())).collect();
         let (mut requests, mut retries) = (Vec::new(), Vec::new());
-        for (node, at, is_request) in events {
-            let now = Duration::from_millis(at);
-            if is_request {
+        for (phase, rates) in phases.iter().enumerate() {
+            let mut events: Vec<(u64, usize)> = Vec::new();
+            for (node, count) in rates.iter().enumerate() {
+                events.extend((0..*count).map(|_| (rng.random_range(0..PHASE_MS), node)));
+            }
+            events.sort_unstable();
+            for (at, node) in events {
+                let now = Duration::from_millis(phase as u64 * PHASE_MS + at);
                 nodes[node].count_request(now, &service());
                 requests.push(now);
-            } else if nodes[node].take(now, &service(), 1.0, 6) {
-                retries.push(now);
+                for _ in 0..retries_a_request {
+                    if nodes[node].take(now, &service(), 1.0, NODES).is_granted {
+                        retries.push(now);
+                    }
+                }
             }
         }
-        for &end in &retries {
-            let within = |it: &&Duration| **it <= end && **it + WINDOW >= end;
-            let spent = retries.iter().filter(within).count() as f64;
-            let earned = requests.iter().filter(within).count() as f64;
-            prop_assert!(spent <= 0.2 * earned + 48.0);
+        let count = |of: &[Duration], from: Duration, until: Duration| {
+            of.iter().filter(|it| **it >= from && **it < until).count() as f64
+        };
+        for half_second in 0..(phases.len() as u64 * PHASE_MS / 500) {
+            let start = Duration::from_millis(half_second * 500);
+            let spent = count(&retries, start, start + WINDOW);
+            let before = start.saturating_sub(WINDOW);
+            let half_before = start.saturating_sub(WINDOW / 2);
+            let earned = count(&requests, start, start + WINDOW)
+                .max(count(&requests, before, start))
+                .max(count(&requests, half_before, start + WINDOW / 2));
+            prop_assert!(spent <= 0.2 * earned + 48.0, "{spent} for {earned} from {start:?}");
         }
     }
 
--- a/crates/pollenlever-core/tests/mesh/delivery.rs
+++ b/crates/pollenlever-core/tests/mesh/delivery.rs
@@ -36,6 +36,8 @@
     a_redirect_is_delivered => true, &[AttemptOutcome::Answered(302)], NextStep::Deliver;
     a_failure_that_may_not_be_repeated_is_delivered => false, &[AttemptOutcome::Answered(500)], NextStep::Deliver;
     a_failure_that_may_be_repeated_is_retried => true, &[AttemptOutcome::Answered(500)], PAID;
+    a_failure_that_comes_from_further_down_is_delivered => true, &[AttemptOutcome::FailedBeneath(500)], NextStep::Deliver;
+    a_run_that_failed_beneath_and_calls_itself_not_run_is_unknown => false, &[AttemptOutcome::FailedBeneath(503)], UNKNOWN;
     a_run_that_calls_itself_not_run_is_unknown => false, &[AttemptOutcome::Answered(503)], UNKNOWN;
     a_rejection_is_retried_whatever_the_kind => false, &[AttemptOutcome::RejectedByTarget], PAID;
     a_refusal_is_retried_for_nothing => false, &[leaving()], FREE;
--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -93,6 +93,34 @@
     stays_near_when_all_are_full(6, &[0]);
 }
 
+#[test]
+fn a_full_gate_in_another_region_is_remembered_for_longer() {
+    let mut routing = routing();
+    for number in 2..6 {
+        report(&mut routing, ms(0), number, &full());
+    }
+    for now in (100..1000).step_by(50) {
+        report(&mut routing, ms(now), 0, &full());
+        report(&mut routing, ms(now), 1, &full());
+        let chosen = choose(&mut routing, ms(now + 1), Importance::Normal, &[]).unwrap();
+        assert!(number_of(chosen) < 2, "{chosen} at {now} ms");
+    }
+}
+
+#[test]
+fn a_request_that_near_gates_refused_crosses_to_no_full_gate() {
+    let mut routing = routing();
+    let near = [node(0), node(1)];
+    assert!(choose(&mut routing, ms(0), Importance::Normal, &near).is_ok(), "unknown load");
+    for number in 0..6 {
+        report(&mut routing, ms(0), number, &full());
+    }
+    let refused = choose(&mut routing, ms(1), Importance::Normal, &near).unwrap_err();
+    assert_eq!(refused.error, ErrorKind::Overloaded);
+    routing.members_gone(ms(1), &near);
+    assert!(choose(&mut routing, ms(1), Importance::Normal, &[]).is_ok(), "no gate is near");
+}
+
 #[test]
 fn tried_leaving_and_gone_nodes_are_passed_over() {
     let mut routing = routing();
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -17,7 +17,6 @@
 use super::gate_state::{GateState, Run};
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
-use super::owner::STRAINED_PERMILLE;
 use super::request_log::RequestLog;
 use super::slot_guard::SlotGuard;
 use super::target_client::TargetClient;
@@ -26,6 +25,9 @@
 
 /// Customer of all requests: the mesh tells none apart.
 const ANY_CUSTOMER: &str = "any";
+/// Share of a target's calls that fail under overload, in thousandths, from which a failure of the
+/// target is put down to it.
+const STRAINED_PERMILLE: u16 = 20;
 /// Statuses by which a target fails a request that it ran.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
 
@@ -250,7 +252,7 @@
         self.log_run(&start, &head, &result);
         let (outcome, headers, body) = match result {
             TargetResult::Answered { status, headers, body } => {
-                (AttemptOutcome::Answered(status), headers, body)
+                (self.answered(status), headers, body)
             }
             TargetResult::Rejected => (AttemptOutcome::RejectedByTarget, Vec::new(), Bytes::new()),
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
@@ -264,6 +266,19 @@
         (AttemptReply { headers, ..reply }, body)
     }
 
+    /// The outcome of a run that the target answered.
+    fn answered(&self, status: u16) -> AttemptOutcome {
+        if FAILED_STATUSES.contains(&status) && self.is_strained() {
+            return AttemptOutcome::FailedBeneath(status);
+        }
+        AttemptOutcome::Answered(status)
+    }
+
+    /// Whether services that the target calls are overloaded.
+    fn is_strained(&self) -> bool {
+        self.lock().callees.strained_permille(self.clock.now()) >= STRAINED_PERMILLE
+    }
+
     fn note_result(&self, head: &MeshAttempt, result: &TargetResult) {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -294,14 +309,12 @@
     /// How a run counts for the limit of concurrent runs. A failure lowers it if services further
     /// down are overloaded or the time ran out; a target also rejects and fails at random.
     fn outcome_of(&self, result: &TargetResult) -> RunOutcome {
-        let now = self.clock.now();
-        let is_strained = || self.lock().callees.strained_permille(now) >= STRAINED_PERMILLE;
         match result {
             TargetResult::Answered { status, .. } if !FAILED_STATUSES.contains(status) => {
                 RunOutcome::Answered
             }
             TargetResult::Answered { status: 504, .. } => RunOutcome::Failed,
-            TargetResult::Answered { .. } if is_strained() => RunOutcome::Failed,
+            TargetResult::Answered { .. } if self.is_strained() => RunOutcome::Failed,
             TargetResult::TimedOut => RunOutcome::Failed,
             _ => RunOutcome::Cancelled,
         }
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -8,7 +8,8 @@
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
     CallClassifier, ClientLimits, HttpRoute, InstanceId, LostMembers, MemberChange, MemberTable,
-    RegistryChange, RetryBudget, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+    RegistryChange, RetryBudget, RetryGrant, RouteTable, RouteVersion, StartTime, TargetReport,
+    WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
@@ -311,8 +312,8 @@
         self.lock().budget.charge(now, service, f64::from(repeat));
     }
 
-    /// Takes a retry from the budget. Returns whether there was one.
-    pub(super) fn take_retry(&self, service: &ServiceName, cost: f64) -> bool {
+    /// Takes a retry from the budget, if there is one.
+    pub(super) fn take_retry(&self, service: &ServiceName, cost: f64) -> RetryGrant {
         let now = self.clock.now();
         let mut state = self.lock();
         let nodes = state.members.len() + state.lost.len() + 1;
--- a/crates/pollenlever/src/mesh/owner.rs
+++ b/crates/pollenlever/src/mesh/owner.rs
@@ -8,6 +8,7 @@
 use pollenlever_core::id::{AttemptId, ChainId, NodeId};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest, NextStep,
+    RetryGrant, says_not_run,
 };
 use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
 use pollenlever_core::policy::SendFailure;
@@ -21,9 +22,6 @@
 
 /// Longest wait for a gate's word about an attempt whose reply was lost.
 const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Share of a target's calls that fail under overload, in thousandths, from which a failure of the
-/// target is put down to it.
-pub(super) const STRAINED_PERMILLE: u16 = 20;
 
 /// The one that decides about a request: the node that took it from its caller.
 pub(super) struct Owner {
@@ -33,6 +31,8 @@
 /// An answer of a target.
 struct TargetAnswer {
     status: u16,
+    /// Whether it is a failure that services further down caused.
+    failed_beneath: bool,
     load: GateLoad,
     headers: Vec<(String, Vec<u8>)>,
     body: Bytes,
@@ -71,9 +71,8 @@
         let ending = ending.unwrap_or(Ending::Error(ErrorKind::DeadlinePassed, None));
         match ending {
             Ending::Answer(answer) => {
-                let is_strained =
-                    answer.status >= 500 && answer.load.strained_permille >= STRAINED_PERMILLE;
-                self.note_call(&req, f64::from(answer.load.calls_percent) / 100.0, is_strained);
+                let beneath = f64::from(answer.load.calls_percent) / 100.0;
+                self.note_call(&req, beneath, answer.failed_beneath);
                 open.answered(answer.status, &delivery);
                 target_answer(answer.status, &answer.headers, answer.body)
             }
@@ -119,13 +118,13 @@
         outcome: &AttemptOutcome,
         cost: f64,
     ) -> bool {
-        let is_granted = self.shared.take_retry(&req.service, cost);
+        let RetryGrant { is_granted, spent, allowed } = self.shared.take_retry(&req.service, cost);
         self.shared.metrics.repeat(&req.service, is_granted);
         if let Some(omitted) = self.shared.request_log.admit(self.shared.clock.now()) {
             log_event!(
                 LogEvent::AttemptRepeated,
-                "request={} service={} gate={gate} outcome={} cost={cost:.2} granted={is_granted} \
-                 omitted={omitted}",
+                "request={} service={} gate={gate} outcome={} cost={cost:.2} spent={spent:.1} \
+                 allowed={allowed:.1} granted={is_granted} omitted={omitted}",
                 req.id,
                 req.service,
                 outcome_name(outcome)
@@ -257,9 +256,13 @@
 
 /// Keeps the answer of a target, in case no later attempt brings a better one.
 fn keep_answer(last: &mut Option<TargetAnswer>, reply: AttemptReply, body: Bytes) {
-    if let AttemptOutcome::Answered(status) = reply.outcome {
-        *last = Some(TargetAnswer { status, load: reply.load, headers: reply.headers, body });
-    }
+    let (status, failed_beneath) = match reply.outcome {
+        AttemptOutcome::Answered(status) => (status, false),
+        AttemptOutcome::FailedBeneath(status) => (status, true),
+        _ => return,
+    };
+    let AttemptReply { headers, load, .. } = reply;
+    *last = Some(TargetAnswer { status, failed_beneath, load, headers, body });
 }
 
 /// What the caller gets if `step` is the last one. What a target answered is passed on, unless the
@@ -297,16 +300,12 @@
     )
 }
 
-/// Whether a caller takes the status as the promise that its request did not run.
-fn says_not_run(status: u16) -> bool {
-    matches!(status, 408 | 421 | 429 | 503)
-}
-
 /// Name of an outcome in logs and metrics.
 pub(super) fn outcome_name(outcome: &AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::Answered(500..) => "target-error",
         AttemptOutcome::Answered(_) => "answered",
+        AttemptOutcome::FailedBeneath(_) => "failed-beneath",
         AttemptOutcome::RejectedByTarget => "rejected-by-target",
         AttemptOutcome::RefusedByGate { error, .. } => error.as_str(),
         AttemptOutcome::NotSent => "not-sent",
