Limit each class of requests by its own failures

Cause: a gate's failure limit counted all runs. Ruled out: no failure limit for requests without calls; a gate does not know in advance which these are. Change: ClassLimits keeps a failure limit and a count of runs for each importance and depth; slots and the saturation point bound all classes together. A class that is limited and has as many waiting as running sheds at once.

--- a/crates/pollenlever-core/src/admission/limit_kind.rs
+++ b/crates/pollenlever-core/src/admission/limit_kind.rs
@@ -13,6 +13,11 @@
 }
 
 impl LimitKind {
+    /// Whether each class of requests has a limit of its own.
+    pub(super) fn is_by_class(self) -> bool {
+        self == LimitKind::Failures
+    }
+
     /// A new limit of this kind.
     pub fn build(self) -> BoxLimit {
         match self {
--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod admission_settings;
 mod chain_hash;
+mod class_limits;
 mod concurrency_limit;
 mod customer_usage;
 mod decayed;
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::class_limits::{Class, ClassLimits};
 use super::customer_usage::CustomerUsage;
 use super::queue::Queue;
 use super::recent_shed::RecentShed;
@@ -8,10 +9,9 @@
 use super::service_times::ServiceTimes;
 use super::shed_level::ShedLevel;
 use super::waiting::Waiting;
-use super::{Admission, AdmissionSettings, BoxLimit, OrderKind, RunOutcome, Ticket, Verdict};
+use super::{Admission, AdmissionSettings, OrderKind, RunOutcome, Ticket, Verdict};
 use crate::Timestamp;
 use crate::answer::ErrorKind;
-use crate::config::Importance;
 use crate::id::StreamId;
 use crate::message::GateLoad;
 use crate::policy::TargetNotice;
@@ -45,7 +45,7 @@
 /// ```
 pub struct PriorityAdmission {
     settings: AdmissionSettings,
-    limit: BoxLimit,
+    limits: ClassLimits,
     saturation: Saturation,
     makes_calls: bool,
     queue: Queue,
@@ -60,7 +60,7 @@
 
 /// A request that the target runs.
 struct Running {
-    class: (Importance, u8),
+    class: Class,
     /// Runs at its start, itself included.
     at_once: u32,
 }
@@ -69,7 +69,7 @@
     /// Admission with nothing learned yet.
     pub fn new(settings: AdmissionSettings) -> PriorityAdmission {
         PriorityAdmission {
-            limit: settings.limit.build(),
+            limits: ClassLimits::new(settings.limit),
             saturation: Saturation::default(),
             makes_calls: false,
             queue: Queue::default(),
@@ -84,10 +84,15 @@
         }
     }
 
-    /// Requests that may run at once.
+    /// Requests that may run at once, whatever their class.
+    fn cap(&self) -> u32 {
+        let slots = self.limits.slots();
+        if self.makes_calls { slots.max(1) } else { slots.min(self.saturation.get()).max(1) }
+    }
+
+    /// Requests of the classes that were seen that may run at once.
     fn limit(&self) -> u32 {
-        let limit = self.limit.get();
-        if self.makes_calls { limit.max(1) } else { limit.min(self.saturation.get()).max(1) }
+        self.limits.total().clamp(1, self.cap())
     }
 
     /// Time between two ends of runs while the gate is full.
@@ -126,6 +131,14 @@
         now + self.pace() * ahead <= self.latest_start(now, waiting, false)
     }
 
+    /// Whether requests of the class are limited more than the target is, and as many wait as run.
+    fn class_is_full(&self, waiting: &Waiting) -> bool {
+        let class = waiting.class();
+        let limit = self.limits.get(class);
+        let queued = self.queue.iter().filter(|it| it.class() == class).count();
+        limit < self.cap() && self.limits.running(class) >= limit && queued as u32 >= limit
+    }
+
     fn shed(
         &mut self,
         now: Timestamp,
@@ -185,12 +198,13 @@
     }
 
     fn start(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
-        while self.running.len() < self.limit() as usize {
+        while self.running.len() < self.cap() as usize {
             let order = self.order(now);
             let Some(best) = self.pop_best(now, order) else { return };
             let Ticket { id, importance, customer, .. } = &best.ticket;
             self.usage.add(now, *importance, customer);
             let at_once = self.running.len() as u32 + 1;
+            self.limits.started(best.class());
             self.running.insert(*id, Running { class: best.class(), at_once });
             verdicts.push(Verdict::Run(*id));
         }
@@ -201,10 +215,11 @@
     fn pop_best(&mut self, now: Timestamp, order: OrderKind) -> Option<Waiting> {
         let delay = self.pace() * self.queue.len() as u32;
         let is_urgent = |it: &Waiting| self.latest_start(now, it, false) < now + delay;
-        let deep = self.queue.next_deep(is_urgent);
+        let has_room = |it: &Waiting| self.limits.has_room(it.class());
+        let deep = self.queue.next_deep(has_room, is_urgent);
         match deep {
             Some(id) => self.queue.remove(id),
-            None => self.queue.pop_best(now, &self.usage, order),
+            None => self.queue.pop_best(now, &self.usage, order, has_room),
         }
     }
 
@@ -235,17 +250,19 @@
 
 impl Admission for PriorityAdmission {
     fn set_slots(&mut self, _now: Timestamp, slots: u32) {
-        self.limit.set_slots(slots);
+        self.limits.set_slots(slots);
         self.saturation.set_slots(slots);
     }
 
     fn offer(&mut self, now: Timestamp, ticket: Ticket, verdicts: &mut Vec<Verdict>) {
         self.shed_level.offered(now, ticket.importance);
         let waiting = Waiting::new(now, ticket);
-        if self.can_finish(now, &waiting) {
-            self.queue.push(waiting);
-        } else {
+        if !self.can_finish(now, &waiting) {
             self.shed(now, &waiting, ErrorKind::DeadlineTooShort, verdicts);
+        } else if self.class_is_full(&waiting) {
+            self.shed(now, &waiting, ErrorKind::Overloaded, verdicts);
+        } else {
+            self.queue.push(waiting);
         }
         self.advance(now, verdicts);
     }
@@ -264,12 +281,11 @@
         outcome: RunOutcome,
         verdicts: &mut Vec<Verdict>,
     ) {
-        let in_flight = self.running.len() as u32;
         if let Some(Running { class, at_once }) = self.running.remove(&id) {
             if outcome == RunOutcome::Answered && !self.makes_calls {
                 self.saturation.sample(now, class, service_time, at_once);
             }
-            self.limit.finished(now, service_time, outcome, in_flight);
+            self.limits.finished(now, class, service_time, outcome);
             let unfinished = matches!(outcome, RunOutcome::Failed | RunOutcome::Cancelled);
             let too_slow = unfinished && service_time > self.service_times.mean();
             if outcome == RunOutcome::Answered || too_slow {
--- a/crates/pollenlever-core/src/admission/queue.rs
+++ b/crates/pollenlever-core/src/admission/queue.rs
@@ -51,29 +51,36 @@
 
     /// The deeper call that runs next, if no new chain is more important: the most important of
     /// those that are urgent, else the one with the earliest deadline.
-    pub(super) fn next_deep(&self, is_urgent: impl Fn(&Waiting) -> bool) -> Option<StreamId> {
+    pub(super) fn next_deep(
+        &self,
+        has_room: impl Fn(&Waiting) -> bool,
+        is_urgent: impl Fn(&Waiting) -> bool,
+    ) -> Option<StreamId> {
         let top = |deep: bool| {
-            let class = self.items.iter().filter(|it| (it.ticket.depth > 0) == deep);
+            let startable = self.items.iter().filter(|it| has_room(it));
+            let class = startable.filter(|it| (it.ticket.depth > 0) == deep);
             class.map(|it| it.ticket.importance).max()
         };
         if top(true) < top(false) {
             return None;
         }
-        let deep = || self.items.iter().filter(|it| it.ticket.depth > 0);
+        let deep = || self.items.iter().filter(|it| it.ticket.depth > 0 && has_room(it));
         let urgent = deep().filter(|it| is_urgent(it)).max_by_key(|it| it.class());
         let next = urgent.or_else(|| deep().min_by_key(|it| it.ticket.deadline));
         next.map(|it| it.ticket.id)
     }
 
-    /// Takes the request that runs next: highest class, then the customer with the least usage,
+    /// Takes the request that runs next, of those that `has_room` holds for: highest class, then the customer with the least usage,
     /// then by `order`.
     pub(super) fn pop_best(
         &mut self,
         now: Timestamp,
         usage: &CustomerUsage,
         order: OrderKind,
+        has_room: impl Fn(&Waiting) -> bool,
     ) -> Option<Waiting> {
-        let class = self.items.iter().map(Waiting::class).max()?;
+        let startable = self.items.iter().filter(|it| has_room(it));
+        let class = startable.map(Waiting::class).max()?;
         let used = |it: &Waiting| usage.get(now, it.ticket.importance, &it.ticket.customer);
         let candidates = self.items.iter().enumerate().filter(|(_, it)| it.class() == class);
         let best = candidates.max_by(|(_, a), (_, b)| {
--- a/crates/pollenlever-core/src/admission/saturation.rs
+++ b/crates/pollenlever-core/src/admission/saturation.rs
@@ -1,8 +1,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::class_limits::Class;
 use crate::Timestamp;
-use crate::config::Importance;
 
 /// Part of the slots by which the two compared numbers of runs differ.
 const STEP_PART: f64 = 1.0 / 14.0;
@@ -30,9 +30,6 @@
 /// Longest rest.
 const MAX_REST: Duration = Duration::from_secs(32);
 
-/// Class of a run: importance and depth.
-type Class = (Importance, u8);
-
 /// Learns whether the target slows down when nearly all its slots are busy, so that fewer runs at
 /// once bring more throughput.
 ///
--- a/crates/pollenlever-core/tests/admission/limit.rs
+++ b/crates/pollenlever-core/tests/admission/limit.rs
@@ -1,7 +1,10 @@
-use pollenlever_core::admission::{LimitKind, RunOutcome};
+use pollenlever_core::Timestamp;
+use pollenlever_core::admission::{
+    Admission, AdmissionSettings, LimitKind, PriorityAdmission, RunOutcome, Ticket, Verdict,
+};
 use proptest::prelude::*;
 
-use super::{cases, ms};
+use super::{cases, ms, ticket};
 
 /// A target that runs only `real` at once is found out, and used again once it runs all.
 fn finds_real_slots(kind: LimitKind, real: u32) {
@@ -68,3 +71,33 @@
     concurrency_limit_stays_within_slots(LimitKind::Concurrency);
     gradient_limit_stays_within_slots(LimitKind::Gradient);
 }
+
+/// Requests that run of those that are offered to a gate with failure limits.
+fn running_of(gate: &mut PriorityAdmission, now: Timestamp, depth: u8, count: u64) -> usize {
+    let mut verdicts = Vec::new();
+    for id in 0..count {
+        let id = (u64::from(depth) + 1) * 1_000_000 + now.as_millis() as u64 * 100 + id;
+        let ticket = Ticket { depth, deadline: now + ms(5000), ..ticket(id) };
+        gate.offer(now, ticket, &mut verdicts);
+    }
+    verdicts.iter().filter(|it| matches!(it, Verdict::Run(_))).count()
+}
+
+/// Calls fail because of a service that only they need. Requests of callers keep their place.
+#[test]
+fn a_class_that_fails_takes_no_place_from_the_others() {
+    let settings = AdmissionSettings { limit: LimitKind::Failures, ..AdmissionSettings::default() };
+    let mut gate = PriorityAdmission::new(settings);
+    gate.set_slots(ms(0), 36);
+    gate.note_calls(true);
+    for step in 0..400 {
+        let now = ms(step * 10);
+        let mut verdicts = Vec::new();
+        let call = Ticket { depth: 1, deadline: now + ms(5000), ..ticket(step) };
+        gate.offer(now, call, &mut verdicts);
+        gate.finished(now + ms(5), step, ms(5), RunOutcome::Failed, &mut verdicts);
+    }
+    let now = ms(4000);
+    assert!(running_of(&mut gate, now, 1, 30) < 10, "calls are limited");
+    assert!(running_of(&mut gate, now, 0, 20) == 20, "requests of callers are not");
+}
