Let calls inherit importance and chain of the request that they belong to

Ruled out: telling the run by deadlines alone: calls are also capped by a deadline of their own, and 6 of 15 sampled calls matched no run. No header of the request comes back on its calls (probed with traceparent and x-request-id). Change: a call whose hierarchical id extends that of a request that the target runs inherits importance, chain, depth and the chance to be a repeat (Lineage, RunningRequests); others are told by their deadlines as before. The protocol between nodes has version 2. Log fields: depth for inner.

--- a/crates/pollenlever-core/src/mesh/mesh_attempt.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_attempt.rs
@@ -2,8 +2,7 @@
 
 use bincode::{Decode, Encode};
 
-use super::RequestId;
-use crate::config::Importance;
+use super::{Lineage, RequestId};
 use crate::id::{AttemptId, ServiceName};
 
 /// Head of an attempt, from the owner of a request to the gate beside a target.
@@ -23,15 +22,10 @@
     pub path: String,
     /// Headers that are passed on to the target.
     pub headers: Vec<(String, Vec<u8>)>,
-    /// Importance of the route.
-    pub importance: Importance,
-    /// Whether a target makes this request while it runs another one.
-    pub is_inner: bool,
+    /// Place of the request in its chain.
+    pub lineage: Lineage,
     /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// Chance that the request repeats one that may have run, be it by a repeat of the run that
-    /// makes the call.
-    pub repeat: f32,
     /// Time left until the caller or the route gives up.
     pub time_left: Duration,
     /// Longest time that the request may wait at the gate.
--- a/crates/pollenlever-core/src/message/mod.rs
+++ b/crates/pollenlever-core/src/message/mod.rs
@@ -17,4 +17,4 @@
 pub use suspicion::Suspicion;
 
 /// Version of the protocol between nodes; a peer with another one is refused.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
--- /dev/null
+++ b/crates/pollenlever-core/tests/mesh/lineage.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use pollenlever_core::config::Importance;
+use pollenlever_core::mesh::{Lineage, RunningRequest, RunningRequests};
+
+const SOON: Duration = Duration::from_secs(1);
+
+fn run(id: &str, importance: Importance) -> RunningRequest {
+    let chain = "127.0.0.1:7101@1f~2a".parse().unwrap();
+    RunningRequest { id: id.into(), lineage: Lineage::head(chain, importance), deadline: SOON }
+}
+
+#[test]
+fn calls_at_every_depth_have_the_importance_of_the_head() {
+    let mut running = RunningRequests::default();
+    running.insert(1, run("9c41", Importance::Critical));
+    let call = running.parent_of("9c41.07be").unwrap().lineage.call();
+    running.insert(2, RunningRequest { id: "9c41.07be".into(), lineage: call, deadline: SOON });
+    let deeper = running.parent_of("9c41.07be.11d3").unwrap().lineage.call();
+    assert_eq!((deeper.importance, deeper.depth), (Importance::Critical, 2));
+    assert_eq!(deeper.chain, call.chain);
+}
+
+#[test]
+fn a_request_whose_run_has_ended_has_no_calls() {
+    let mut running = RunningRequests::default();
+    running.insert(1, run("9c41", Importance::Normal));
+    assert!(running.remove(1));
+    assert!(running.parent_of("9c41.07be").is_none());
+    assert!(!running.remove(1));
+}
+
+/// An attempt is sent again under the same id before the first run has ended.
+#[test]
+fn the_later_run_of_an_id_stays_known_when_the_earlier_one_ends() {
+    let mut running = RunningRequests::default();
+    running.insert(1, run("9c41", Importance::Normal));
+    running.insert(2, run("9c41", Importance::High));
+    running.remove(1);
+    assert_eq!(running.parent_of("9c41.x").unwrap().lineage.importance, Importance::High);
+    assert_eq!(running.last_deadline(), Some(SOON));
+}
--- a/crates/pollenlever-core/tests/mesh/main.rs
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod delivery;
 mod ledger;
 mod limit;
+mod lineage;
 mod members;
 mod registry;
 mod routes;
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -5,16 +5,16 @@
 use bytes::Bytes;
 use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::id::{AttemptId, ChainId, StreamId};
+use pollenlever_core::id::{AttemptId, StreamId};
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, Lifetime, MeshAttempt, RegistryChange,
-    StartTime, TargetReport,
+    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, Lifetime, Lineage, MeshAttempt,
+    RegistryChange, RunningRequest, StartTime, TargetReport,
 };
 use pollenlever_core::message::GateLoad;
 use tokio::sync::oneshot;
 
 use super::HeaderNames;
-use super::gate_state::{GateState, Run};
+use super::gate_state::GateState;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
@@ -148,7 +148,8 @@
             Err(refusal) => return self.refuse(&head, refusal),
         };
         slot.started(self.clock.now());
-        self.lock().runs.insert(slot.id(), Run { repeat: head.repeat, deadline });
+        let run = RunningRequest { id: head.request_id.clone(), lineage: head.lineage, deadline };
+        self.lock().runs.insert(slot.id(), run);
         if head.idempotent {
             return self.run(slot, start, head, body).await;
         }
@@ -202,9 +203,9 @@
         let ticket = Ticket {
             id,
             service: head.service.clone(),
-            importance: head.importance,
-            chain: ChainId { origin: head.id.sender, seq: head.id.seq },
-            depth: u8::from(head.is_inner),
+            importance: head.lineage.importance,
+            chain: head.lineage.chain,
+            depth: head.lineage.depth,
             customer: ANY_CUSTOMER.into(),
             deadline,
         };
@@ -328,14 +329,17 @@
 
     /// Chance that a call of the target is made by a run that is itself a repeat.
     pub(super) fn repeat_share(&self) -> f32 {
-        let state = self.lock();
-        let repeats: f32 = state.runs.values().map(|it| it.repeat).sum();
-        repeats / state.runs.len().max(1) as f32
+        self.lock().runs.repeat_share()
     }
 
     /// Latest deadline of a run of the target.
     pub(super) fn last_run_deadline(&self) -> Option<Duration> {
-        self.lock().runs.values().map(|it| it.deadline).max()
+        self.lock().runs.last_deadline()
+    }
+
+    /// Lineage of a call of the target, if its id tells to which run it belongs.
+    pub(super) fn lineage_of_call(&self, id: &str) -> Option<Lineage> {
+        self.lock().runs.parent_of(id).map(|it| it.lineage.call())
     }
 
     /// Gives a place at the gate back.
@@ -343,7 +347,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.waiting.remove(&id);
-        if state.runs.remove(&id).is_some() {
+        if state.runs.remove(id) {
             state.callees.add_run(now);
         }
         if state.admission.remove(now, id) {
--- a/crates/pollenlever/src/mesh/gate_log.rs
+++ b/crates/pollenlever/src/mesh/gate_log.rs
@@ -44,7 +44,7 @@
         log_event!(
             LogEvent::RunRefused,
             "request={} reason={} in_flight={} queued={} limit={} retry_after_ms={} \
-             report_age_ms={} max_wait_ms={} importance={:?} inner={} omitted={omitted}",
+             report_age_ms={} max_wait_ms={} importance={:?} depth={} omitted={omitted}",
             head.request_id,
             error.as_str(),
             load.in_flight,
@@ -53,8 +53,8 @@
             retry_after.unwrap_or_default().as_millis(),
             self.report_age().as_millis(),
             head.max_wait.as_millis(),
-            head.importance,
-            head.is_inner
+            head.lineage.importance,
+            head.lineage.depth
         );
     }
 }
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -6,7 +6,9 @@
 };
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::StreamId;
-use pollenlever_core::mesh::{AttemptLedger, Callees, FailureRate, MeshAttempt, TargetRegistry};
+use pollenlever_core::mesh::{
+    AttemptLedger, Callees, FailureRate, MeshAttempt, RunningRequests, TargetRegistry,
+};
 use tokio::sync::oneshot;
 
 use super::log_event::{LogEvent, log_event};
@@ -24,20 +26,13 @@
     pub(super) ledger: AttemptLedger,
     pub(super) failures: FailureRate,
     pub(super) callees: Callees,
-    pub(super) runs: HashMap<StreamId, Run>,
+    pub(super) runs: RunningRequests,
     pub(super) is_leaving: bool,
     pub(super) last_id: StreamId,
     /// Limit of concurrent runs that was logged last, and when.
     pub(super) logged_limit: (u32, Duration),
 }
 
-/// A request that the target runs.
-pub(super) struct Run {
-    /// Chance that it repeats an earlier one.
-    pub(super) repeat: f32,
-    pub(super) deadline: Duration,
-}
-
 impl Default for GateState {
     fn default() -> GateState {
         GateState {
@@ -50,7 +45,7 @@
             ledger: AttemptLedger::default(),
             failures: FailureRate::default(),
             callees: Callees::default(),
-            runs: HashMap::new(),
+            runs: RunningRequests::default(),
             is_leaving: false,
             last_id: 0,
             logged_limit: (0, Duration::ZERO),
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use pollenlever_core::config::ServiceConfig;
-use pollenlever_core::id::{NodeId, ServiceName};
+use pollenlever_core::id::{ChainId, NodeId, ServiceName};
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, LostMembers, MemberChange, MemberTable,
-    RegistryChange, RetryBudget, RetryGrant, RouteTable, RouteVersion, StartTime, TargetReport,
-    WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, LostMembers, MemberChange,
+    MemberTable, RegistryChange, RetryBudget, RetryGrant, RouteTable, RouteVersion, StartTime,
+    TargetReport, WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
@@ -288,10 +288,17 @@
         split.or_insert_with(|| WeightedSplit::new(&route.services, phase())).choose()
     }
 
-    /// Whether a request is taken for a call of the target beside this node.
-    pub(super) fn is_call(&self, route: &HttpRoute, deadline: Duration) -> bool {
+    /// Place in its chain of a request that expires at `deadline`. A call whose id does not tell to
+    /// which run it belongs may be told by its deadline; then it has the importance of its route.
+    pub(super) fn lineage(&self, id: &str, route: &HttpRoute, deadline: Duration) -> Lineage {
+        if let Some(lineage) = self.gate.lineage_of_call(id) {
+            return lineage;
+        }
         let last_run = self.gate.last_run_deadline();
-        self.lock().calls.is_call(&route.name, deadline, last_run)
+        let is_call = self.lock().calls.is_call(&route.name, deadline, last_run);
+        let chain = ChainId { origin: self.me, seq: self.draw_id() };
+        let head = Lineage::head(chain, route.importance());
+        if is_call { Lineage { repeat: self.gate.repeat_share(), ..head.call() } } else { head }
     }
 
     /// The gate of an attempt.
--- a/crates/pollenlever/src/mesh/open_request.rs
+++ b/crates/pollenlever/src/mesh/open_request.rs
@@ -45,7 +45,7 @@
         log_event!(
             LogEvent::RequestEnded,
             "request={} route={} service={} routes={} status={status} outcome={outcome} \
-             took_ms={} left_ms={} arrivals={} refusals={} inner={} repeat={:.2} omitted={omitted}",
+             took_ms={} left_ms={} arrivals={} refusals={} depth={} repeat={:.2} omitted={omitted}",
             req.id,
             req.route.name,
             req.service,
@@ -54,8 +54,8 @@
             req.deadline.saturating_sub(now).as_millis(),
             delivery.arrivals(),
             delivery.refusals(),
-            req.is_inner,
-            req.repeat
+            req.lineage.depth,
+            req.lineage.repeat
         );
     }
 }
--- a/crates/pollenlever/src/mesh/owned_request.rs
+++ b/crates/pollenlever/src/mesh/owned_request.rs
@@ -7,7 +7,9 @@
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::config::Importance;
 use pollenlever_core::id::{AttemptId, ServiceName};
-use pollenlever_core::mesh::{HttpRoute, MeshAttempt, RequestId, RouteTable, RouteVersion};
+use pollenlever_core::mesh::{
+    HttpRoute, Lineage, MeshAttempt, RequestId, RouteTable, RouteVersion,
+};
 
 use super::{MeshShared, forwarded_headers};
 
@@ -34,10 +36,8 @@
     pub(super) arrived: Duration,
     /// Time at which the caller or the route gives up, by the node's clock.
     pub(super) deadline: Duration,
-    /// Whether the target beside the node makes the request.
-    pub(super) is_inner: bool,
-    /// Chance that the run that makes this call is itself a repeat.
-    pub(super) repeat: f32,
+    /// Place of the request in its chain.
+    pub(super) lineage: Lineage,
 }
 
 impl OwnedRequest {
@@ -61,7 +61,7 @@
         check_head_size(&table, &parts.headers)?;
         let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
         let time_budget = time_budget(shared, &parts.headers);
-        let is_inner = shared.is_call(&route, arrived + time_budget);
+        let lineage = shared.lineage(&id, &route, arrived + time_budget);
         let deadline = arrived + time_budget.min(route.timeout);
         let body = read_body(&table, body).await?;
         Ok(OwnedRequest {
@@ -74,15 +74,14 @@
             body,
             arrived,
             deadline,
-            is_inner,
-            repeat: if is_inner { shared.gate.repeat_share() } else { 0.0 },
+            lineage,
             route,
         })
     }
 
     /// Whether the request is tried at more gates while all are overloaded.
     pub(super) fn is_urgent(&self) -> bool {
-        self.is_inner || self.route.importance() == Importance::Critical
+        self.lineage.is_call() || self.lineage.importance == Importance::Critical
     }
 
     /// Head of an attempt that is sent now.
@@ -94,7 +93,7 @@
         repeat: f32,
     ) -> MeshAttempt {
         let time_left = self.deadline.saturating_sub(now);
-        let max_wait = if self.is_inner {
+        let max_wait = if self.lineage.is_call() {
             time_left / WAIT_PART_OF_INNER
         } else {
             (self.route.latency_target / WAIT_PART_OF_TARGET).min(time_left)
@@ -107,10 +106,8 @@
             method: self.method.clone(),
             path: self.path.clone(),
             headers: self.headers.clone(),
-            importance: self.route.importance(),
-            is_inner: self.is_inner,
+            lineage: Lineage { repeat, ..self.lineage },
             idempotent: self.route.idempotent,
-            repeat,
             time_left,
             max_wait,
         }
--- a/crates/pollenlever/src/mesh/owner.rs
+++ b/crates/pollenlever/src/mesh/owner.rs
@@ -5,7 +5,7 @@
 use http::Request;
 use hyper::body::Incoming;
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::id::{AttemptId, ChainId, NodeId};
+use pollenlever_core::id::{AttemptId, NodeId};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest, NextStep,
     RetryGrant, says_not_run,
@@ -62,7 +62,7 @@
 
     async fn deliver(&self, req: OwnedRequest) -> EdgeResponse {
         self.shared.count_request(&req.service);
-        self.shared.charge_repeat(&req.service, req.repeat);
+        self.shared.charge_repeat(&req.service, req.lineage.repeat);
         let left = req.deadline.saturating_sub(self.shared.clock.now());
         let mut delivery =
             Delivery::new(req.route.idempotent, req.route.max_attempts, req.is_urgent());
@@ -92,7 +92,7 @@
                 Ok(gate) => gate,
                 Err(step) => return ending(req, step, last_answer),
             };
-            let repeat = if delivery.maybe_ran() { 1.0 } else { req.repeat };
+            let repeat = if delivery.maybe_ran() { 1.0 } else { req.lineage.repeat };
             let (reply, body) = self.attempt(req, gate, repeat).await;
             let step = delivery.ended(gate, &reply.outcome);
             self.shared.metrics.attempt(outcome_name(&reply.outcome));
@@ -141,9 +141,9 @@
         }
         let route = RouteRequest {
             service: &req.service,
-            importance: req.route.importance(),
-            chain: ChainId { origin: self.shared.me, seq: self.shared.draw_id() },
-            depth: u8::from(req.is_inner),
+            importance: req.lineage.importance,
+            chain: req.lineage.chain,
+            depth: req.lineage.depth,
             bytes: req.body.len() as u64,
             tried: delivery.avoided(),
         };
@@ -158,7 +158,7 @@
 
     /// Tells the gate how a call of its target ended.
     fn note_call(&self, req: &OwnedRequest, beneath: f64, is_strained: bool) {
-        if req.is_inner {
+        if req.lineage.is_call() {
             self.shared.gate.note_call(beneath, is_strained);
         }
     }
