Refuse requests that crash each target that runs them, on the users' platform too

Ruled out: counting broken connections alone, since targets also lose answers; running suspects alone as pollenleverd does, which costs a queue at each gate. Change: CrashSuspects: runs that were broken off or in flight count against their content once the target refuses connections or starts again; gates of the service tell each other; after two crashes the content is refused as not run. Content that was answered is never suspect. SuspicionTable and the digest move to a module that both paths share. A request that meets a connection just being closed goes to a new one; before, the gate closed until the next report.

--- a/crates/pollenlever-core/src/lib.rs
+++ b/crates/pollenlever-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod policy;
 pub mod rollout;
 pub mod routing;
+mod suspicion;
 
 /// Monotonic time since the driver started, the only clock that decisions see.
 pub type Timestamp = std::time::Duration;
--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -84,7 +84,7 @@
                 self.last_refusal = (*error, *retry_after);
                 let is_full = matches!(error, ErrorKind::Overloaded | ErrorKind::DeadlineTooShort);
                 self.overloaded += u32::from(is_full);
-                self.free_retry()
+                if *error == ErrorKind::Suspect { self.fail() } else { self.free_retry() }
             }
             AttemptOutcome::NotSent => {
                 self.avoided.push(gate);
--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -26,6 +26,8 @@
     Sealed(bool),
     /// What the receiver of an announcement says about itself.
     Announced(Member, RouteVersion),
+    /// What was said is noted.
+    Noted,
     /// Routes that are newer than those of the asking node, if there are any.
     Routes(Option<RouteTable>),
 }
--- a/crates/pollenlever-core/src/mesh/running_requests.rs
+++ b/crates/pollenlever-core/src/mesh/running_requests.rs
@@ -2,7 +2,7 @@
 
 use super::{Lineage, RequestId};
 use crate::Timestamp;
-use crate::id::StreamId;
+use crate::id::{ContentDigest, StreamId};
 
 /// Separates the id of a request from what a call of it adds to it.
 const CALL_SEPARATOR: char = '.';
@@ -16,6 +16,8 @@
     pub lineage: Lineage,
     /// Time at which its caller or its route gives up.
     pub deadline: Timestamp,
+    /// Identifies its content.
+    pub digest: ContentDigest,
 }
 
 /// Requests that the target beside a gate runs now.
@@ -53,7 +55,7 @@
     /// let lineage = Lineage::head("127.0.0.1:7101@1f~2a".parse().unwrap(), Importance::Critical);
     /// let deadline = Duration::from_secs(1);
     /// let mut running = RunningRequests::default();
-    /// running.insert(7, RunningRequest { id: "9c41".into(), lineage, deadline });
+    /// running.insert(7, RunningRequest { id: "9c41".into(), lineage, deadline, digest: 1 });
     /// assert_eq!(running.parent_of("9c41.07be").unwrap().lineage, lineage);
     /// assert!(running.parent_of("9c42.07be").is_none());
     /// assert!(running.parent_of("9c41").is_none());
@@ -63,6 +65,11 @@
         self.runs.get(self.by_id.get(parent)?)
     }
 
+    /// Content of the requests that run.
+    pub fn digests(&self) -> impl Iterator<Item = ContentDigest> {
+        self.runs.values().map(|it| it.digest)
+    }
+
     /// Latest deadline of a run.
     pub fn last_deadline(&self) -> Option<Timestamp> {
         self.runs.values().map(|it| it.deadline).max()
--- a/crates/pollenlever-core/src/node/calls.rs
+++ b/crates/pollenlever-core/src/node/calls.rs
@@ -8,7 +8,7 @@
 use super::lineage::Lineage;
 use super::node::Node;
 use super::open_call::{CallStage, OpenCall};
-use super::request::{Request, content_digest};
+use super::request::{Request, call_digest};
 use super::timers::Timer;
 use crate::Timestamp;
 use crate::answer::{Answer, ComeBack, ErrorKind, Outcome};
@@ -50,7 +50,7 @@
     fn open_call(&mut self, now: Timestamp, call: Call) -> Result<(OpenCall, bool), ErrorKind> {
         let kind = self.kind_of(&call)?;
         let call = self.with_customer_of_parent(call)?;
-        let digest = content_digest(&call);
+        let digest = call_digest(&call);
         let lineage = self.lineage(now, &call, &kind, digest)?;
         let key = Self::key_of(&call, &kind, &lineage, digest)?;
         if key.is_none() && self.is_refused(digest, kind.max_crashes) {
--- a/crates/pollenlever-core/src/node/mod.rs
+++ b/crates/pollenlever-core/src/node/mod.rs
@@ -22,7 +22,6 @@
 mod seals;
 mod surroundings;
 mod suspects;
-mod suspicion_table;
 mod timers;
 
 pub use node::Node;
--- a/crates/pollenlever-core/src/node/node.rs
+++ b/crates/pollenlever-core/src/node/node.rs
@@ -12,7 +12,6 @@
 use super::node_settings::NodeSettings;
 use super::open_call::OpenCall;
 use super::outgoing::Outgoing;
-use super::suspicion_table::SuspicionTable;
 use super::timers::Timers;
 use crate::Timestamp;
 use crate::admission::BoxAdmission;
@@ -27,6 +26,7 @@
 use crate::once::{Home, SealTable};
 use crate::policy::{Action, Event, Policy};
 use crate::routing::BoxRouting;
+use crate::suspicion::SuspicionTable;
 
 /// The decisions of one node as entry, origin, home and gate.
 pub struct Node {
--- a/crates/pollenlever-core/src/node/request.rs
+++ b/crates/pollenlever-core/src/node/request.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::Timestamp;
 use crate::config::{Importance, RequestKind};
 use crate::id::{AttemptId, ChainId, ContentDigest, CustomerId, KindName, RequestKey, ServiceName};
 use crate::message::{AttemptHead, ForwardHead};
 use crate::policy::Call;
+use crate::suspicion::content_digest;
 
 /// A request with what its kind and its chain say about it.
 #[derive(Debug, Clone)]
@@ -103,18 +103,7 @@
 }
 
 /// Hash of customer, service, method, path and body of a call.
-pub(super) fn content_digest(call: &Call) -> ContentDigest {
-    let mut hasher = Xxh3::new();
-    let parts = [
-        call.customer.as_bytes(),
-        call.service.as_bytes(),
-        call.method.as_bytes(),
-        call.path.as_bytes(),
-        &call.body,
-    ];
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
-    }
-    hasher.digest()
+pub(super) fn call_digest(call: &Call) -> ContentDigest {
+    let (customer, service) = (call.customer.as_bytes(), call.service.as_bytes());
+    content_digest([customer, service, call.method.as_bytes(), call.path.as_bytes(), &call.body])
 }
--- a/crates/pollenlever-core/src/node/suspicion_table.rs
+++ b/crates/pollenlever-core/src/suspicion/suspicion_table.rs
@@ -7,7 +7,7 @@
 
 /// Crashes of targets, counted against the requests that were in flight.
 #[derive(Debug)]
-pub(super) struct SuspicionTable {
+pub(crate) struct SuspicionTable {
     ttl: Duration,
     capacity: usize,
     counts: BTreeMap<ContentDigest, (u32, Timestamp)>,
@@ -15,17 +15,22 @@
 }
 
 impl SuspicionTable {
-    pub(super) fn new(ttl: Duration, capacity: usize) -> SuspicionTable {
+    pub(crate) fn new(ttl: Duration, capacity: usize) -> SuspicionTable {
         SuspicionTable { ttl, capacity, counts: BTreeMap::new(), order: BTreeSet::new() }
     }
 
     /// Crashes counted against a request.
-    pub(super) fn crashes(&self, digest: ContentDigest) -> u32 {
+    pub(crate) fn crashes(&self, digest: ContentDigest) -> u32 {
         self.counts.get(&digest).map_or(0, |(crashes, _)| *crashes)
     }
 
+    /// Requests with at least so many crashes.
+    pub(crate) fn count_of(&self, min_crashes: u32) -> usize {
+        self.counts.values().filter(|(crashes, _)| *crashes >= min_crashes).count()
+    }
+
     /// Raises the count to that of a peer. Returns whether it was news.
-    pub(super) fn raise(&mut self, now: Timestamp, news: Suspicion) -> bool {
+    pub(crate) fn raise(&mut self, now: Timestamp, news: Suspicion) -> bool {
         let known = self.crashes(news.digest);
         if news.crashes <= known {
             return false;
@@ -42,14 +47,14 @@
     }
 
     /// Forgets the crashes of a request that has run.
-    pub(super) fn clear(&mut self, digest: ContentDigest) {
+    pub(crate) fn clear(&mut self, digest: ContentDigest) {
         if let Some((_, noted)) = self.counts.remove(&digest) {
             self.order.remove(&(noted, digest));
         }
     }
 
     /// Forgets crashes that are older than the time to live.
-    pub(super) fn expire(&mut self, now: Timestamp) {
+    pub(crate) fn expire(&mut self, now: Timestamp) {
         while let Some(&(noted, digest)) = self.order.first() {
             if noted + self.ttl > now {
                 break;
--- a/crates/pollenlever-core/tests/mesh/lineage.rs
+++ b/crates/pollenlever-core/tests/mesh/lineage.rs
@@ -7,7 +7,12 @@
 
 fn run(id: &str, importance: Importance) -> RunningRequest {
     let chain = "127.0.0.1:7101@1f~2a".parse().unwrap();
-    RunningRequest { id: id.into(), lineage: Lineage::head(chain, importance), deadline: SOON }
+    RunningRequest {
+        id: id.into(),
+        lineage: Lineage::head(chain, importance),
+        deadline: SOON,
+        digest: 1,
+    }
 }
 
 #[test]
@@ -15,7 +20,10 @@
     let mut running = RunningRequests::default();
     running.insert(1, run("9c41", Importance::Critical));
     let call = running.parent_of("9c41.07be").unwrap().lineage.call();
-    running.insert(2, RunningRequest { id: "9c41.07be".into(), lineage: call, deadline: SOON });
+    running.insert(
+        2,
+        RunningRequest { id: "9c41.07be".into(), lineage: call, deadline: SOON, digest: 1 },
+    );
     let deeper = running.parent_of("9c41.07be.11d3").unwrap().lineage.call();
     assert_eq!((deeper.importance, deeper.depth), (Importance::Critical, 2));
     assert_eq!(deeper.chain, call.chain);
--- a/crates/pollenlever-core/tests/mesh/main.rs
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod members;
 mod registry;
 mod routes;
+mod suspects;
 
 /// Names each case of one check.
 #[macro_export]
--- a/crates/pollenlever/src/mesh/edge_answer.rs
+++ b/crates/pollenlever/src/mesh/edge_answer.rs
@@ -35,7 +35,11 @@
 pub(super) fn error_answer(kind: ErrorKind, retry_after: Option<Duration>) -> EdgeResponse {
     let row = kind.response();
     let mut response = Response::new(Full::new(Bytes::from_static(row.message.as_bytes())));
-    let status = StatusCode::from_u16(row.status);
+    let status = match kind {
+        // Callers know this status as the promise that the request has not run.
+        ErrorKind::Suspect => Ok(StatusCode::TOO_MANY_REQUESTS),
+        _ => StatusCode::from_u16(row.status),
+    };
     *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -5,13 +5,13 @@
 use bytes::Bytes;
 use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::id::{AttemptId, StreamId};
+use pollenlever_core::id::{AttemptId, ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, AttemptStage, InstanceId, Lifetime, Lineage, MeshAttempt,
-    RegistryChange, RunningRequest, StartTime, TargetReport,
+    AttemptOutcome, AttemptReply, AttemptStage, CrashSuspects, InstanceId, Lifetime, Lineage,
+    MeshAttempt, RegistryChange, RunningRequest, StartTime, TargetReport,
 };
-use pollenlever_core::message::GateLoad;
-use tokio::sync::oneshot;
+use pollenlever_core::message::{GateLoad, Suspicion};
+use tokio::sync::{Notify, oneshot};
 
 use super::HeaderNames;
 use super::gate_state::GateState;
@@ -39,12 +39,16 @@
     pub(super) log: RequestLog,
     /// Counters and histograms.
     pub(super) metrics: MeshMetrics,
+    /// Told when there is news of a crash.
+    crash_noted: Notify,
     state: Mutex<GateState>,
 }
 
 /// What an attempt needs once it has a slot.
 pub(super) struct Start {
     pub(super) instance: InstanceId,
+    /// Identifies the content of the request.
+    pub(super) digest: ContentDigest,
     /// Start of the run, by the node's clock.
     pub(super) at: Duration,
     /// Time from then until the request's deadline.
@@ -64,6 +68,7 @@
             client: TargetClient::new(target, names),
             log: RequestLog::default(),
             metrics,
+            crash_noted: Notify::new(),
             state: Mutex::new(state),
         }
     }
@@ -74,7 +79,14 @@
         let slots = report.slots;
         let mut state = self.lock();
         let before = state.registry.serving().map(|it| it.instance.clone());
+        let earlier = state.registry.current().filter(|it| !it.is_draining).map(|it| it.started);
+        let started = report.started;
         let change = state.registry.report(now, report);
+        let crashed = earlier.filter(|it| change != RegistryChange::Stale && *it < started);
+        if let Some(earlier) = crashed {
+            state.note_crash(now, earlier, "target has started again");
+            self.crash_noted.notify_one();
+        }
         match change {
             RegistryChange::Opened => {
                 state.admission.set_slots(now, slots.max(1));
@@ -139,16 +151,18 @@
         body: Bytes,
     ) -> (AttemptReply, Bytes) {
         let deadline = self.clock.now() + head.time_left;
-        let mut slot = match self.enter(&head, deadline).await {
+        let digest = CrashSuspects::digest(&head, &body);
+        let mut slot = match self.enter(&head, digest, deadline).await {
             Ok(slot) => slot,
             Err(refusal) => return self.refuse(&head, refusal),
         };
-        let start = match self.start(&head, deadline) {
+        let start = match self.start(&head, digest, deadline) {
             Ok(start) => start,
             Err(refusal) => return self.refuse(&head, refusal),
         };
         slot.started(self.clock.now());
-        let run = RunningRequest { id: head.request_id.clone(), lineage: head.lineage, deadline };
+        let id = head.request_id.clone();
+        let run = RunningRequest { id, lineage: head.lineage, deadline, digest };
         self.lock().runs.insert(slot.id(), run);
         if head.idempotent {
             return self.run(slot, start, head, body).await;
@@ -165,9 +179,10 @@
     async fn enter(
         self: &Arc<Gate>,
         head: &MeshAttempt,
+        digest: ContentDigest,
         deadline: Duration,
     ) -> Result<SlotGuard, AttemptOutcome> {
-        let (id, mut verdict) = self.offer(head, deadline)?;
+        let (id, mut verdict) = self.offer(head, digest, deadline)?;
         let guard = SlotGuard::new(Arc::clone(self), id);
         let verdict = match tokio::time::timeout(head.max_wait, &mut verdict).await {
             Ok(verdict) => verdict.ok(),
@@ -185,6 +200,7 @@
     fn offer(
         &self,
         head: &MeshAttempt,
+        digest: ContentDigest,
         deadline: Duration,
     ) -> Result<(StreamId, oneshot::Receiver<Verdict>), AttemptOutcome> {
         let now = self.clock.now();
@@ -192,7 +208,7 @@
         if !state.ledger.begin(head.id) {
             return Err(refused(ErrorKind::Overloaded, None));
         }
-        if let Some(error) = state.refusal(head) {
+        if let Some(error) = state.refusal(head, digest) {
             state.ledger.seal(head.id);
             return Err(refused(error, None));
         }
@@ -217,10 +233,15 @@
 
     /// Checks once more whether the request may go to the target: while it waited the target may
     /// have left, or the owner may have given up.
-    fn start(&self, head: &MeshAttempt, deadline: Duration) -> Result<Start, AttemptOutcome> {
+    fn start(
+        &self,
+        head: &MeshAttempt,
+        digest: ContentDigest,
+        deadline: Duration,
+    ) -> Result<Start, AttemptOutcome> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let refusal = state.refusal(head);
+        let refusal = state.refusal(head, digest);
         let expired = (deadline <= now).then_some(ErrorKind::DeadlineTooShort);
         if let Some(error) = refusal.or(expired) {
             state.ledger.seal(head.id);
@@ -232,7 +253,7 @@
         let serving = state.registry.serving();
         let instance = serving.map(|it| it.instance.clone());
         let instance = instance.ok_or_else(|| refused(ErrorKind::NoTarget, None))?;
-        Ok(Start { instance, at: now, time_left: deadline - now })
+        Ok(Start { instance, digest, at: now, time_left: deadline - now })
     }
 
     async fn run(
@@ -249,7 +270,7 @@
         };
         slot.ended(self.outcome_of(&result));
         drop(slot);
-        self.note_result(&head, &result);
+        self.note_result(&head, start.digest, &result);
         self.log_run(&start, &head, &result);
         let (outcome, headers, body) = match result {
             TargetResult::Answered { status, headers, body } => {
@@ -259,6 +280,9 @@
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 (refused(ErrorKind::NoTarget, None), Vec::new(), Bytes::new())
             }
+            TargetResult::Unsendable(_) => {
+                (refused(ErrorKind::MalformedRequest, None), Vec::new(), Bytes::new())
+            }
             TargetResult::Unknown(_) | TargetResult::TimedOut => {
                 (AttemptOutcome::Unknown, Vec::new(), Bytes::new())
             }
@@ -280,28 +304,56 @@
         self.lock().callees.strained_permille(self.clock.now()) >= STRAINED_PERMILLE
     }
 
-    fn note_result(&self, head: &MeshAttempt, result: &TargetResult) {
+    fn note_result(&self, head: &MeshAttempt, digest: ContentDigest, result: &TargetResult) {
         let now = self.clock.now();
         let mut state = self.lock();
         match result {
             TargetResult::Answered { status, .. } => {
+                state.suspects.answered(digest);
                 let failed = FAILED_STATUSES.contains(status);
                 // Another target would fail as well if a service further down is overloaded.
                 if !failed || state.callees.strained_permille(now) < STRAINED_PERMILLE {
                     state.failures.add(now, failed);
                 }
             }
-            TargetResult::Rejected | TargetResult::Unknown(_) => state.failures.add(now, true),
+            TargetResult::Rejected => state.failures.add(now, true),
+            TargetResult::Unknown(_) => {
+                state.suspects.broken(now, digest);
+                state.failures.add(now, true);
+            }
+            TargetResult::TimedOut => state.suspects.broken(now, digest),
+            TargetResult::Unsendable(_) => {}
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 let request = &head.request_id;
                 let reason = result.reason();
                 log_event!(LogEvent::TargetClosed, "reason={reason:?} request={request}");
                 state.registry.mark_unreachable();
+                let target = state.registry.current().filter(|it| !it.is_draining);
+                if let Some(started) = target.map(|it| it.started) {
+                    state.note_crash(now, started, "target takes no connections");
+                    self.crash_noted.notify_one();
+                }
             }
-            TargetResult::TimedOut => {}
         }
     }
 
+    /// Resolves once the target has crashed with requests in flight; tells which.
+    pub(super) async fn next_crash(&self) -> Vec<Suspicion> {
+        self.crash_noted.notified().await;
+        std::mem::take(&mut self.lock().crash_news)
+    }
+
+    /// Requests that are refused since they crash targets.
+    pub(super) fn convicted(&self) -> usize {
+        self.lock().suspects.convicted()
+    }
+
+    /// Takes what another gate says about requests that crash targets.
+    pub(super) fn heard_of_crashes(&self, news: &[Suspicion]) {
+        let now = self.clock.now();
+        self.lock().suspects.heard(now, news);
+    }
+
     /// Time since the target's last report.
     pub(super) fn report_age(&self) -> Duration {
         self.clock.now().saturating_sub(self.lock().registry.reported_at())
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -5,10 +5,12 @@
     Admission, AdmissionSettings, LimitKind, PriorityAdmission, Verdict,
 };
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::id::StreamId;
+use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptLedger, Callees, FailureRate, MeshAttempt, RunningRequests, TargetRegistry,
+    AttemptLedger, Callees, CrashSuspects, FailureRate, MeshAttempt, RunningRequests, StartTime,
+    TargetRegistry,
 };
+use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
 
 use super::log_event::{LogEvent, log_event};
@@ -27,6 +29,9 @@
     pub(super) failures: FailureRate,
     pub(super) callees: Callees,
     pub(super) runs: RunningRequests,
+    pub(super) suspects: CrashSuspects,
+    /// Crashes that other gates have not been told of.
+    pub(super) crash_news: Vec<Suspicion>,
     pub(super) is_leaving: bool,
     pub(super) last_id: StreamId,
     /// Limit of concurrent runs that was logged last, and when.
@@ -46,6 +51,8 @@
             failures: FailureRate::default(),
             callees: Callees::default(),
             runs: RunningRequests::default(),
+            suspects: CrashSuspects::default(),
+            crash_news: Vec::new(),
             is_leaving: false,
             last_id: 0,
             logged_limit: (0, Duration::ZERO),
@@ -55,10 +62,13 @@
 
 impl GateState {
     /// Why a request gets no place at the gate.
-    pub(super) fn refusal(&self, head: &MeshAttempt) -> Option<ErrorKind> {
+    pub(super) fn refusal(&self, head: &MeshAttempt, digest: ContentDigest) -> Option<ErrorKind> {
         if self.is_leaving {
             return Some(ErrorKind::Leaving);
         }
+        if self.suspects.is_convicted(digest) {
+            return Some(ErrorKind::Suspect);
+        }
         match self.registry.serving() {
             Some(target) if target.service == head.service => None,
             Some(_) => Some(ErrorKind::NoTarget),
@@ -69,6 +79,16 @@
         }
     }
 
+    /// Blames the target's crash on the requests that it ran.
+    pub(super) fn note_crash(&mut self, now: Duration, started: StartTime, reason: &str) {
+        let in_flight: Vec<ContentDigest> = self.runs.digests().collect();
+        let news = self.suspects.target_crashed(now, started, in_flight);
+        if !news.is_empty() {
+            log_event!(LogEvent::TargetCrashed, "reason={reason:?} suspects={}", news.len());
+        }
+        self.crash_news.extend(news);
+    }
+
     /// Logs the limit of concurrent runs once it differs much from what was logged last.
     pub(super) fn log_limit(&mut self, now: Duration) {
         let limit = self.admission.load(now).limit;
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -21,6 +21,7 @@
     TargetReady,
     TargetLeaving,
     TargetClosed,
+    TargetCrashed,
     TargetReportIgnored,
     RequestEnded,
     CallerHungUp,
@@ -33,7 +34,7 @@
 
 impl LogEvent {
     /// All events.
-    pub const ALL: [LogEvent; 25] = [
+    pub const ALL: [LogEvent; 26] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -51,6 +52,7 @@
         LogEvent::TargetReady,
         LogEvent::TargetLeaving,
         LogEvent::TargetClosed,
+        LogEvent::TargetCrashed,
         LogEvent::TargetReportIgnored,
         LogEvent::RequestEnded,
         LogEvent::CallerHungUp,
@@ -86,6 +88,7 @@
             LogEvent::TargetReady => "target-ready",
             LogEvent::TargetLeaving => "target-leaving",
             LogEvent::TargetClosed => "target-closed",
+            LogEvent::TargetCrashed => "target-crashed",
             LogEvent::TargetReportIgnored => "target-report-ignored",
             LogEvent::RequestEnded => "request-ended",
             LogEvent::CallerHungUp => "caller-hung-up",
@@ -105,7 +108,8 @@
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
             | LogEvent::MemberIgnored
-            | LogEvent::TargetClosed => Level::Warn,
+            | LogEvent::TargetClosed
+            | LogEvent::TargetCrashed => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -31,6 +31,10 @@
                 shared.note_routes(node, routes);
                 (MeshReply::Announced(shared.own(), shared.route_version()), Bytes::new())
             }
+            MeshRequest::Suspects(news) => {
+                shared.gate.heard_of_crashes(&news);
+                (MeshReply::Noted, Bytes::new())
+            }
             MeshRequest::Routes(known) => {
                 let newer = shared.routes().filter(|it| it.version > known);
                 (MeshReply::Routes(newer.map(|it| (*it).clone())), Bytes::new())
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -68,6 +68,7 @@
     routes_age: FloatGauge,
     members: IntGauge,
     members_lost: IntGauge,
+    suspects: IntGauge,
     open_requests: IntGauge,
     open_connections: IntGauge,
 }
@@ -92,6 +93,8 @@
         );
         registry.register("members", "Other nodes", it.members);
         registry.register("members_lost", "Other nodes that do not answer", it.members_lost);
+        let help = "Requests refused since they crash targets";
+        registry.register("suspects", help, it.suspects);
         registry.register("open_requests", "Requests that are not answered", it.open_requests);
         registry.register("caller_connections", "Open connections", it.open_connections);
     }
@@ -185,6 +188,7 @@
         let (members, lost) = shared.member_counts();
         it.members.set(members as i64);
         it.members_lost.set(lost as i64);
+        it.suspects.set(shared.refused_suspects() as i64);
         it.open_requests.set(shared.open_work.count() as i64);
         it.open_connections.set(shared.open_connections() as i64);
         let mut buf = String::new();
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -76,6 +76,7 @@
         tokio::spawn(edge.serve(bind(cfg.callers).await?));
         let members = MemberWatch::new(Arc::clone(&shared), platform.store());
         tokio::spawn(members.clone().run());
+        tokio::spawn(Arc::clone(&shared).spread_crash_news());
         tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
         log_event!(
             LogEvent::NodeStarted,
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -354,6 +354,11 @@
         self.open_connections.count()
     }
 
+    /// Requests that this node's gate refuses since they crash targets.
+    pub fn refused_suspects(&self) -> usize {
+        self.gate.convicted()
+    }
+
     /// Other nodes whose targets take work.
     pub fn serving_members(&self) -> usize {
         let serves = |it: &&Member| matches!(it.state, TargetState::Ready | TargetState::Cold);
--- a/crates/pollenlever/src/mesh/neighbours.rs
+++ b/crates/pollenlever/src/mesh/neighbours.rs
@@ -106,6 +106,24 @@
         due.into_iter().filter_map(|it| Some((state.names.get(&it)?.clone(), it))).collect()
     }
 
+    /// Tells the other gates of this node's service about requests that crash targets, for ever.
+    pub(super) async fn spread_crash_news(self: Arc<MeshShared>) {
+        loop {
+            let news = self.gate.next_crash().await;
+            let service = self.own_service();
+            let gates: Vec<SocketAddr> = {
+                let state = self.lock();
+                let serving =
+                    state.members.iter().filter(|it| it.service.as_ref() == Some(&service));
+                serving.map(|it| it.node.addr).collect()
+            };
+            for addr in gates {
+                let (shared, news) = (Arc::clone(&self), news.clone());
+                tokio::spawn(async move { shared.ask(addr, MeshRequest::Suspects(news)).await });
+            }
+        }
+    }
+
     async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
         let mut pause = MIN_PROBE_PAUSE;
         for _ in 0..MAX_PROBES {
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -18,6 +18,8 @@
 /// Time for which a connection may be unused before a request that must not run twice is sent on
 /// it: a connection that is just being closed would leave its outcome unknown.
 const MAX_IDLE_ONCE: Duration = Duration::from_secs(1);
+/// Connections that are tried while the target closes them before the request.
+const MAX_SENDS: usize = 3;
 /// Largest answer of a target, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 20;
 
@@ -42,19 +44,26 @@
         time_left: Duration,
         body: Bytes,
     ) -> TargetResult {
-        let req = match self.request(instance, head, time_left, body) {
+        let mut req = match self.request(instance, head, time_left, body) {
             Ok(req) => req,
-            Err(reason) => return TargetResult::Unreachable(reason),
+            Err(reason) => return TargetResult::Unsendable(reason),
         };
-        let mut connection = match self.connection(head.idempotent).await {
-            Ok(connection) => connection,
-            Err(reason) => return TargetResult::Unreachable(reason),
-        };
-        let response = match connection.send(req).await {
-            Ok(response) => response,
-            Err(err) => return broken(&err),
-        };
-        self.read(connection, head, response).await
+        for _ in 0..MAX_SENDS {
+            let mut connection = match self.connection(head.idempotent).await {
+                Ok(connection) => connection,
+                Err(reason) => return TargetResult::Unreachable(reason),
+            };
+            let mut err = match connection.send(req).await {
+                Ok(response) => return self.read(connection, head, response).await,
+                Err(err) => err,
+            };
+            match err.take_message() {
+                // The connection was closed before any of it was sent.
+                Some(unsent) => req = unsent,
+                None => return TargetResult::Unknown(err.into_error().to_string()),
+            }
+        }
+        TargetResult::Unreachable("connections closed before the request".to_owned())
     }
 
     /// Closes all unused connections: the target was replaced.
@@ -158,11 +167,3 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A send that ended without the head of an answer.
-fn broken(err: &hyper::Error) -> TargetResult {
-    if err.is_canceled() {
-        return TargetResult::Unreachable("connection closed before the request".to_owned());
-    }
-    TargetResult::Unknown(err.to_string())
-}
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -5,6 +5,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -48,12 +49,13 @@
         self.sender.is_ready() && idle < self.idle_limit.min(max_idle)
     }
 
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. The error gives the request back if
+    /// nothing of it was sent.
     pub(super) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
-    ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(req).await
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.sender.try_send_request(req).await
     }
 
     /// Notes that an answer was read whole. Returns whether the connection may be kept.
--- a/crates/pollenlever/src/mesh/target_result.rs
+++ b/crates/pollenlever/src/mesh/target_result.rs
@@ -18,6 +18,8 @@
     WrongInstance,
     /// Nothing was sent: the target takes no connections.
     Unreachable(String),
+    /// The request cannot be written as a request to the target; nothing was sent.
+    Unsendable(String),
     /// The request may have run: the connection failed or what came is not its answer.
     Unknown(String),
     /// The request was sent and not answered before its deadline.
@@ -33,6 +35,7 @@
             TargetResult::Rejected => "rejected-by-target",
             TargetResult::WrongInstance => "wrong-instance",
             TargetResult::Unreachable(_) => "unreachable",
+            TargetResult::Unsendable(_) => "unsendable",
             TargetResult::Unknown(_) => "unknown",
             TargetResult::TimedOut => "timed-out",
         }
@@ -41,7 +44,9 @@
     /// What was seen, where the name does not say it.
     pub(super) fn reason(&self) -> &str {
         match self {
-            TargetResult::Unreachable(reason) | TargetResult::Unknown(reason) => reason,
+            TargetResult::Unreachable(reason)
+            | TargetResult::Unsendable(reason)
+            | TargetResult::Unknown(reason) => reason,
             _ => self.name(),
         }
     }
--- a/crates/pollenlever/tests/mesh/script_target.rs
+++ b/crates/pollenlever/tests/mesh/script_target.rs
@@ -22,6 +22,8 @@
     WriteAndClose(&'static str),
     /// Close the connection without an answer.
     Close,
+    /// Close the connection without an answer if the path is this one, else answer.
+    CloseOn(&'static str),
     /// Work until the caller hangs up.
     Hang,
     /// Work until the test lets it answer.
@@ -116,6 +118,7 @@
         let mut buf = Vec::new();
         while let Some(arrival) = read_request(&mut io, &mut buf).await {
             let id = arrival.header("pollenlever-request-id").unwrap_or_default();
+            let path = arrival.head.split(' ').nth(1).unwrap_or_default().to_owned();
             let act = self.note(arrival);
             let answer = |status: u16, body: &str| {
                 format!(
@@ -134,6 +137,8 @@
                 Act::Write(text) => (text.replace("{id}", &id), false),
                 Act::WriteAndClose(text) => (text.replace("{id}", &id), true),
                 Act::Close => return,
+                Act::CloseOn(it) if it == path => return,
+                Act::CloseOn(_) => (answer(200, "ran"), false),
                 Act::Hang => return self.until_closed(&mut io).await,
                 Act::Hold => {
                     let released = self.released.notified();
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -10,7 +10,8 @@
 use pollenlever::settings::MeshSettings;
 use pollenlever::store::BoxObjectApi;
 use pollenlever_core::mesh::{
-    HttpRoute, RetryBudgetSettings, RouteTable, ServiceTraits, TargetReport, WeightedService,
+    HttpRoute, RetryBudgetSettings, RouteTable, ServiceTraits, StartTime, TargetReport,
+    WeightedService,
 };
 use serde_json::{Value, json};
 
@@ -155,9 +156,18 @@
 impl TestNode {
     /// A report of the target beside the node.
     pub(crate) fn report(&self, sequence: u64, is_draining: bool) {
+        self.report_of(1, sequence, is_draining);
+    }
+
+    /// The first report of a later process of the target.
+    pub(crate) fn report_restart(&self, started: StartTime) {
+        self.report_of(started, 1, false);
+    }
+
+    fn report_of(&self, started: StartTime, sequence: u64, is_draining: bool) {
         self.node.shared().target_report(TargetReport {
             instance: format!("i-{}", self.target.addr.port()).as_str().into(),
-            started: 1,
+            started,
             sequence,
             service: self.service.into(),
             slots: 4,
