--- a/crates/pollenlever-core/src/mesh/crash_suspects.rs
+++ b/crates/pollenlever-core/src/mesh/crash_suspects.rs
@@ -111,6 +111,11 @@
         news
     }
 
+    /// All that is held against requests, for a gate that has just started.
+    pub fn known(&self) -> Vec<Suspicion> {
+        self.crashes.iter().collect()
+    }
+
     /// Takes what another gate says.
     pub fn heard(&mut self, now: Timestamp, news: &[Suspicion]) {
         self.crashes.expire(now);
--- a/crates/pollenlever-core/src/mesh/target_registry.rs
+++ b/crates/pollenlever-core/src/mesh/target_registry.rs
@@ -1,4 +1,5 @@
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::{InstanceId, StartTime, TargetReport};
 use crate::Timestamp;
@@ -6,6 +7,10 @@
 /// Targets that are remembered as gone.
 const MAX_GONE: usize = 64;
 
+/// Time without a report after which a target counts as replaced by one that reports, whatever
+/// their starts.
+const SILENT_AFTER: Duration = Duration::from_secs(5);
+
 /// A target and the latest start of a process that is meant.
 pub type Lifetime = (InstanceId, StartTime);
 
@@ -37,7 +42,7 @@
 impl TargetRegistry {
     /// Takes a report of a target.
     pub fn report(&mut self, now: Timestamp, report: TargetReport) -> RegistryChange {
-        if self.is_stale(&report) || self.is_gone(&report) {
+        if self.is_stale(now, &report) || self.is_gone(&report) {
             return RegistryChange::Stale;
         }
         let was_open = self.serving().is_some();
@@ -124,12 +129,14 @@
         gone.any(|(instance, last)| *instance == report.instance && report.started <= *last)
     }
 
-    fn is_stale(&self, report: &TargetReport) -> bool {
+    fn is_stale(&self, now: Timestamp, report: &TargetReport) -> bool {
         let Some(current) = &self.current else { return false };
-        if report.started != current.started {
-            return report.started < current.started;
+        if report.started < current.started {
+            // The clock by which targets tell their start may have been set back meanwhile.
+            return now.saturating_sub(self.reported_at) < SILENT_AFTER;
         }
-        report.instance == current.instance && report.sequence <= current.sequence
+        let is_same = (&report.instance, report.started) == (&current.instance, current.started);
+        is_same && report.sequence <= current.sequence
     }
 
     fn has_same_shape(&self, report: &TargetReport) -> bool {
--- a/crates/pollenlever-core/src/suspicion/suspicion_table.rs
+++ b/crates/pollenlever-core/src/suspicion/suspicion_table.rs
@@ -29,6 +29,11 @@
         self.counts.values().filter(|(crashes, _)| *crashes >= min_crashes).count()
     }
 
+    /// All requests with crashes.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = Suspicion> {
+        self.counts.iter().map(|(&digest, &(crashes, _))| Suspicion { digest, crashes })
+    }
+
     /// Raises the count to that of a peer. Returns whether it was news.
     pub(crate) fn raise(&mut self, now: Timestamp, news: Suspicion) -> bool {
         let known = self.crashes(news.digest);
--- a/crates/pollenlever-core/tests/mesh/registry.rs
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -96,3 +96,26 @@
     assert_eq!(registry.last_gone(), Some(&("a".into(), 50)));
     assert_eq!(registry.report(NOW, ready("a", 51, 1)), RegistryChange::Opened);
 }
+
+/// The clock of the VM was set back between the two starts.
+#[test]
+fn a_successor_with_an_earlier_start_takes_over_once_the_predecessor_is_silent() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 2000, 9));
+    let soon = NOW + Duration::from_secs(2);
+    assert_eq!(registry.report(soon, ready("b", 1000, 1)), RegistryChange::Stale);
+    let later = NOW + Duration::from_secs(7);
+    assert_eq!(registry.report(later, ready("b", 1000, 2)), RegistryChange::Opened);
+    assert_eq!(&*registry.serving().unwrap().instance, "b");
+    assert_eq!(registry.report(later, ready("b", 1000, 3)), RegistryChange::Refreshed);
+}
+
+#[test]
+fn a_target_that_has_left_stays_out_however_silent_its_successor_is() {
+    let mut registry = TargetRegistry::default();
+    registry.report(NOW, ready("a", 1000, 9));
+    registry.leave(&"a".into(), Some(1000), 50);
+    registry.report(NOW, ready("b", 2000, 1));
+    let later = NOW + Duration::from_secs(60);
+    assert_eq!(registry.report(later, ready("a", 1000, 10)), RegistryChange::Stale);
+}
--- a/crates/pollenlever-standins/src/cluster/program.rs
+++ b/crates/pollenlever-standins/src/cluster/program.rs
@@ -53,6 +53,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Sends SIGHUP.
+    ///
+    /// # Errors
+    ///
+    /// [`ClusterError`] if the process is gone.
+    pub fn hang_up(&self) -> Result<(), ClusterError> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Sends SIGSTOP: the process is frozen until [`Program::thaw`].
     ///
     /// # Errors
--- a/crates/pollenlever-standins/src/relay/link.rs
+++ b/crates/pollenlever-standins/src/relay/link.rs
@@ -6,8 +6,12 @@
     /// Data passes.
     #[default]
     Up,
-    /// Data in both directions is swallowed; connections stay open.
+    /// Data is swallowed; connections stay open.
     Silent,
+    /// The same for connections that were open when the state was set; new ones work.
+    SilentForOpen,
+    /// Data is late by this time beyond the link's delay.
+    Slow(Duration),
     /// Connections are closed and new ones are refused.
     Cut,
 }
--- a/crates/pollenlever-standins/src/relay/links.rs
+++ b/crates/pollenlever-standins/src/relay/links.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{Link, LinkState, Place};
 
@@ -15,20 +15,26 @@
 /// The links of a deployment; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Links {
-    overrides: Arc<RwLock<BTreeMap<Ends, LinkState>>>,
+    overrides: Arc<RwLock<BTreeMap<Ends, (LinkState, Instant)>>>,
     region_bytes: Arc<AtomicU64>,
 }
 
 impl Links {
-    /// The link from one place to another, as it is now.
-    pub fn between(&self, from: Place, to: Place) -> Link {
+    /// The link from one place to another, as it is now for a connection opened at `opened`.
+    pub fn between(&self, from: Place, to: Place, opened: Instant) -> Link {
         let overrides = self.overrides.read().unwrap_or_else(PoisonError::into_inner);
-        let state = overrides.get(&(from, to)).copied().unwrap_or_default();
+        let (state, since) = overrides.get(&(from, to)).copied().unwrap_or((LinkState::Up, opened));
         let delay = match (from.region == to.region, from == to) {
             (true, true) => Duration::ZERO,
             (true, false) => ZONE_DELAY,
             (false, _) => REGION_DELAY,
         };
+        let (delay, state) = match state {
+            LinkState::Slow(more) => (delay + more, LinkState::Up),
+            LinkState::SilentForOpen if opened < since => (delay, LinkState::Silent),
+            LinkState::SilentForOpen => (delay, LinkState::Up),
+            other => (delay, other),
+        };
         Link { delay, state, ..Link::default() }
     }
 
@@ -41,7 +47,7 @@
     /// Sets the state of the link from one place to another.
     pub fn set_one_way(&self, from: Place, to: Place, state: LinkState) {
         let mut overrides = self.overrides.write().unwrap_or_else(PoisonError::into_inner);
-        overrides.insert((from, to), state);
+        overrides.insert((from, to), (state, Instant::now()));
     }
 
     /// Bytes that crossed between regions so far.
--- a/crates/pollenlever-standins/src/relay/pump.rs
+++ b/crates/pollenlever-standins/src/relay/pump.rs
@@ -21,6 +21,8 @@
     pub(super) links: Links,
     pub(super) from: Place,
     pub(super) to: Place,
+    /// When the connection was opened.
+    pub(super) opened: std::time::Instant,
 }
 
 impl Pump {
@@ -44,7 +46,7 @@
             if rx.read_buf(&mut buf).await? == 0 {
                 break;
             }
-            let link = self.links.between(self.from, self.to);
+            let link = self.links.between(self.from, self.to, self.opened);
             if link.state == LinkState::Up {
                 self.links.count(self.from, self.to, buf.len());
                 let sent = chunks.send((Instant::now() + link.delay, buf)).await;
@@ -58,7 +60,7 @@
     }
 
     async fn until_cut(&self) {
-        while self.links.between(self.from, self.to).state != LinkState::Cut {
+        while self.links.between(self.from, self.to, self.opened).state != LinkState::Cut {
             sleep(STATE_CHECK).await;
         }
     }
--- a/crates/pollenlever-standins/src/relay/relay.rs
+++ b/crates/pollenlever-standins/src/relay/relay.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::thread::JoinHandle;
+use std::time::Instant;
 
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -87,7 +88,8 @@
         .map_err(|source| RelayError::Listen { addr: listen, source })?;
     runtime.spawn(async move {
         while let Ok((conn, from)) = listener.accept().await {
-            let from = Place::of(from).unwrap_or(place);
+            // A client that binds no address of its own stands where it is listened for.
+            let from = Place::of(from).or(Place::of(listen)).unwrap_or(place);
             tokio::spawn(relay_one(links.clone(), conn, from, to, place));
         }
     });
@@ -95,7 +97,8 @@
 }
 
 async fn relay_one(links: Links, conn: TcpStream, from: Place, to: SocketAddr, place: Place) {
-    let link = links.between(from, place);
+    let opened = Instant::now();
+    let link = links.between(from, place, opened);
     if link.state == LinkState::Cut {
         return;
     }
@@ -104,8 +107,8 @@
     let _ = (conn.set_nodelay(true), onward.set_nodelay(true));
     let (conn_rx, conn_tx) = conn.into_split();
     let (onward_rx, onward_tx) = onward.into_split();
-    let there = Pump { links: links.clone(), from, to: place };
-    let back = Pump { links, from: place, to: from };
+    let there = Pump { links: links.clone(), from, to: place, opened };
+    let back = Pump { links, from: place, to: from, opened };
     // A half that has ended lets the other go on, as a half-closed connection does, unless it failed.
     let _ = tokio::try_join!(there.run(conn_rx, onward_tx), back.run(onward_rx, conn_tx));
 }
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -348,6 +348,11 @@
         self.lock().suspects.convicted()
     }
 
+    /// What is held against requests since targets crashed.
+    pub(super) fn known_suspects(&self) -> Vec<Suspicion> {
+        self.lock().suspects.known()
+    }
+
     /// Takes what another gate says about requests that crash targets.
     pub(super) fn heard_of_crashes(&self, news: &[Suspicion]) {
         let now = self.clock.now();
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -27,7 +27,9 @@
             }
             MeshRequest::Announce(member, routes) => {
                 let node = member.node;
-                shared.member_up(member);
+                if shared.member_up(member) {
+                    shared.share_suspects(node);
+                }
                 shared.note_routes(node, routes);
                 (MeshReply::Announced(shared.own(), shared.route_version()), Bytes::new())
             }
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -47,7 +47,8 @@
         cfg: &MeshSettings,
         platform: BoxMeshPlatform,
     ) -> Result<MeshNode, NodeError> {
-        let me = NodeId { addr: cfg.peer, incarnation: draw_incarnation() };
+        let addr = cfg.advertise.unwrap_or(cfg.peer);
+        let me = NodeId { addr, incarnation: draw_incarnation() };
         let own = Member {
             entry: cfg.callers,
             region: cfg.region.as_str().into(),
--- a/crates/pollenlever/src/mesh/neighbours.rs
+++ b/crates/pollenlever/src/mesh/neighbours.rs
@@ -124,6 +124,17 @@
         }
     }
 
+    /// Tells a node that says something new about itself, such as one that has just started, which
+    /// requests crash targets.
+    pub(super) fn share_suspects(self: &Arc<MeshShared>, node: NodeId) {
+        let news = self.gate.known_suspects();
+        if news.is_empty() {
+            return;
+        }
+        let shared = Arc::clone(self);
+        tokio::spawn(async move { shared.ask(node.addr, MeshRequest::Suspects(news)).await });
+    }
+
     async fn probe(self: Arc<MeshShared>, addr: SocketAddr) {
         let mut pause = MIN_PROBE_PAUSE;
         for _ in 0..MAX_PROBES {
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -27,6 +27,8 @@
     pub callers: SocketAddr,
     /// `[node] peer`: address for other nodes.
     pub peer: SocketAddr,
+    /// `[node] advertise`: address by which other nodes reach `peer`, if it differs.
+    pub advertise: Option<SocketAddr>,
     /// `[node] ready`: HTTP address at which the platform asks whether the node is ready.
     pub ready: SocketAddr,
     /// `[node] control`: HTTP address at which the target reports.
@@ -90,6 +92,7 @@
         set(&mut self.name, reader.required("name", values::place_name));
         set(&mut self.callers, reader.required("callers", values::address));
         set(&mut self.peer, reader.required("peer", values::address));
+        self.advertise = reader.optional("advertise", values::address);
         set(&mut self.ready, reader.required("ready", values::address));
         set(&mut self.control, reader.required("control", values::address));
         self.metrics = reader.optional("metrics", values::address);
@@ -124,6 +127,7 @@
             name: String::new(),
             callers: loopback(7000),
             peer: loopback(7100),
+            advertise: None,
             ready: loopback(7400),
             control: loopback(7500),
             metrics: None,
--- a/crates/pollenlever/tests/mesh/crash.rs
+++ b/crates/pollenlever/tests/mesh/crash.rs
@@ -54,3 +54,13 @@
     until("served again", || mesh.nodes[0].node.shared().is_ready()).await;
     assert_eq!(mesh.call("POST", "/charge/1", "r").await.body, "ran");
 }
+
+#[tokio::test]
+async fn a_node_that_joins_later_learns_which_requests_crash_targets() {
+    let script = [Act::CloseOn(DEADLY)];
+    let mut mesh = TestMesh::start(&[("charge", &script), ("charge", &script)]).await;
+    crash_targets(&mesh, 2).await;
+    mesh.join("charge", &script).await;
+    let joined = &mesh.nodes[2];
+    until("request convicted", || joined.node.shared().refused_suspects() == 1).await;
+}
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -105,6 +105,14 @@
         self.store.write("routes", "main", &json!(version));
     }
 
+    /// Starts one more node, whose target takes work, and waits until all know each other.
+    pub(crate) async fn join(&mut self, service: &'static str, script: &[Act]) {
+        let node = self.start_node(self.nodes.len(), service, script).await;
+        node.report_ready(1);
+        self.nodes.push(node);
+        self.until_known().await;
+    }
+
     async fn start_node(&self, index: usize, service: &'static str, script: &[Act]) -> TestNode {
         let target = ScriptTarget::start(script).await;
         let ip = own_ip();
