Use a gate again whose target is back

Once all targets of a service had crashed, every node answered no-target for good. Ruled out: reports of the targets (they were taken: target-ready), the store and links (members were up with state Ready). Change: what a member announces clears the note, and it fades after 2 s; a gate that is really closed refuses, which costs no arrival at a target.

--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -68,7 +68,9 @@
     fn candidates(&mut self, req: &RouteRequest<'_>) -> Vec<NodeId> {
         let far = self.peers.budget.allows(self.now);
         let allowed = self.peers.nodes.iter().filter(|(node, peer)| {
-            !peer.is_leaving() && !req.tried.contains(node) && (far || peer.tier != Tier::Other)
+            !peer.is_leaving(self.now)
+                && !req.tried.contains(node)
+                && (far || peer.tier != Tier::Other)
         });
         let allowed: Vec<_> = allowed.map(|(node, _)| *node).collect();
         let usable: Vec<_> =
--- a/crates/pollenlever-core/src/routing/peer.rs
+++ b/crates/pollenlever-core/src/routing/peer.rs
@@ -14,6 +14,8 @@
 
 /// Rejected or failed runs, in thousandths, from which a target counts as failing.
 const FAILING_PERMILLE: u16 = 200;
+/// Time after which a gate that said that its target takes no work is asked again.
+const LEAVING_MEMORY: Duration = Duration::from_secs(2);
 /// Time after which a failing target is tried again.
 const FAILING_MEMORY: Duration = Duration::from_secs(1);
 
@@ -54,6 +56,7 @@
 
     pub(super) fn update(&mut self, now: Timestamp, member: &Member) {
         self.slots = member.slots;
+        self.leaving = false;
         if member.state == TargetState::Cold {
             self.cold_since.get_or_insert(now);
         }
@@ -96,8 +99,11 @@
         (settings.min_backoff * (1 << doublings)).min(settings.max_backoff)
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        self.leaving
+    /// Whether the gate said lately that its target takes no work. The target may come back, and
+    /// only an answer or the member itself can tell.
+    pub(super) fn is_leaving(&self, now: Timestamp) -> bool {
+        let is_fresh = self.load_at.is_some_and(|at| now.saturating_sub(at) < LEAVING_MEMORY);
+        is_fresh && self.leaving
     }
 
     /// Whether the node answers, or its back-off has ended.
--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -221,3 +221,26 @@
     assert_eq!(number_of(choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap()), 1);
     assert_eq!(number_of(choose(&mut routing, ms(2_000), Importance::Normal, &[]).unwrap()), 0);
 }
+
+/// The target of node 0 crashed; its gate says so on an answer.
+fn closed(routing: &mut TwoChoices) {
+    let leaving = GateLoad { leaving: true, ..GateLoad::default() };
+    report(routing, ms(0), 0, &leaving);
+    let chosen = choose(routing, ms(1), Importance::Normal, &[]).unwrap();
+    assert_ne!(chosen, node(0));
+}
+
+#[test]
+fn a_gate_whose_target_is_back_is_used_again_once_it_says_so() {
+    let mut routing = routing();
+    closed(&mut routing);
+    routing.members_up(ms(100), &[Member { version: 2, ..member(0) }]);
+    assert_eq!(choose(&mut routing, ms(101), Importance::Normal, &[]), Ok(node(0)));
+}
+
+#[test]
+fn a_gate_that_said_long_ago_that_its_target_leaves_is_asked_again() {
+    let mut routing = routing();
+    closed(&mut routing);
+    assert_eq!(choose(&mut routing, ms(3000), Importance::Normal, &[]), Ok(node(0)));
+}
