Keep to the connections that a target accepts; learn when it drops those that rest

On the grown sites targets drop resting connections sooner than they say: what is sent next is reset, and a request that must not be repeated ends with an unknown outcome. Change: open connections are counted; at the cap an unused one is closed first, else the gate refuses as overloaded.

--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -73,6 +73,11 @@
         }
     }
 
+    /// Takes the number of connections that the target accepts; 0 for any number.
+    pub(super) fn set_max_connections(&self, max: u32) {
+        self.client.set_max_connections(max);
+    }
+
     /// Takes what the target says about itself.
     pub(super) fn report(&self, report: TargetReport) -> RegistryChange {
         let now = self.clock.now();
@@ -280,6 +285,9 @@
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 (refused(ErrorKind::NoTarget, None), Vec::new(), Bytes::new())
             }
+            TargetResult::NoConnectionLeft => {
+                (refused(ErrorKind::Overloaded, None), Vec::new(), Bytes::new())
+            }
             TargetResult::Unsendable(_) => {
                 (refused(ErrorKind::MalformedRequest, None), Vec::new(), Bytes::new())
             }
@@ -322,7 +330,7 @@
                 state.failures.add(now, true);
             }
             TargetResult::TimedOut => state.suspects.broken(now, digest),
-            TargetResult::Unsendable(_) => {}
+            TargetResult::NoConnectionLeft | TargetResult::Unsendable(_) => {}
             TargetResult::WrongInstance | TargetResult::Unreachable(_) => {
                 let request = &head.request_id;
                 let reason = result.reason();
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -254,6 +254,9 @@
             table.version
         );
         state.routes_since = self.clock.now();
+        let own_service: ServiceName = state.settings.service.as_str().into();
+        let max_connections = table.service(&own_service).map_or(0, |it| it.max_connections);
+        self.gate.set_max_connections(max_connections);
         for service in &table.services {
             let cfg = ServiceConfig {
                 service: service.service.clone(),
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -11,6 +11,7 @@
 mod gate_state;
 mod hangup_io;
 mod header_names;
+mod idle_limit;
 mod log_event;
 mod member_object;
 mod member_watch;
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,9 +10,11 @@
 use hyper::body::Incoming;
 use pollenlever_core::mesh::{InstanceId, MeshAttempt};
 
+use super::idle_limit::IdleLimit;
 use super::target_connection::TargetConnection;
 use super::target_result::TargetResult;
 use super::{HeaderNames, forwarded_headers};
+use crate::node::OpenWork;
 
 /// Unused connections that are kept.
 const MAX_IDLE_CONNECTIONS: usize = 64;
@@ -29,11 +32,31 @@
     addr: SocketAddr,
     names: HeaderNames,
     idle: Mutex<Vec<TargetConnection>>,
+    idle_limit: IdleLimit,
+    /// Connections that are open, used or not.
+    open: OpenWork,
+    /// Connections that the target accepts; 0 for any number.
+    max_open: AtomicUsize,
+}
+
+/// Why there is no connection to the target.
+enum NoConnection {
+    /// The target accepts no more of them.
+    Full,
+    /// It does not take this one.
+    Failed(String),
 }
 
 impl TargetClient {
     pub(super) fn new(addr: SocketAddr, names: HeaderNames) -> TargetClient {
-        TargetClient { addr, names, idle: Mutex::default() }
+        TargetClient {
+            addr,
+            names,
+            idle: Mutex::default(),
+            idle_limit: IdleLimit::default(),
+            open: OpenWork::default(),
+            max_open: AtomicUsize::new(0),
+        }
     }
 
     /// Runs a request on `instance`. Dropping the future closes the connection.
@@ -51,8 +74,10 @@
         for _ in 0..MAX_SENDS {
             let mut connection = match self.connection(head.idempotent).await {
                 Ok(connection) => connection,
-                Err(reason) => return TargetResult::Unreachable(reason),
+                Err(NoConnection::Full) => return TargetResult::NoConnectionLeft,
+                Err(NoConnection::Failed(reason)) => return TargetResult::Unreachable(reason),
             };
+            let idle = connection.idle();
             let mut err = match connection.send(req).await {
                 Ok(response) => return self.read(connection, head, response).await,
                 Err(err) => err,
@@ -60,7 +85,12 @@
             match err.take_message() {
                 // The connection was closed before any of it was sent.
                 Some(unsent) => req = unsent,
-                None => return TargetResult::Unknown(err.into_error().to_string()),
+                None => {
+                    if let Some(idle) = idle {
+                        self.idle_limit.note_dead(idle);
+                    }
+                    return TargetResult::Unknown(err.into_error().to_string());
+                }
             }
         }
         TargetResult::Unreachable("connections closed before the request".to_owned())
@@ -71,8 +101,14 @@
         self.idle().clear();
     }
 
-    async fn connection(&self, idempotent: bool) -> Result<TargetConnection, String> {
+    /// Takes the number of connections that the target accepts; 0 for any number.
+    pub(super) fn set_max_connections(&self, max: u32) {
+        self.max_open.store(max as usize, Ordering::Relaxed);
+    }
+
+    async fn connection(&self, idempotent: bool) -> Result<TargetConnection, NoConnection> {
         let max_idle = if idempotent { Duration::MAX } else { MAX_IDLE_ONCE };
+        let max_idle = max_idle.min(self.idle_limit.get());
         loop {
             let popped = self.idle().pop();
             match popped {
@@ -85,7 +121,19 @@
                 None => break,
             }
         }
-        TargetConnection::open(self.addr).await
+        self.make_room()?;
+        let opened = TargetConnection::open(self.addr, self.open.enter()).await;
+        opened.map_err(NoConnection::Failed)
+    }
+
+    /// Closes an unused connection if there are as many as the target accepts.
+    fn make_room(&self) -> Result<(), NoConnection> {
+        let max_open = self.max_open.load(Ordering::Relaxed);
+        if max_open == 0 || self.open.count() < max_open {
+            return Ok(());
+        }
+        let closed = self.idle().pop();
+        closed.map(drop).ok_or(NoConnection::Full)
     }
 
     fn request(
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -10,6 +10,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::node::OpenWorkGuard;
+
 /// Longest wait for a new connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for which an unused connection is kept if the target does not say how long it does.
@@ -21,13 +23,18 @@
 #[derive(Debug)]
 pub(super) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
-    idle_since: Instant,
+    /// Time since the last answer; none if there was no request yet.
+    idle_since: Option<Instant>,
     idle_limit: Duration,
+    _open: OpenWorkGuard,
 }
 
 impl TargetConnection {
-    /// Connects. Dropping the connection closes it, also while the target works.
-    pub(super) async fn open(addr: SocketAddr) -> Result<TargetConnection, String> {
+    /// Connects; `open` counts the connection. Dropping it closes it, also while the target works.
+    pub(super) async fn open(
+        addr: SocketAddr,
+        open: OpenWorkGuard,
+    ) -> Result<TargetConnection, String> {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let io = connect.map_err(|_| "connect timed out".to_owned())?;
         let io = io.map_err(|err| err.to_string())?;
@@ -40,13 +47,17 @@
                 log::debug!("connection to the target ended reason={:?}", err.to_string());
             }
         });
-        Ok(TargetConnection { sender, idle_since: Instant::now(), idle_limit: DEFAULT_IDLE })
+        Ok(TargetConnection { sender, idle_since: None, idle_limit: DEFAULT_IDLE, _open: open })
     }
 
     /// Whether another request can be sent without meeting a connection that is being closed.
     pub(super) fn is_usable(&self, max_idle: Duration) -> bool {
-        let idle = self.idle_since.elapsed();
-        self.sender.is_ready() && idle < self.idle_limit.min(max_idle)
+        self.sender.is_ready() && self.idle().unwrap_or_default() < self.idle_limit.min(max_idle)
+    }
+
+    /// Time for which the connection has not been used since its last answer, if there was one.
+    pub(super) fn idle(&self) -> Option<Duration> {
+        self.idle_since.map(|it| it.elapsed())
     }
 
     /// Sends a request and waits for the head of the answer. The error gives the request back if
@@ -60,7 +71,7 @@
 
     /// Notes that an answer was read whole. Returns whether the connection may be kept.
     pub(super) async fn rest(&mut self, headers: &HeaderMap) -> bool {
-        self.idle_since = Instant::now();
+        self.idle_since = Some(Instant::now());
         if let Some(timeout) = keep_alive_timeout(headers) {
             self.idle_limit = timeout.saturating_sub(IDLE_MARGIN);
         }
--- a/crates/pollenlever/src/mesh/target_result.rs
+++ b/crates/pollenlever/src/mesh/target_result.rs
@@ -18,6 +18,8 @@
     WrongInstance,
     /// Nothing was sent: the target takes no connections.
     Unreachable(String),
+    /// Nothing was sent: the target accepts no more connections.
+    NoConnectionLeft,
     /// The request cannot be written as a request to the target; nothing was sent.
     Unsendable(String),
     /// The request may have run: the connection failed or what came is not its answer.
@@ -35,6 +37,7 @@
             TargetResult::Rejected => "rejected-by-target",
             TargetResult::WrongInstance => "wrong-instance",
             TargetResult::Unreachable(_) => "unreachable",
+            TargetResult::NoConnectionLeft => "no-connection-left",
             TargetResult::Unsendable(_) => "unsendable",
             TargetResult::Unknown(_) => "unknown",
             TargetResult::TimedOut => "timed-out",
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bad_input;
 mod config;
+mod connections;
 mod crash;
 mod drain;
 mod hangup;
--- a/crates/pollenlever/tests/mesh/script_target.rs
+++ b/crates/pollenlever/tests/mesh/script_target.rs
@@ -50,6 +50,7 @@
 struct State {
     script: Vec<Act>,
     arrivals: Vec<Arrival>,
+    connections: usize,
     hangups: usize,
 }
 
@@ -76,6 +77,7 @@
         tokio::spawn(async move {
             while let Ok((io, _)) = listener.accept().await {
                 let server = server.clone();
+                server.state.lock().unwrap().connections += 1;
                 tokio::spawn(async move { server.serve(io).await });
             }
         });
@@ -86,6 +88,11 @@
         self.state.lock().unwrap().arrivals.clone()
     }
 
+    /// Connections that were made so far.
+    pub(crate) fn connections(&self) -> usize {
+        self.state.lock().unwrap().connections
+    }
+
     /// Lets the requests that are held be answered.
     pub(crate) fn release(&self) {
         self.released.notify_waiters();
