Refuse chains that would fail further down; give retries to important chains first

The gates' concurrency limit cannot help: its floor of 2 is above the concurrency that 81 gates need, and it falls from 24 slots by a tenth for each failed run. A request was given up after 6 rejections, which alone fails a fifth of the top-ups.

Ruled out: routing (all targets reject alike), more retries (the rule's budget is spent in full).

A node that knows no members yet has no share of the budget's minimum.

What binds is the retry rule.

--- a/crates/pollenlever-core/src/answer/error_kind.rs
+++ b/crates/pollenlever-core/src/answer/error_kind.rs
@@ -25,6 +25,7 @@
     NoConfiguration,
     NoTarget,
     Overloaded,
+    DownstreamOverloaded,
     QueueFull,
     CustomerLimit,
     DeadlineTooShort,
@@ -45,7 +46,7 @@
 
 impl ErrorKind {
     /// All kinds, in the order of declaration.
-    pub const ALL: [ErrorKind; 33] = [
+    pub const ALL: [ErrorKind; 34] = [
         ErrorKind::MalformedRequest,
         ErrorKind::UnknownService,
         ErrorKind::UnknownRequestKind,
@@ -63,6 +64,7 @@
         ErrorKind::NoConfiguration,
         ErrorKind::NoTarget,
         ErrorKind::Overloaded,
+        ErrorKind::DownstreamOverloaded,
         ErrorKind::QueueFull,
         ErrorKind::CustomerLimit,
         ErrorKind::DeadlineTooShort,
@@ -108,6 +110,7 @@
             ErrorKind::NoConfiguration => (503, NotRun, AfterBacklog, "this node has no configuration yet"),
             ErrorKind::NoTarget => (503, NotRun, AfterBacklog, "no target of the service is ready"),
             ErrorKind::Overloaded => (503, NotRun, AfterBacklog, "the service is overloaded; come back after the time given"),
+            ErrorKind::DownstreamOverloaded => (503, NotRun, AfterBacklog, "a service that this request depends on is overloaded; come back after the time given"),
             ErrorKind::QueueFull => (503, NotRun, AfterBacklog, "this node is overloaded; come back after the time given"),
             ErrorKind::CustomerLimit => (429, NotRun, AfterBacklog, "the customer has used its share; come back after the time given"),
             ErrorKind::DeadlineTooShort => (503, NotRun, AfterBacklog, "the request cannot finish before its deadline"),
@@ -148,6 +151,7 @@
             ErrorKind::NoConfiguration => "no-configuration",
             ErrorKind::NoTarget => "no-target",
             ErrorKind::Overloaded => "overloaded",
+            ErrorKind::DownstreamOverloaded => "downstream-overloaded",
             ErrorKind::QueueFull => "queue-full",
             ErrorKind::CustomerLimit => "customer-limit",
             ErrorKind::DeadlineTooShort => "deadline-too-short",
--- a/crates/pollenlever-core/src/mesh/failure_rate.rs
+++ b/crates/pollenlever-core/src/mesh/failure_rate.rs
@@ -2,12 +2,12 @@
 
 use crate::Timestamp;
 
-/// Weight of a new run in the moving average.
+/// Weight of a new attempt in the moving average.
 const SAMPLE_WEIGHT: f64 = 0.1;
-/// Time constant of the decay: without runs the rate falls by a factor of e in this time.
+/// Time constant of the decay: without attempts the rate falls by a factor of e in this time.
 const DECAY_TIME: Duration = Duration::from_secs(3);
 
-/// Share of recent runs that the target rejected or failed, as an exponentially decaying average.
+/// Share of recent attempts that targets rejected or failed, as an exponentially decaying average.
 #[derive(Debug, Default)]
 pub struct FailureRate {
     rate: f64,
@@ -15,10 +15,10 @@
 }
 
 impl FailureRate {
-    /// Records the end of a run.
+    /// Records the end of an attempt.
     pub fn record(&mut self, now: Timestamp, failed: bool) {
         let new_value = if failed { 1.0 } else { 0.0 };
-        self.rate = self.decayed_rate(now) * (1.0 - SAMPLE_WEIGHT) + new_value * SAMPLE_WEIGHT;
+        self.rate = self.get(now) * (1.0 - SAMPLE_WEIGHT) + new_value * SAMPLE_WEIGHT;
         self.updated_at = now;
     }
 
@@ -35,10 +35,11 @@
     /// assert!(rate.permille(Duration::from_secs(30)) < 10);
     /// ```
     pub fn permille(&self, now: Timestamp) -> u16 {
-        (self.decayed_rate(now) * 1000.0) as u16
+        (self.get(now) * 1000.0) as u16
     }
 
-    fn decayed_rate(&self, now: Timestamp) -> f64 {
+    /// The rate at `now`, from 0 to 1.
+    pub(super) fn get(&self, now: Timestamp) -> f64 {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
         self.rate * (-age / DECAY_TIME.as_secs_f64()).exp()
     }
--- a/crates/pollenlever-core/src/mesh/lineage.rs
+++ b/crates/pollenlever-core/src/mesh/lineage.rs
@@ -1,5 +1,6 @@
 use bincode::{Decode, Encode};
 
+use super::RequestClass;
 use crate::config::Importance;
 use crate::id::ChainId;
 
@@ -37,6 +38,11 @@
         Lineage { depth: self.depth.saturating_add(1), ..self }
     }
 
+    /// Importance and depth of the request.
+    pub fn class(self) -> RequestClass {
+        RequestClass { importance: self.importance, depth: self.depth }
+    }
+
     /// Whether a target makes this request while it runs another one.
     pub fn is_call(&self) -> bool {
         self.depth > 0
--- a/crates/pollenlever-core/src/mesh/running_requests.rs
+++ b/crates/pollenlever-core/src/mesh/running_requests.rs
@@ -1,8 +1,8 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::{Lineage, RequestId};
 use crate::Timestamp;
-use crate::id::{ContentDigest, StreamId};
+use crate::id::{ContentDigest, ServiceName, StreamId};
 
 /// Separates the id of a request from the suffix that identifies a call made in its course.
 const CALL_SEPARATOR: char = '.';
@@ -18,6 +18,8 @@
     pub deadline: Timestamp,
     /// Digest of the request's content.
     pub digest: ContentDigest,
+    /// Number of calls that the run has made so far, by the called service.
+    pub calls: BTreeMap<ServiceName, u32>,
 }
 
 /// Requests that are running on the target beside a gate.
@@ -37,13 +39,21 @@
         self.runs.insert(stream, run);
     }
 
-    /// Records that a run ended. Returns whether it was known.
-    pub fn remove(&mut self, stream: StreamId) -> bool {
-        let Some(run) = self.runs.remove(&stream) else { return false };
+    /// Removes a run that ended; `None` if it was not known.
+    pub fn remove(&mut self, stream: StreamId) -> Option<RunningRequest> {
+        let run = self.runs.remove(&stream)?;
         if self.by_id.get(&run.id) == Some(&stream) {
             self.by_id.remove(&run.id);
         }
-        true
+        Some(run)
+    }
+
+    /// Counts a call to `service` for the request of which `id` is a call, if that is running.
+    pub fn record_call(&mut self, id: &str, service: &ServiceName) {
+        let Some(stream) = self.stream_of_parent(id) else { return };
+        if let Some(run) = self.runs.get_mut(&stream) {
+            *run.calls.entry(service.clone()).or_default() += 1;
+        }
     }
 
     /// The request of which `id` is a call, if it is running on the target.
@@ -55,14 +65,14 @@
     /// let lineage = Lineage::root("127.0.0.1:7101@1f~2a".parse().unwrap(), Importance::Critical);
     /// let deadline = Duration::from_secs(1);
     /// let mut running = RunningRequests::default();
-    /// running.insert(7, RunningRequest { id: "9c41".into(), lineage, deadline, digest: 1 });
+    /// let (id, calls) = ("9c41".into(), Default::default());
+    /// running.insert(7, RunningRequest { id, lineage, deadline, digest: 1, calls });
     /// assert_eq!(running.parent_of("9c41.07be").unwrap().lineage, lineage);
     /// assert!(running.parent_of("9c42.07be").is_none());
     /// assert!(running.parent_of("9c41").is_none());
     /// ```
     pub fn parent_of(&self, id: &str) -> Option<&RunningRequest> {
-        let (parent, _) = id.rsplit_once(CALL_SEPARATOR)?;
-        self.runs.get(self.by_id.get(parent)?)
+        self.runs.get(&self.stream_of_parent(id)?)
     }
 
     /// Content digests of the running requests.
@@ -80,4 +90,9 @@
         let probabilities: f32 = self.runs.values().map(|it| it.lineage.repeat).sum();
         probabilities / self.runs.len().max(1) as f32
     }
+
+    fn stream_of_parent(&self, id: &str) -> Option<StreamId> {
+        let (parent, _) = id.rsplit_once(CALL_SEPARATOR)?;
+        self.by_id.get(parent).copied()
+    }
 }
--- a/crates/pollenlever-core/src/message/gate_load.rs
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -28,4 +28,7 @@
     pub overload_failure_permille: u16,
     /// Mean number of calls per run in hundredths, including calls made by the called services.
     pub calls_per_100_runs: u16,
+    /// Thousandths of the runs of this reply's class of requests that are expected to fail because
+    /// services further down do not answer their calls.
+    pub expected_failure_permille: u16,
 }
--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -17,7 +17,7 @@
 const FARTHER_TIER_FACTOR: f64 = 1.25;
 /// The same factor for a target in another region; it is higher because traffic between regions is
 /// expensive.
-const OTHER_REGION_FACTOR: f64 = 3.0;
+const OTHER_REGION_FACTOR: f64 = 1.5;
 /// Base of the retry delay sent to a caller for which no target was found.
 const BASE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
--- a/crates/pollenlever-core/src/routing/routing_settings.rs
+++ b/crates/pollenlever-core/src/routing/routing_settings.rs
@@ -40,7 +40,7 @@
             choice: ChoiceKind::TwoRandom,
             spill_utilisation: 0.9,
             max_load_age: Duration::from_millis(500),
-            max_other_region_load_age: Duration::from_secs(2),
+            max_other_region_load_age: Duration::from_secs(3),
             probe_interval: Duration::from_millis(100),
             min_backoff: Duration::from_millis(50),
             max_backoff: Duration::from_secs(2),
--- a/crates/pollenlever-core/tests/mesh/main.rs
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -9,6 +9,7 @@
 mod members;
 mod registry;
 mod routes;
+mod shared_rejection;
 mod suspects;
 
 /// Defines one test per case, which calls the check with the case's arguments.
--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -94,6 +94,19 @@
     stays_in_the_zone_if_all_gates_are_full(6, &[0]);
 }
 
+/// Load pattern: one region has too few targets for its demand while the others have room.
+#[test]
+fn requests_leave_a_full_region_for_targets_that_are_clearly_less_full() {
+    let mut routing = routing();
+    let less_full = GateLoad { in_flight: 8, limit: 10, ..GateLoad::default() };
+    for number in 0..6 {
+        let load = if number < 2 { full() } else { less_full };
+        report(&mut routing, ms(0), number, &load);
+    }
+    let chosen = choose(&mut routing, ms(1), Importance::Normal, &[]).unwrap();
+    assert!(number_of(chosen) >= 2, "{chosen}");
+}
+
 #[test]
 fn the_load_of_gates_in_other_regions_is_used_for_longer() {
     let mut routing = routing();
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -1,19 +1,21 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{AttemptId, ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, AttemptStage, CrashSuspects, DepartedTarget, InstanceId, Lineage,
-    MeshAttempt, RegistryChange, RunningRequest, StartTime, TargetReport,
+    AttemptOutcome, AttemptReply, AttemptStage, CrashSuspects, InstanceId, Lineage, MeshAttempt,
+    RequestClass, RunningRequest,
 };
 use pollenlever_core::message::{GateLoad, Suspicion};
 use tokio::sync::{Notify, oneshot};
 
 use super::HeaderNames;
+use super::downstream::Downstream;
 use super::gate_state::GateState;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
@@ -25,9 +27,6 @@
 
 /// Customer of all requests: the mesh does not tell customers apart.
 const ANY_CUSTOMER: &str = "any";
-/// Share of the target's calls that end in overload, in thousandths, from which a failed run is
-/// attributed to overloaded callees.
-const CALLEE_OVERLOAD_PERMILLE: u16 = 20;
 /// Statuses with which a target reports that a request ran and failed.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
 
@@ -40,6 +39,7 @@
     pub(super) metrics: MeshMetrics,
     /// Signalled when a crash of the target was recorded.
     crash_recorded: Notify,
+    downstream: Arc<Downstream>,
     state: Mutex<GateState>,
 }
 
@@ -59,15 +59,16 @@
         names: HeaderNames,
         clock: Clock,
         metrics: MeshMetrics,
+        downstream: Arc<Downstream>,
     ) -> Gate {
-        let state = GateState::default();
         Gate {
             clock,
             client: TargetClient::new(target, names),
             log: RequestLog::default(),
             metrics,
             crash_recorded: Notify::new(),
-            state: Mutex::new(state),
+            downstream,
+            state: Mutex::default(),
         }
     }
 
@@ -76,71 +77,6 @@
         self.client.set_max_connections(max);
     }
 
-    /// Handles a report of the target about itself.
-    pub(super) fn handle_report(&self, report: TargetReport) -> RegistryChange {
-        let now = self.clock.now();
-        let slots = report.slots;
-        let mut state = self.lock();
-        let before = state.registry.serving().map(|it| it.instance.clone());
-        let earlier = state.registry.current().filter(|it| !it.is_draining).map(|it| it.started);
-        let started = report.started;
-        let change = state.registry.handle_report(now, report);
-        let crashed = earlier.filter(|it| change != RegistryChange::Stale && *it < started);
-        if let Some(earlier) = crashed {
-            state.record_crash(now, earlier, "target has restarted");
-            self.crash_recorded.notify_one();
-        }
-        match change {
-            RegistryChange::Opened => {
-                state.admission.set_slots(now, slots.max(1));
-                if before != state.registry.serving().map(|it| it.instance.clone()) {
-                    self.client.close_idle_connections();
-                }
-            }
-            RegistryChange::Closed => state.refuse_waiting(),
-            RegistryChange::Refreshed | RegistryChange::Stale => {}
-        }
-        change
-    }
-
-    /// Handles a notice of the target that it is shutting down.
-    pub(super) fn handle_departure(
-        &self,
-        instance: &InstanceId,
-        started: Option<StartTime>,
-    ) -> RegistryChange {
-        let mut state = self.lock();
-        let change = state.registry.handle_departure(instance, started, unix_time_ms());
-        if change == RegistryChange::Closed {
-            state.refuse_waiting();
-        }
-        change
-    }
-
-    /// Records a target process that left before this node started.
-    pub(super) fn record_past_departure(&self, instance: InstanceId, started: StartTime) {
-        self.lock().registry.record_departure((instance, started));
-    }
-
-    /// The target process that left last.
-    pub(super) fn last_departed(&self) -> Option<DepartedTarget> {
-        self.lock().registry.last_departed().cloned()
-    }
-
-    /// Refuses new requests from now on, because the node is leaving.
-    pub(super) fn close(&self) {
-        let mut state = self.lock();
-        state.is_leaving = true;
-        state.refuse_waiting();
-    }
-
-    /// Latest report of the target, and whether the target accepts new requests.
-    pub(super) fn target(&self) -> Option<(TargetReport, bool)> {
-        let state = self.lock();
-        let serves = state.registry.serving().is_some() && !state.is_leaving;
-        state.registry.current().cloned().map(|it| (it, serves))
-    }
-
     /// Seals an attempt: it can never start from now on. Returns `false` if it has started already.
     pub(super) fn seal(&self, attempt: AttemptId) -> bool {
         self.lock().ledger.seal(attempt) == AttemptStage::Sealed
@@ -164,16 +100,17 @@
         };
         slot.record_start(self.clock.now());
         let id = head.request_id.clone();
-        let run = RunningRequest { id, lineage: head.lineage, deadline, digest };
+        let run =
+            RunningRequest { id, lineage: head.lineage, deadline, digest, calls: BTreeMap::new() };
         self.lock().runs.insert(slot.id(), run);
         if head.is_idempotent {
             return self.run(slot, start, head, body).await;
         }
-        let gate = Arc::clone(self);
+        let (gate, class) = (Arc::clone(self), head.lineage.class());
         let run = tokio::spawn(async move { gate.run(slot, start, head, body).await });
         run.await.unwrap_or_else(|err| {
             log::error!("run ended without a result reason={:?}", err.to_string());
-            self.reply(AttemptOutcome::Unknown)
+            self.reply(class, AttemptOutcome::Unknown)
         })
     }
 
@@ -214,6 +151,10 @@
             state.ledger.seal(head.id);
             return Err(refused(error, None));
         }
+        if let Some(retry_after) = self.chain_refusal(now, &mut state, head) {
+            state.ledger.seal(head.id);
+            return Err(refused(ErrorKind::DownstreamOverloaded, Some(retry_after)));
+        }
         state.last_id += 1;
         let id = state.last_id;
         let (tx, rx) = oneshot::channel();
@@ -233,6 +174,22 @@
         Ok((id, rx))
     }
 
+    /// Time after which the caller of a new chain may retry, if the chain is refused because its
+    /// calls would most likely fail.
+    fn chain_refusal(
+        &self,
+        now: Duration,
+        state: &mut GateState,
+        head: &MeshAttempt,
+    ) -> Option<Duration> {
+        let Lineage { importance, chain, .. } = head.lineage;
+        if head.lineage.is_call() {
+            return None;
+        }
+        let completion_ratio = self.downstream.completion_ratio(head.lineage.class());
+        state.chain_admission.refusal(now, importance, chain, completion_ratio)
+    }
+
     /// Repeats the checks before the run: while the request waited, the target may have left or the
     /// owner may have sealed the attempt.
     fn begin_run(
@@ -292,7 +249,7 @@
                 (AttemptOutcome::Unknown, Vec::new(), Bytes::new())
             }
         };
-        let (reply, _) = self.reply(outcome);
+        let (reply, _) = self.reply(head.lineage.class(), outcome);
         (AttemptReply { headers, ..reply }, body)
     }
 
@@ -304,23 +261,16 @@
         AttemptOutcome::Answered(status)
     }
 
-    /// Whether services that the target calls are overloaded.
-    fn has_overloaded_callees(&self) -> bool {
-        self.lock().call_stats.overload_failure_permille(self.clock.now())
-            >= CALLEE_OVERLOAD_PERMILLE
-    }
-
     fn record_result(&self, head: &MeshAttempt, digest: ContentDigest, result: &TargetResult) {
         let now = self.clock.now();
+        let has_overloaded_callees = self.has_overloaded_callees();
         let mut state = self.lock();
         match result {
             TargetResult::Answered { status, .. } => {
                 state.suspects.record_answered(digest);
                 let failed = FAILED_STATUSES.contains(status);
                 // With overloaded callees another target would fail as well.
-                if !failed
-                    || state.call_stats.overload_failure_permille(now) < CALLEE_OVERLOAD_PERMILLE
-                {
+                if !failed || !has_overloaded_callees {
                     state.failures.record(now, failed);
                 }
             }
@@ -339,7 +289,7 @@
                 let target = state.registry.current().filter(|it| !it.is_draining);
                 if let Some(started) = target.map(|it| it.started) {
                     state.record_crash(now, started, "target accepts no connections");
-                    self.crash_recorded.notify_one();
+                    self.notify_crash();
                 }
             }
         }
@@ -367,11 +317,6 @@
         self.lock().suspects.merge_remote(now, suspicions);
     }
 
-    /// Time since the last report of the target.
-    pub(super) fn report_age(&self) -> Duration {
-        self.clock.now().saturating_sub(self.lock().registry.reported_at())
-    }
-
     /// How a run counts for the concurrency limit. A failure lowers the limit only if callees are
     /// overloaded or the time ran out; targets also reject and fail at random.
     fn run_outcome(&self, result: &TargetResult) -> RunOutcome {
@@ -386,34 +331,16 @@
         }
     }
 
-    /// Records how a call made by the target ended and how many further calls it caused.
-    pub(super) fn record_call(&self, downstream_calls: f64, is_overload_failure: bool) {
-        let now = self.clock.now();
-        self.lock().call_stats.record_call(now, downstream_calls, is_overload_failure);
-    }
-
-    /// Probability that a call repeats an earlier one, if it is unknown which run made it.
-    pub(super) fn mean_repeat_probability(&self) -> f32 {
-        self.lock().runs.mean_repeat_probability()
-    }
-
-    /// Latest deadline of the requests that the target is running.
-    pub(super) fn last_run_deadline(&self) -> Option<Duration> {
-        self.lock().runs.last_deadline()
-    }
-
-    /// Lineage of a call made by the target, if its id identifies the run that made it.
-    pub(super) fn lineage_of_call(&self, id: &str) -> Option<Lineage> {
-        self.lock().runs.parent_of(id).map(|it| it.lineage.child())
-    }
-
     /// Removes a request from the queue or frees its slot.
     pub(super) fn release(&self, id: StreamId, started: Option<Duration>, outcome: RunOutcome) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.waiting.remove(&id);
-        if state.runs.remove(id) {
+        if let Some(run) = state.runs.remove(id) {
             state.call_stats.record_run(now);
+            if outcome == RunOutcome::Answered {
+                self.downstream.record_run(run.lineage.class(), &run.calls);
+            }
         }
         if state.admission.remove(now, id) {
             return;
@@ -429,15 +356,25 @@
 
     fn refuse(&self, head: &MeshAttempt, refusal: AttemptOutcome) -> (AttemptReply, Bytes) {
         self.log_refusal(head, &refusal);
-        self.reply(refusal)
+        self.reply(head.lineage.class(), refusal)
     }
 
-    fn reply(&self, outcome: AttemptOutcome) -> (AttemptReply, Bytes) {
-        let reply = AttemptReply { outcome, headers: Vec::new(), load: self.load(), routes: 0 };
-        (reply, Bytes::new())
+    fn reply(&self, class: RequestClass, outcome: AttemptOutcome) -> (AttemptReply, Bytes) {
+        let failure_ratio = 1.0 - self.downstream.completion_ratio(class);
+        let expected_failure_permille = (failure_ratio * 1000.0) as u16;
+        let load = GateLoad { expected_failure_permille, ..self.load() };
+        (AttemptReply { outcome, headers: Vec::new(), load, routes: 0 }, Bytes::new())
     }
 
-    /// Current load of the gate, sent with every reply to an attempt.
+    pub(super) fn notify_crash(&self) {
+        self.crash_recorded.notify_one();
+    }
+
+    pub(super) fn close_idle_connections(&self) {
+        self.client.close_idle_connections();
+    }
+
+    /// Current load of the gate, without what depends on the class of a request.
     pub(super) fn load(&self) -> GateLoad {
         let now = self.clock.now();
         let state = self.lock();
@@ -454,16 +391,11 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, GateState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, GateState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn unix_time_ms() -> StartTime {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    since_epoch.as_millis() as StartTime
-}
-
 fn refused(error: ErrorKind, retry_after: Option<Duration>) -> AttemptOutcome {
     AttemptOutcome::RefusedByGate { error, retry_after }
 }
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -7,8 +7,8 @@
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptLedger, CallStats, CrashSuspects, FailureRate, MeshAttempt, RunningRequests, StartTime,
-    TargetRegistry,
+    AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, MeshAttempt,
+    RunningRequests, StartTime, TargetRegistry,
 };
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
@@ -24,6 +24,7 @@
 pub(super) struct GateState {
     pub(super) registry: TargetRegistry,
     pub(super) admission: PriorityAdmission,
+    pub(super) chain_admission: ChainAdmission,
     pub(super) waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
     pub(super) ledger: AttemptLedger,
     pub(super) failures: FailureRate,
@@ -46,6 +47,7 @@
                 limit: LimitKind::Failures,
                 ..AdmissionSettings::default()
             }),
+            chain_admission: ChainAdmission::default(),
             waiting: HashMap::new(),
             ledger: AttemptLedger::default(),
             failures: FailureRate::default(),
@@ -83,6 +85,11 @@
         }
     }
 
+    /// Sets the number of requests that the target runs at once.
+    pub(super) fn set_slots(&mut self, now: Duration, slots: u32) {
+        self.admission.set_slots(now, slots.max(1));
+    }
+
     /// Records a crash of the target and marks the requests that were in flight as suspects.
     pub(super) fn record_crash(&mut self, now: Duration, started: StartTime, reason: &str) {
         let in_flight: Vec<ContentDigest> = self.runs.digests().collect();
--- /dev/null
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -0,0 +1,83 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use pollenlever_core::mesh::{DepartedTarget, InstanceId, RegistryChange, StartTime, TargetReport};
+
+use super::gate::Gate;
+
+/// The target beside the node: what it reports about itself, and when it leaves.
+impl Gate {
+    /// Handles a report of the target about itself.
+    pub(super) fn handle_report(&self, report: TargetReport) -> RegistryChange {
+        let now = self.clock.now();
+        let slots = report.slots;
+        let mut state = self.lock();
+        let before = state.registry.serving().map(|it| it.instance.clone());
+        let earlier = state.registry.current().filter(|it| !it.is_draining).map(|it| it.started);
+        let started = report.started;
+        let change = state.registry.handle_report(now, report);
+        let crashed = earlier.filter(|it| change != RegistryChange::Stale && *it < started);
+        if let Some(earlier) = crashed {
+            state.record_crash(now, earlier, "target has restarted");
+            self.notify_crash();
+        }
+        match change {
+            RegistryChange::Opened => {
+                state.set_slots(now, slots);
+                if before != state.registry.serving().map(|it| it.instance.clone()) {
+                    self.close_idle_connections();
+                }
+            }
+            RegistryChange::Closed => state.refuse_waiting(),
+            RegistryChange::Refreshed | RegistryChange::Stale => {}
+        }
+        change
+    }
+
+    /// Handles a notice of the target that it is shutting down.
+    pub(super) fn handle_departure(
+        &self,
+        instance: &InstanceId,
+        started: Option<StartTime>,
+    ) -> RegistryChange {
+        let mut state = self.lock();
+        let change = state.registry.handle_departure(instance, started, unix_time_ms());
+        if change == RegistryChange::Closed {
+            state.refuse_waiting();
+        }
+        change
+    }
+
+    /// Records a target process that left before this node started.
+    pub(super) fn record_past_departure(&self, instance: InstanceId, started: StartTime) {
+        self.lock().registry.record_departure((instance, started));
+    }
+
+    /// The target process that left last.
+    pub(super) fn last_departed(&self) -> Option<DepartedTarget> {
+        self.lock().registry.last_departed().cloned()
+    }
+
+    /// Refuses new requests from now on, because the node is leaving.
+    pub(super) fn close(&self) {
+        let mut state = self.lock();
+        state.is_leaving = true;
+        state.refuse_waiting();
+    }
+
+    /// Latest report of the target, and whether the target accepts new requests.
+    pub(super) fn target(&self) -> Option<(TargetReport, bool)> {
+        let state = self.lock();
+        let serves = state.registry.serving().is_some() && !state.is_leaving;
+        state.registry.current().cloned().map(|it| (it, serves))
+    }
+
+    /// Time since the last report of the target.
+    pub(super) fn report_age(&self) -> Duration {
+        self.clock.now().saturating_sub(self.lock().registry.reported_at())
+    }
+}
+
+fn unix_time_ms() -> StartTime {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as StartTime
+}
--- a/crates/pollenlever/src/mesh/member_exchange.rs
+++ b/crates/pollenlever/src/mesh/member_exchange.rs
@@ -50,6 +50,11 @@
         has_changes
     }
 
+    /// Records that the members were listed, even if there are none.
+    pub(super) fn record_members_known(&self) {
+        self.lock().apply(self.clock.now(), Vec::new());
+    }
+
     /// Handles a member that the store no longer lists: it is removed unless it answers an
     /// announcement. A node that was partitioned from the others may have removed the objects of
     /// all of them.
--- a/crates/pollenlever/src/mesh/member_watch.rs
+++ b/crates/pollenlever/src/mesh/member_watch.rs
@@ -57,6 +57,7 @@
                 self.recover(&list);
                 since = Some(list.revision);
                 self.apply_list(&mut known, &list);
+                self.shared.record_members_known();
             }
             Err(_) => {
                 log_event!(LogEvent::StoreLost, "kind={MEMBERS_KIND} reason=\"list timeout\"");
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -8,13 +8,13 @@
 use pollenlever_core::membership::{Member, TargetState};
 use pollenlever_core::mesh::{
     CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, LostMembers, MemberChange,
-    MemberTable, RegistryChange, RetryBudget, RetryDecision, RouteTable, RouteVersion, StartTime,
-    TargetReport, WeightedSplit,
+    MemberTable, RegistryChange, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
 
 use super::HeaderNames;
+use super::downstream::Downstream;
 use super::gate::Gate;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
@@ -36,6 +36,8 @@
     pub(super) clock: Clock,
     /// Admission of requests to the target beside this node.
     pub(super) gate: Arc<Gate>,
+    /// Retry budget and outlook of the services to which this node sends requests.
+    pub(super) downstream: Arc<Downstream>,
     pub(super) peers: PeerClient,
     /// Counts requests that are not answered yet.
     pub(super) in_flight_work: InFlightCounter,
@@ -66,7 +68,7 @@
     pub(super) lost: LostMembers,
     /// Names of the members' objects in the store.
     pub(super) object_names: HashMap<NodeId, String>,
-    pub(super) budget: RetryBudget,
+    pub(super) downstream: Arc<Downstream>,
     pub(super) call_classifier: CallClassifier,
     pub(super) own: Member,
 }
@@ -87,6 +89,7 @@
             own.zone.clone(),
             RoutingSettings { seed: me.incarnation, ..RoutingSettings::default() },
         );
+        let downstream = Arc::new(Downstream::new(clock, cfg.retry_budget));
         let state = State {
             settings: cfg.clone(),
             routes: None,
@@ -96,13 +99,16 @@
             members: MemberTable::default(),
             lost: LostMembers::default(),
             object_names: HashMap::new(),
-            budget: RetryBudget::new(cfg.retry_budget),
+            downstream: Arc::clone(&downstream),
             call_classifier: CallClassifier::default(),
             own,
         };
+        let gate =
+            Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
         MeshShared {
             me,
-            gate: Arc::new(Gate::new(cfg.target, names.clone(), clock, metrics.clone())),
+            gate: Arc::new(gate),
+            downstream,
             names,
             clock,
             peers,
@@ -213,11 +219,8 @@
 
     /// Applies changed settings, as far as a running node can.
     pub(super) fn apply_settings(&self, cfg: MeshSettings) {
-        let mut state = self.lock();
-        if state.settings.retry_budget != cfg.retry_budget {
-            state.budget = RetryBudget::new(cfg.retry_budget);
-        }
-        state.settings = cfg;
+        self.downstream.configure(cfg.retry_budget);
+        self.lock().settings = cfg;
     }
 
     /// The routes in force.
@@ -313,27 +316,6 @@
         self.lock().routing.choose(now, req)
     }
 
-    /// Counts a request that this node took from a caller, for the retry budget.
-    pub(super) fn record_request(&self, service: &ServiceName) {
-        let now = self.clock.now();
-        self.lock().budget.record_request(now, service);
-    }
-
-    /// Charges the retry budget for a call that may repeat an earlier one, because the run that made
-    /// it may be a retry. `repeat` is the probability of that, from 0 to 1; 0 for other requests.
-    pub(super) fn charge_repeat(&self, service: &ServiceName, repeat: f32) {
-        let now = self.clock.now();
-        self.lock().budget.record_repeat(now, service, f64::from(repeat));
-    }
-
-    /// Takes a retry from the retry budget, if it allows one.
-    pub(super) fn take_retry(&self, service: &ServiceName, cost: f64) -> RetryDecision {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let nodes = state.members.len() + state.lost.len() + 1;
-        state.budget.try_spend(now, service, cost, nodes)
-    }
-
     /// Returns a number that this process has not used before.
     pub(super) fn next_id(&self) -> u64 {
         self.last_id.fetch_add(1, Ordering::Relaxed) + 1
@@ -389,7 +371,9 @@
 }
 
 impl State {
+    /// Applies changes of the members to the choice of gates and to the shares of the retry budget.
     pub(super) fn apply(&mut self, now: Duration, changes: Vec<MemberChange>) {
+        self.downstream.set_node_count(self.members.len() + self.lost.len() + 1);
         for change in changes {
             match change {
                 MemberChange::Up(member) => self.routing.update_members(now, &[member]),
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -4,13 +4,16 @@
 //! requests only from the gate of its own node.
 
 mod control_server;
+mod downstream;
 mod edge_answer;
 mod edge_connection;
 mod edge_server;
 mod forwarded_headers;
 mod gate;
+mod gate_calls;
 mod gate_log;
 mod gate_state;
+mod gate_target;
 mod hangup_io;
 mod header_names;
 mod idle_limit;
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -15,6 +15,7 @@
 use pollenlever_core::routing::RouteRequest;
 
 use super::edge_answer::{EdgeResponse, error_answer, target_answer};
+use super::gate_calls::EndedCall;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_shared::MeshShared;
 use super::pending_request::PendingRequest;
@@ -73,8 +74,7 @@
     }
 
     async fn deliver(&self, req: RoutedRequest) -> EdgeResponse {
-        self.shared.record_request(&req.service);
-        self.shared.charge_repeat(&req.service, req.lineage.repeat);
+        self.shared.downstream.record_request(&req.service, req.lineage);
         let left = req.deadline.saturating_sub(self.shared.clock.now());
         let mut delivery =
             Delivery::new(req.route.is_idempotent, req.route.max_attempts, req.is_urgent());
@@ -107,7 +107,7 @@
             let repeat = if delivery.may_have_run() { 1.0 } else { req.lineage.repeat };
             let (reply, body) = self.send_attempt(req, gate, repeat).await;
             let step = delivery.record_outcome(gate, &reply.outcome);
-            self.shared.metrics.record_attempt(outcome_name(&reply.outcome));
+            self.record_attempt(req, &reply);
             let cost = retry_cost(delivery, &reply.load);
             if let NextStep::Retry { uses_budget } = step {
                 if uses_budget && !self.take_retry(req, gate, &reply.outcome, cost) {
@@ -122,6 +122,17 @@
         }
     }
 
+    fn record_attempt(&self, req: &RoutedRequest, reply: &AttemptReply) {
+        self.shared.metrics.record_attempt(outcome_name(&reply.outcome));
+        let needs_retry = match reply.outcome {
+            AttemptOutcome::RejectedByTarget | AttemptOutcome::Unknown => true,
+            AttemptOutcome::Answered(status) => status >= 500,
+            AttemptOutcome::FailedDownstream(_) => false,
+            AttemptOutcome::RefusedByGate { .. } | AttemptOutcome::NotSent => return,
+        };
+        self.shared.downstream.record_attempt(&req.service, needs_retry);
+    }
+
     /// Takes a retry from the retry budget. Returns whether it was granted.
     fn take_retry(
         &self,
@@ -131,7 +142,7 @@
         cost: f64,
     ) -> bool {
         let RetryDecision { is_granted, spent, allowed } =
-            self.shared.take_retry(&req.service, cost);
+            self.shared.downstream.take_retry(&req.service, req.lineage, cost);
         self.shared.metrics.record_retry(&req.service, is_granted);
         if let Some(omitted) = self.shared.request_log.admit_line(self.shared.clock.now()) {
             log_event!(
@@ -172,7 +183,12 @@
     /// Reports to this node's gate how a call made by its target ended.
     fn record_call(&self, req: &RoutedRequest, downstream_calls: f64, is_overload_failure: bool) {
         if req.lineage.is_call() {
-            self.shared.gate.record_call(downstream_calls, is_overload_failure);
+            self.shared.gate.record_call(&EndedCall {
+                id: &req.id,
+                service: &req.service,
+                downstream_calls,
+                is_overload_failure,
+            });
         }
     }
 
@@ -194,6 +210,7 @@
         match result {
             Ok((reply, body)) => {
                 sent.record_reply(&reply.load, body.len() as u64);
+                self.shared.downstream.record_load(&req.service, req.lineage, &reply.load);
                 (reply, body)
             }
             Err(failure) => {
@@ -313,6 +330,7 @@
     matches!(
         kind,
         ErrorKind::Overloaded
+            | ErrorKind::DownstreamOverloaded
             | ErrorKind::QueueFull
             | ErrorKind::DeadlineTooShort
             | ErrorKind::DeadlinePassed
--- a/crates/pollenlever/src/peer/codec.rs
+++ b/crates/pollenlever/src/peer/codec.rs
@@ -44,7 +44,7 @@
 /// ```
 /// use pollenlever::peer::{WireError, decode_request};
 /// let err = decode_request(&[99]).unwrap_err();
-/// assert_eq!(err, WireError::Version { found: 99, expected: 2 });
+/// assert_eq!(err, WireError::Version { found: 99, expected: 3 });
 /// ```
 pub fn decode_request(head: &[u8]) -> Result<RequestFrame, WireError> {
     decode(head)
