Run new chains too where a service is overloaded by deeper calls of their importance

Change: DepthShares counts how many of the new chains and of the deeper calls of an importance run; while it is a smaller share of the new chains, these go first and are shed last, unless a more important request waits.

--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -8,6 +8,7 @@
 mod concurrency_limit;
 mod customer_usage;
 mod decaying_sum;
+mod depth_shares;
 mod failure_limit;
 mod fifo_admission;
 mod gradient_limit;
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -3,6 +3,7 @@
 
 use super::class_limits::{Class, ClassLimits};
 use super::customer_usage::CustomerUsage;
+use super::depth_shares::DepthShares;
 use super::queue::Queue;
 use super::recent_shed::RecentShed;
 use super::saturation::Saturation;
@@ -18,6 +19,9 @@
 
 /// Admission by importance, depth, customer and chain, within a learned concurrency limit.
 ///
+/// Deeper calls go before new chains of the same importance, but only while no smaller share of the
+/// new chains runs than of the deeper calls.
+///
 /// The queue is kept short: requests that cannot meet their deadline are shed at once, and while
 /// the queue is standing (see [`AdmissionSettings::queue_interval`]), new chains of the least
 /// importance wait no longer than the settings allow. The load that the target reports about
@@ -55,6 +59,7 @@
     running: BTreeMap<StreamId, Running>,
     service_times: ServiceTimes,
     usage: CustomerUsage,
+    depth_shares: DepthShares,
     recent_shed: RecentShed,
     shed_level: ShedLevel,
     /// Since when the delay of the queue has been at least half of the longest wait; `None` if it
@@ -81,6 +86,7 @@
             running: BTreeMap::new(),
             service_times: ServiceTimes::default(),
             usage: CustomerUsage::new(settings.decay_time),
+            depth_shares: DepthShares::default(),
             recent_shed: RecentShed::default(),
             shed_level: ShedLevel::default(),
             standing_since: None,
@@ -193,7 +199,13 @@
     fn shed_excess(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         while self.queue.len() > self.max_queue(now) {
             let order = self.settings.order;
-            let Some(worst) = self.queue.pop_worst(now, &self.usage, order) else { return };
+            let shares = &self.depth_shares;
+            let is_preferred = |it: &Waiting| {
+                let Ticket { importance, depth, .. } = it.ticket;
+                depth == 0 && shares.prefers_new_chains(now, importance)
+            };
+            let worst = self.queue.pop_worst(now, &self.usage, order, is_preferred);
+            let Some(worst) = worst else { return };
             self.shed(now, &worst, ErrorKind::Overloaded, verdicts);
         }
     }
@@ -221,6 +233,7 @@
             let Some(best) = self.pop_best(now, order) else { return };
             let Ticket { id, importance, customer, .. } = &best.ticket;
             self.usage.record_run(now, *importance, customer);
+            self.depth_shares.record_started(now, *importance, best.ticket.depth);
             let concurrency = self.running.len() as u32 + 1;
             self.limits.record_start(best.class());
             self.running.insert(*id, Running { class: best.class(), concurrency });
@@ -232,6 +245,9 @@
     /// of an admitted chain is starved. Calls that would miss their latest start if they ran
     /// after the whole queue run first, the most important of them before the others.
     fn pop_best(&mut self, now: Timestamp, order: OrderKind) -> Option<Waiting> {
+        if let Some(new_chain) = self.pop_preferred_new_chain(now, order) {
+            return Some(new_chain);
+        }
         let delay = self.completion_interval() * self.queue.len() as u32;
         let is_urgent = |it: &Waiting| self.latest_start(now, it, false) < now + delay;
         let may_run = |it: &Waiting| self.limits.has_room(it.class());
@@ -242,6 +258,18 @@
         }
     }
 
+    /// Removes and returns a new chain of the highest waiting importance, if a smaller share of
+    /// these runs than of the deeper calls of that importance.
+    fn pop_preferred_new_chain(&mut self, now: Timestamp, order: OrderKind) -> Option<Waiting> {
+        let may_run = |it: &Waiting| self.limits.has_room(it.class());
+        let importance = self.queue.max_importance(may_run)?;
+        if !self.depth_shares.prefers_new_chains(now, importance) {
+            return None;
+        }
+        let is_new = |it: &Waiting| it.class() == (importance, 0) && may_run(it);
+        self.queue.pop_best(now, &self.usage, order, is_new)
+    }
+
     fn advance(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         self.shed_late(now, verdicts);
         self.start_waiting(now, verdicts);
@@ -276,6 +304,7 @@
 
     fn offer(&mut self, now: Timestamp, ticket: Ticket, verdicts: &mut Vec<Verdict>) {
         self.shed_level.record_offered(now, ticket.importance);
+        self.depth_shares.record_offered(now, ticket.importance, ticket.depth);
         let waiting = Waiting::new(now, ticket);
         if !self.can_finish(now, &waiting) {
             self.shed(now, &waiting, ErrorKind::DeadlineTooShort, verdicts);
--- a/crates/pollenlever-core/src/admission/queue.rs
+++ b/crates/pollenlever-core/src/admission/queue.rs
@@ -5,6 +5,7 @@
 use super::customer_usage::CustomerUsage;
 use super::waiting::Waiting;
 use crate::Timestamp;
+use crate::config::Importance;
 use crate::id::{CustomerId, StreamId};
 
 /// Requests that wait for a slot, stored in order of arrival.
@@ -44,6 +45,11 @@
         self.items.iter().map(|it| it.ticket.depth).max().unwrap_or_default()
     }
 
+    /// Highest importance of the requests for which `may_run` returns true.
+    pub(super) fn max_importance(&self, may_run: impl Fn(&Waiting) -> bool) -> Option<Importance> {
+        self.items.iter().filter(|it| may_run(it)).map(|it| it.ticket.importance).max()
+    }
+
     /// Removes and returns all requests for which `is_late` returns true.
     pub(super) fn take_late(&mut self, is_late: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         self.items.extract_if(.., |it| is_late(it)).collect()
@@ -91,23 +97,26 @@
         Some(self.items.remove(index))
     }
 
-    /// Removes and returns the request to shed first: lowest class, then the customer with the most
-    /// usage plus waiting requests, then the last by `order`.
+    /// Removes and returns the request to shed first: lowest importance, then those that are not
+    /// preferred, then lowest depth, then the customer with the most usage plus waiting requests,
+    /// then the last by `order`.
     pub(super) fn pop_worst(
         &mut self,
         now: Timestamp,
         usage: &CustomerUsage,
         order: OrderKind,
+        is_preferred: impl Fn(&Waiting) -> bool,
     ) -> Option<Waiting> {
-        let class = self.items.iter().map(Waiting::class).min()?;
+        let rank = |it: &Waiting| (it.ticket.importance, is_preferred(it), it.ticket.depth);
+        let lowest = self.items.iter().map(rank).min()?;
         let mut load_by_customer: BTreeMap<CustomerId, f64> = BTreeMap::new();
-        for it in self.items.iter().filter(|it| it.class() == class) {
+        for it in self.items.iter().filter(|it| rank(it) == lowest) {
             let used = usage.get(now, it.ticket.importance, &it.ticket.customer);
             *load_by_customer.entry(it.ticket.customer.clone()).or_insert(used) += 1.0;
         }
         let load =
             |it: &Waiting| load_by_customer.get(&it.ticket.customer).copied().unwrap_or_default();
-        let candidates = self.items.iter().enumerate().filter(|(_, it)| it.class() == class);
+        let candidates = self.items.iter().enumerate().filter(|(_, it)| rank(it) == lowest);
         let worst = candidates.max_by(|(_, a), (_, b)| {
             load(a).total_cmp(&load(b)).then_with(|| compare(order, b, a))
         });
