Members by gossip, routes from node to node; few nodes call the store

Ruled out: longer delays between the watches (calls still grow with nodes times changes); polling lists that may be stale (bytes between regions).

Change: the mesh runs the gossip protocol that pollenleverd has (module gossip, shared by both): rings of three successors in a region, bridges between regions, digests behind them. New nodes join through a list of five addresses a region in the store, or through a node that still addresses their predecessor. Three nodes a region watch the routes; each node offers a new version over its gossip links and compares versions once a second; a node without contact for 2.5 s reads the store itself. The store keeps only the departure of a target, written when it leaves, deleted when another is in use or the node is gone. Removed: MemberTable, LostMembers and MemberObject of the mesh; their tests go with them, as what they checked is decided by Membership, which has its own (tests/membership.rs). Tests of objects that were removed from the store are replaced by the same faults of the new objects.

--- a/crates/pollenlever-core/src/membership/membership.rs
+++ b/crates/pollenlever-core/src/membership/membership.rs
@@ -9,7 +9,7 @@
 use super::seed_list::SeedList;
 use super::{
     BucketId, Change, GossipMessage, GossipPurpose, Link, Member, MemberTable, MembershipAction,
-    MembershipEvent, MembershipSettings, Overlay, TargetState,
+    MembershipEvent, MembershipSettings, Overlay, TargetState, highest_scores,
 };
 use crate::Timestamp;
 use crate::id::{ExchangeId, NodeId};
@@ -106,6 +106,25 @@
         self.table.live().filter(|it| it.region == self.me.region).map(|it| it.node)
     }
 
+    /// Whether this node knows any other member that is not gone.
+    pub fn has_joined(&self) -> bool {
+        self.table.live().any(|it| it.node != self.me.node)
+    }
+
+    /// Whether this node is one of the `count` members of its region that rendezvous hashing with
+    /// `seed` chooses for a duty. Two nodes may both think so for a moment, so the duty has to bear
+    /// that.
+    ///
+    /// ```
+    /// use pollenlever_core::membership::*;
+    /// let me = Member::new("127.0.0.1:7101@1f".parse().unwrap());
+    /// let members = Membership::new(MembershipSettings::default(), me, 7);
+    /// assert!(members.is_chosen_in_region(1, 2));
+    /// ```
+    pub fn is_chosen_in_region(&self, seed: u64, count: usize) -> bool {
+        highest_scores(self.region_members(), seed, count).contains(&self.me.node)
+    }
+
     pub(super) fn on_target_notice(
         &mut self,
         now: Timestamp,
--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -1,7 +1,7 @@
 use bincode::{Decode, Encode};
 
 use super::{AttemptOutcome, RouteTable, RouteVersion};
-use crate::membership::Member;
+use crate::id::NodeId;
 use crate::message::GateLoad;
 
 /// Reply to an attempt. The body of the target's answer is sent separately.
@@ -24,8 +24,13 @@
     Attempt(AttemptReply),
     /// `true` if the attempt is sealed, `false` if it was started before.
     Sealed(bool),
-    /// Reply to an announcement: the receiver's own member entry and the version of its routes.
-    Announced(Member, RouteVersion),
+    /// Reply to an offer of routes: the process that replies and the version of its routes.
+    RoutesVersion {
+        /// The process.
+        node: NodeId,
+        /// Version of its routes; 0 if it has none.
+        version: RouteVersion,
+    },
     /// Acknowledgement of a request that needs no other reply.
     Acknowledged,
     /// The routes, if they are newer than those of the requesting node.
--- a/crates/pollenlever-core/src/mesh/mesh_request.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_request.rs
@@ -2,18 +2,17 @@
 
 use super::{MeshAttempt, RouteVersion};
 use crate::id::AttemptId;
-use crate::membership::Member;
 use crate::message::Suspicion;
 
 /// A request from one node of the mesh to another; answered with a [`MeshReply`](super::MeshReply).
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub enum MeshRequest {
     /// Run a request on the target beside the receiver.
-    Attempt(MeshAttempt),
+    Attempt(Box<MeshAttempt>),
     /// Seal the attempt, so that it is never started, or report that it was started.
     Seal(AttemptId),
-    /// The sender's own member entry and the version of its routes.
-    Announce(Member, RouteVersion),
+    /// Version of the sender's routes.
+    OfferRoutes(RouteVersion),
     /// Requests during which targets have crashed, with their crash counts.
     Suspects(Vec<Suspicion>),
     /// Send the receiver's routes if they are newer than this version.
--- a/crates/pollenlever/src/control/config_thread.rs
+++ b/crates/pollenlever/src/control/config_thread.rs
@@ -3,14 +3,14 @@
 
 use bytes::Bytes;
 use pollenlever_core::config::ServiceConfig;
-use pollenlever_core::membership::{Membership, highest_scores};
+use pollenlever_core::membership::Membership;
 use pollenlever_core::message::{PeerReply, PeerRequest};
 use pollenlever_core::policy::Event;
 use pollenlever_core::rollout::{Rollout, RolloutAction, RolloutEvent};
 use tokio::time::Instant;
 
 use super::applied_versions::AppliedVersions;
-use super::shared_machine::SharedMachine;
+use crate::gossip::{SharedMachine, SharedMembership};
 use crate::peer::SharedPeerSender;
 use crate::ring::RingSender;
 use crate::store::{
@@ -31,7 +31,7 @@
 /// new ones to the policy.
 pub(super) struct ConfigThread {
     pub(super) rollout: Arc<SharedMachine<Rollout>>,
-    pub(super) members: Arc<SharedMachine<Membership>>,
+    pub(super) members: SharedMembership,
     pub(super) sender: SharedPeerSender,
     pub(super) store: SharedObjectApi,
     pub(super) events: RingSender<Event>,
@@ -72,11 +72,10 @@
         }
         *reported = ReportedPeers { generation, is_settled };
         let peers = self.members.read(|members| {
-            let watchers =
-                highest_scores(members.region_members(), WATCHER_SEED, WATCHERS_PER_REGION);
+            let is_watcher = members.is_chosen_in_region(WATCHER_SEED, WATCHERS_PER_REGION);
             RolloutEvent::Peers {
                 links: members.links().iter().map(|it| it.node).collect(),
-                watches: is_settled && watchers.contains(&members.me().node),
+                watches: is_settled && is_watcher,
             }
         });
         self.rollout.notify(peers);
--- a/crates/pollenlever/src/control/control.rs
+++ b/crates/pollenlever/src/control/control.rs
@@ -6,8 +6,7 @@
 
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::{
-    GossipMessage, Member, Membership, MembershipAction, MembershipEvent, MembershipSettings,
-    TargetState,
+    Member, Membership, MembershipEvent, MembershipSettings, TargetState,
 };
 use pollenlever_core::policy::{Event, TargetNotice};
 use pollenlever_core::rollout::{
@@ -16,21 +15,22 @@
 
 use super::applied_versions::AppliedVersions;
 use super::config_thread::ConfigThread;
-use super::gossip_thread::GossipThread;
-use super::seed_publisher::SeedPublisher;
-use super::shared_machine::SharedMachine;
+use super::ring_sink::RingSink;
 use super::{
     ControlError, ControlHandle, ControlMessage, ControlReply, ControlStatus, MemberStatus,
     SharedControl,
 };
+use crate::gossip::{
+    GossipDriver, SeedPublisher, SharedMachine, SharedMembership, reply_to_gossip,
+};
 use crate::peer::SharedPeerSender;
 use crate::ring::RingSender;
 use crate::settings::Settings;
-use crate::store::{SharedObjectApi, StoreClient};
+use crate::store::{PEERS_KIND, SharedObjectApi, StoreClient};
 
 /// The control threads of a node: one for membership and one for configuration.
 pub struct Control {
-    members: Arc<SharedMachine<Membership>>,
+    members: SharedMembership,
     rollout: Arc<SharedMachine<Rollout>>,
     applied_versions: Arc<AppliedVersions>,
 }
@@ -57,12 +57,16 @@
         members.notify(MembershipEvent::Seeds(cfg.seed_peers.clone()));
         let applied_versions = Arc::new(AppliedVersions::default());
 
-        let gossip = GossipThread {
+        let gossip = GossipDriver {
             members: Arc::clone(&members),
             sender: Arc::clone(&sender),
-            events: events.clone(),
+            sink: RingSink(events.clone()),
+        };
+        let publisher = SeedPublisher {
+            members: Arc::clone(&members),
+            store: Arc::clone(&store),
+            kind: PEERS_KIND,
         };
-        let publisher = SeedPublisher { members: Arc::clone(&members), store: Arc::clone(&store) };
         let config = ConfigThread {
             rollout: Arc::clone(&rollout),
             members: Arc::clone(&members),
@@ -84,12 +88,7 @@
     fn handle_message(&self, from: NodeId, message: ControlMessage) -> ControlReply {
         match message {
             ControlMessage::Gossip(message) => {
-                let event = MembershipEvent::Message(from, message);
-                let is_reply = |it: &_| matches!(it, MembershipAction::Reply(_));
-                match self.members.handle_event(event, is_reply) {
-                    Some(MembershipAction::Reply(reply)) => ControlMessage::Gossip(reply),
-                    _ => ControlMessage::Gossip(GossipMessage::default()),
-                }
+                ControlMessage::Gossip(reply_to_gossip(&self.members, from, message))
             }
             ControlMessage::Config(message) => {
                 let event = RolloutEvent::Message(from, message);
--- a/crates/pollenlever/src/control/mod.rs
+++ b/crates/pollenlever/src/control/mod.rs
@@ -7,9 +7,7 @@
 mod control_error;
 mod control_handle;
 mod control_status;
-mod gossip_thread;
-mod seed_publisher;
-mod shared_machine;
+mod ring_sink;
 
 pub use control::Control;
 pub use control_error::ControlError;
--- a/crates/pollenlever/src/control/gossip_thread.rs
+++ b/crates/pollenlever/src/gossip/gossip_driver.rs
@@ -1,24 +1,39 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pollenlever_core::membership::{Member, Membership, MembershipAction, MembershipEvent};
+use pollenlever_core::id::NodeId;
+use pollenlever_core::membership::{
+    GossipMessage, Member, Membership, MembershipAction, MembershipEvent,
+};
 use pollenlever_core::message::{PeerReply, PeerRequest};
-use pollenlever_core::policy::Event;
 
-use super::shared_machine::SharedMachine;
+use super::{MemberSink, SharedMachine, SharedMembership};
 use crate::peer::SharedPeerSender;
-use crate::ring::RingSender;
 
-/// Runs [`Membership`]: sends its messages to peers and its changes of members to the policy.
-pub(super) struct GossipThread {
-    pub(super) members: Arc<SharedMachine<Membership>>,
-    pub(super) sender: SharedPeerSender,
-    pub(super) events: RingSender<Event>,
+/// Runs [`Membership`]: sends its messages to peers and passes changes of members on.
+pub(crate) struct GossipDriver<S> {
+    pub(crate) members: SharedMembership,
+    pub(crate) sender: SharedPeerSender,
+    pub(crate) sink: S,
 }
 
-impl GossipThread {
-    /// Runs until the state machine is stopped or the policy's event ring is closed.
-    pub(super) async fn run(self) {
+/// Handles a gossip message of a peer and returns the reply.
+pub(crate) fn reply_to_gossip(
+    members: &SharedMachine<Membership>,
+    from: NodeId,
+    message: GossipMessage,
+) -> GossipMessage {
+    let event = MembershipEvent::Message(from, message);
+    let is_reply = |it: &_| matches!(it, MembershipAction::Reply(_));
+    match members.handle_event(event, is_reply) {
+        Some(MembershipAction::Reply(reply)) => reply,
+        _ => GossipMessage::default(),
+    }
+}
+
+impl<S: MemberSink> GossipDriver<S> {
+    /// Runs until the state machine is stopped or the sink has ended.
+    pub(crate) async fn run(self) {
         while !self.members.is_stopped() {
             let actions = self.members.tick(MembershipEvent::Tick);
             if !self.perform(actions) {
@@ -28,17 +43,14 @@
         }
     }
 
-    /// Carries out actions in order. Returns `false` if the policy's event ring is closed.
+    /// Carries out actions in order. Returns `false` if the sink has ended.
     fn perform(&self, actions: Vec<MembershipAction>) -> bool {
         let mut updated: Vec<Member> = Vec::new();
         for action in actions {
             match action {
                 MembershipAction::Updated(member) => updated.push(member),
                 MembershipAction::Removed(node) => {
-                    log::info!("member gone node={node}");
-                    let is_delivered = self.flush(&mut updated)
-                        && self.events.push_blocking(Event::MembersRemoved(vec![node])).is_ok();
-                    if !is_delivered {
+                    if !self.flush(&mut updated) || !self.sink.remove(node) {
                         return false;
                     }
                 }
@@ -50,8 +62,7 @@
     }
 
     fn flush(&self, updated: &mut Vec<Member>) -> bool {
-        updated.is_empty()
-            || self.events.push_blocking(Event::MembersUpdated(std::mem::take(updated))).is_ok()
+        updated.is_empty() || self.sink.update(std::mem::take(updated))
     }
 
     fn send(&self, action: MembershipAction) {
--- a/crates/pollenlever/src/control/shared_machine.rs
+++ b/crates/pollenlever/src/gossip/shared_machine.rs
@@ -13,7 +13,7 @@
 
 /// A state machine that receives events from several threads. One thread, the driver, calls
 /// [`tick`](SharedMachine::tick) and carries out the actions.
-pub(super) struct SharedMachine<P: Policy> {
+pub(crate) struct SharedMachine<P: Policy> {
     inner: Mutex<Inner<P>>,
     start: Instant,
     wake: Notify,
@@ -26,7 +26,7 @@
 }
 
 impl<P: Policy> SharedMachine<P> {
-    pub(super) fn new(state_machine: P) -> SharedMachine<P> {
+    pub(crate) fn new(state_machine: P) -> SharedMachine<P> {
         SharedMachine {
             inner: Mutex::new(Inner { state_machine, actions: Vec::new() }),
             start: Instant::now(),
@@ -37,7 +37,7 @@
 
     /// Handles an event and returns the first action for which `is_immediate` is true. The other
     /// actions are queued for the driver, which is woken.
-    pub(super) fn handle_event(
+    pub(crate) fn handle_event(
         &self,
         event: P::Event,
         is_immediate: impl Fn(&P::Action) -> bool,
@@ -53,12 +53,12 @@
     }
 
     /// Handles an event and queues all of its actions for the driver.
-    pub(super) fn notify(&self, event: P::Event) {
+    pub(crate) fn notify(&self, event: P::Event) {
         self.handle_event(event, |_| false);
     }
 
     /// Handles the passing of time and returns all queued actions, oldest first.
-    pub(super) fn tick(&self, tick: P::Event) -> Vec<P::Action> {
+    pub(crate) fn tick(&self, tick: P::Event) -> Vec<P::Action> {
         let mut inner = self.lock();
         let mut actions = std::mem::take(&mut inner.actions);
         inner.state_machine.handle(self.start.elapsed(), tick, &mut actions);
@@ -66,13 +66,13 @@
     }
 
     /// Calls `read` with the locked state machine.
-    pub(super) fn read<T>(&self, read: impl FnOnce(&P) -> T) -> T {
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&P) -> T) -> T {
         read(&self.lock().state_machine)
     }
 
     /// Waits until an event is handled, the state machine wants a tick, or [`MAX_TICK_INTERVAL`]
     /// has passed.
-    pub(super) async fn wait_for_work(&self) {
+    pub(crate) async fn wait_for_work(&self) {
         let wakeup = self.read(P::next_wakeup);
         let until = wakeup.unwrap_or(Timestamp::MAX).saturating_sub(self.start.elapsed());
         let sleep = tokio::time::sleep(until.clamp(MIN_TICK_INTERVAL, MAX_TICK_INTERVAL));
@@ -83,18 +83,18 @@
     }
 
     /// Time since the state machine was created.
-    pub(super) fn elapsed(&self) -> Timestamp {
+    pub(crate) fn elapsed(&self) -> Timestamp {
         self.start.elapsed()
     }
 
     /// Tells the driver to end, and wakes it.
-    pub(super) fn stop(&self) {
+    pub(crate) fn stop(&self) {
         self.is_stopped.store(true, Ordering::Release);
         self.wake.notify_one();
     }
 
     /// Whether the driver should end.
-    pub(super) fn is_stopped(&self) -> bool {
+    pub(crate) fn is_stopped(&self) -> bool {
         self.is_stopped.load(Ordering::Acquire)
     }
 
--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod entry;
 pub mod gate;
+mod gossip;
 pub mod manifest;
 pub mod mesh;
 pub mod node;
--- /dev/null
+++ b/crates/pollenlever/src/mesh/departure_store.rs
@@ -0,0 +1,184 @@
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::timeout;
+
+use super::MeshShared;
+use super::departure_object::DepartureObject;
+use super::log_event::{LogEvent, log_event};
+use super::store_backoff::StoreBackoff;
+use crate::store::{ABSENT_VERSION, NamedObject, Object, Revision, SharedObjectApi, StoreError};
+
+/// Kind of the store objects that hold the departures of targets.
+const DEPARTURES_KIND: &str = "pollenlever-departures";
+/// Longest backoff between failed calls.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Longest wait at startup for the object that an earlier process of this node stored.
+const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time between two searches for objects whose nodes are gone. An object is deleted if its node is
+/// missing in two searches in a row.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Keeps the departure of the target beside this node in the store, so that a restart of the node
+/// does not take a target that has left back into use.
+///
+/// Only departures are stored: a node whose target has not left makes one call, at its start.
+pub(super) struct DepartureStore {
+    shared: Arc<MeshShared>,
+    store: SharedObjectApi,
+    /// Version of this node's object; `ABSENT_VERSION` if there is none.
+    version: Revision,
+    /// The stored departure; `None` if there is none or the object has another form.
+    stored: Option<DepartureObject>,
+}
+
+impl DepartureStore {
+    pub(super) fn new(shared: Arc<MeshShared>, store: SharedObjectApi) -> DepartureStore {
+        DepartureStore { shared, store, version: ABSENT_VERSION, stored: None }
+    }
+
+    /// Restores the departure that an earlier process stored, and stores later ones, for as long as
+    /// the node runs.
+    pub(super) async fn run(mut self) {
+        match timeout(RECOVERY_TIMEOUT, self.read_until_answered()).await {
+            Ok(found) => self.restore(found),
+            Err(_) => {
+                let kind = DEPARTURES_KIND;
+                log_event!(LogEvent::StoreLost, "kind={kind} reason=\"read timeout\"");
+            }
+        }
+        self.shared.mark_target_state_restored();
+        let mut backoff = StoreBackoff::new(MAX_BACKOFF);
+        loop {
+            match self.update().await {
+                Ok(()) => {
+                    backoff.reset();
+                    self.shared.departure_changed.notified().await;
+                }
+                Err(StoreError::Conflict(current)) => {
+                    self.record_found(Some(current));
+                    backoff.pause().await;
+                }
+                Err(err) => {
+                    log_event!(LogEvent::OwnObjectNotStored, "reason={:?}", err.to_string());
+                    backoff.pause().await;
+                }
+            }
+        }
+    }
+
+    async fn read_until_answered(&self) -> Option<Object> {
+        let mut backoff = StoreBackoff::new(MAX_BACKOFF);
+        loop {
+            let name = self.shared.settings().name;
+            let read = self.store.get(DEPARTURES_KIND, &name).await;
+            self.shared.metrics.record_store_call(read.is_ok());
+            match read {
+                Ok(found) => return found,
+                Err(err) => {
+                    if !backoff.is_failing() {
+                        let reason = err.to_string();
+                        log_event!(LogEvent::StoreLost, "kind={DEPARTURES_KIND} reason={reason:?}");
+                    }
+                    backoff.pause().await;
+                }
+            }
+        }
+    }
+
+    fn restore(&mut self, found: Option<Object>) {
+        self.record_found(found);
+        if let Some(stored) = &self.stored {
+            log_event!(LogEvent::TargetLeaving, "source=store instance={}", stored.instance);
+            let instance = stored.instance.as_str().into();
+            self.shared.gate.record_past_departure(instance, stored.started_ms);
+        }
+    }
+
+    fn record_found(&mut self, found: Option<Object>) {
+        self.version = found.as_ref().map_or(ABSENT_VERSION, |it| it.version);
+        self.stored = found.and_then(|it| DepartureObject::from_value(&it.value));
+    }
+
+    /// Brings the store's object in line with the target: writes its departure, and deletes the
+    /// object once another target is in use.
+    async fn update(&mut self) -> Result<(), StoreError> {
+        let name = self.shared.settings().name;
+        let departed = self.departed();
+        if departed == self.stored && (departed.is_some() || self.version == ABSENT_VERSION) {
+            return Ok(());
+        }
+        let Some(departure) = &departed else {
+            let deleted = self.store.delete(DEPARTURES_KIND, &name, self.version).await;
+            self.shared.metrics.record_store_call(deleted.is_ok());
+            deleted?;
+            self.record_found(None);
+            return Ok(());
+        };
+        let value = serde_json::to_value(departure)
+            .map_err(|err| StoreError::Malformed(err.to_string()))?;
+        let written = self.store.put(DEPARTURES_KIND, &name, self.version, &value).await;
+        self.shared.metrics.record_store_call(written.is_ok());
+        self.version = written?;
+        self.stored = departed;
+        Ok(())
+    }
+
+    /// The departure to keep; `None` while a target is in use.
+    fn departed(&self) -> Option<DepartureObject> {
+        let gate = &self.shared.gate;
+        let (instance, started_ms) = match gate.target() {
+            Some((report, _)) if !report.is_draining => return None,
+            Some((report, _)) => (report.instance, report.started),
+            None => gate.last_departed()?,
+        };
+        let instance = instance.to_string();
+        Some(DepartureObject { peer: self.shared.me.addr, instance, started_ms })
+    }
+}
+
+/// Deletes the departures of nodes that are gone for good, while this node is one of those chosen
+/// for duties at the store.
+pub(super) async fn delete_orphaned_departures(shared: Arc<MeshShared>, store: SharedObjectApi) {
+    let mut missing: BTreeSet<String> = BTreeSet::new();
+    loop {
+        tokio::time::sleep(CLEANUP_INTERVAL).await;
+        if !shared.is_store_watcher() {
+            missing.clear();
+            continue;
+        }
+        match store.list_allowing_stale(DEPARTURES_KIND).await {
+            Ok(list) => missing = delete_missing(&shared, &store, &missing, list.objects).await,
+            Err(err) => log::info!("departures not listed reason={:?}", err.to_string()),
+        }
+    }
+}
+
+/// Deletes the objects whose nodes are missing now and were before. Returns those missing now.
+async fn delete_missing(
+    shared: &MeshShared,
+    store: &SharedObjectApi,
+    missing_before: &BTreeSet<String>,
+    objects: Vec<NamedObject>,
+) -> BTreeSet<String> {
+    let mut missing = BTreeSet::new();
+    for object in objects {
+        let Some(departure) = DepartureObject::from_value(&object.value) else { continue };
+        let is_member =
+            shared.members.read(|it| it.table().live().any(|it| it.node.addr == departure.peer));
+        if is_member {
+            continue;
+        }
+        if missing_before.contains(&object.name)
+            && let Err(err) = store.delete(DEPARTURES_KIND, &object.name, object.version).await
+        {
+            let (name, reason) = (&object.name, err.to_string());
+            log::info!(
+                "departure of a node that is gone not deleted name={name} reason={reason:?}"
+            );
+        }
+        missing.insert(object.name);
+    }
+    missing
+}
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -17,7 +17,6 @@
     MemberUp,
     MemberLost,
     MemberGone,
-    MemberIgnored,
     TargetReady,
     TargetLeaving,
     TargetClosed,
@@ -34,7 +33,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 26] = [
+    pub const ALL: [LogEvent; 25] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -48,7 +47,6 @@
         LogEvent::MemberUp,
         LogEvent::MemberLost,
         LogEvent::MemberGone,
-        LogEvent::MemberIgnored,
         LogEvent::TargetReady,
         LogEvent::TargetLeaving,
         LogEvent::TargetClosed,
@@ -84,7 +82,6 @@
             LogEvent::MemberUp => "member-up",
             LogEvent::MemberLost => "member-lost",
             LogEvent::MemberGone => "member-gone",
-            LogEvent::MemberIgnored => "member-ignored",
             LogEvent::TargetReady => "target-ready",
             LogEvent::TargetLeaving => "target-leaving",
             LogEvent::TargetClosed => "target-closed",
@@ -107,7 +104,6 @@
             LogEvent::StoreLost
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
-            | LogEvent::MemberIgnored
             | LogEvent::TargetClosed
             | LogEvent::TargetCrashed => Level::Warn,
             _ => Level::Info,
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -3,10 +3,12 @@
 use bytes::Bytes;
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::NodeId;
+use pollenlever_core::membership::MembershipEvent;
 use pollenlever_core::mesh::{AttemptReply, MeshReply, MeshRequest};
 use pollenlever_core::message::{PeerReply, PeerRequest};
 
 use super::MeshShared;
+use crate::gossip::reply_to_gossip;
 use crate::peer::{PeerHandler, PeerReplyFuture};
 
 /// Handles requests from other nodes of the mesh.
@@ -15,23 +17,23 @@
 }
 
 impl MeshHandler {
-    async fn reply(shared: Arc<MeshShared>, req: MeshRequest, body: Bytes) -> (MeshReply, Bytes) {
+    async fn reply(
+        shared: Arc<MeshShared>,
+        from: NodeId,
+        req: MeshRequest,
+        body: Bytes,
+    ) -> (MeshReply, Bytes) {
         match req {
             MeshRequest::Attempt(head) => {
-                let (reply, body) = shared.gate.attempt(head, body).await;
+                let (reply, body) = shared.gate.attempt(*head, body).await;
                 let reply = AttemptReply { routes: shared.route_version(), ..reply };
                 (MeshReply::Attempt(reply), body)
             }
             MeshRequest::Seal(attempt) => {
                 (MeshReply::Sealed(shared.gate.seal(attempt)), Bytes::new())
             }
-            MeshRequest::Announce(member, routes) => {
-                let node = member.node;
-                if shared.on_member_updated(member) {
-                    shared.send_suspicions(node);
-                }
-                shared.fetch_routes_if_newer(node, routes);
-                (MeshReply::Announced(shared.own_member(), shared.route_version()), Bytes::new())
+            MeshRequest::OfferRoutes(version) => {
+                (shared.on_routes_offered(from, version), Bytes::new())
             }
             MeshRequest::Suspects(suspicions) => {
                 shared.gate.merge_suspicions(&suspicions);
@@ -46,16 +48,29 @@
 }
 
 impl PeerHandler for MeshHandler {
-    fn handle(&self, _from: NodeId, req: PeerRequest, body: Bytes) -> PeerReplyFuture {
+    fn handle(&self, from: NodeId, req: PeerRequest, body: Bytes) -> PeerReplyFuture {
         let shared = Arc::clone(&self.shared);
         Box::pin(async move {
             match req {
                 PeerRequest::Mesh(req) => {
-                    let (reply, body) = MeshHandler::reply(shared, req, body).await;
+                    let (reply, body) = MeshHandler::reply(shared, from, req, body).await;
                     Some((PeerReply::Mesh(reply), body))
                 }
+                PeerRequest::Gossip(message) => {
+                    let reply = reply_to_gossip(&shared.members, from, message);
+                    Some((PeerReply::Gossip(reply), Bytes::new()))
+                }
                 _ => Some((PeerReply::Refused(ErrorKind::Internal), Bytes::new())),
             }
         })
     }
+
+    /// A node that contacts an earlier process of this one does not know this process yet, nor may
+    /// this one know any other node, such as after a restart while the store is down.
+    fn handle_misaddressed(&self, from: NodeId) {
+        let members = &self.shared.members;
+        if members.read(|it| it.table().get(from.addr).is_none()) {
+            members.notify(MembershipEvent::Seeds(vec![from.addr]));
+        }
+    }
 }
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -8,17 +8,21 @@
 use tokio::runtime::Handle;
 
 use super::control_server::serve_control;
+use super::departure_store::{DepartureStore, delete_orphaned_departures};
 use super::edge_server::EdgeServer;
 use super::log_event::{LogEvent, log_event};
-use super::member_watch::MemberWatch;
+use super::member_changes::MemberChanges;
 use super::mesh_handler::MeshHandler;
 use super::mesh_metrics::MetricsHandler;
 use super::route_watch::RouteWatch;
 use super::{MeshShared, SharedMeshPlatform};
+use crate::gossip::{GossipDriver, SeedPublisher};
 use crate::node::NodeStartError;
 use crate::peer::{PeerClient, PeerOptions, PeerServer};
 use crate::settings::MeshSettings;
 
+/// Kind of the store objects that list nodes through which new nodes join.
+const SEEDS_KIND: &str = "pollenlever-seeds";
 /// Time for which a leaving node still accepts requests, so that its callers can notice that it is
 /// no longer ready.
 const DRAIN_DELAY: Duration = Duration::from_millis(2600);
@@ -34,7 +38,6 @@
 /// A running node of a mesh: the process that routes, admits and retries the requests of its VM.
 pub struct MeshNode {
     shared: Arc<MeshShared>,
-    members: MemberWatch,
 }
 
 impl MeshNode {
@@ -50,6 +53,7 @@
         let addr = cfg.advertise.unwrap_or(cfg.peer);
         let me = NodeId { addr, incarnation: new_incarnation() };
         let own = Member {
+            version: unix_time_ms(),
             entry: cfg.callers_address,
             region: cfg.region.as_str().into(),
             zone: cfg.zone.as_str().into(),
@@ -75,10 +79,7 @@
         }
         let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
         tokio::spawn(edge.serve(bind(cfg.callers_address).await?));
-        let members = MemberWatch::new(Arc::clone(&shared), platform.store());
-        tokio::spawn(members.clone().run());
-        tokio::spawn(Arc::clone(&shared).broadcast_suspicions());
-        tokio::spawn(RouteWatch { shared: Arc::clone(&shared), platform }.run());
+        spawn_control(&shared, platform);
         log_event!(
             LogEvent::NodeStarted,
             "node={me} name={} zone={} service={}",
@@ -86,7 +87,7 @@
             cfg.zone,
             cfg.service
         );
-        Ok(MeshNode { shared, members })
+        Ok(MeshNode { shared })
     }
 
     /// State that the parts of the node share.
@@ -118,8 +119,6 @@
         let grace = self.shared.settings().stop_grace_period;
         log_event!(LogEvent::NodeLeaving, "grace_ms={}", grace.as_millis());
         self.shared.start_leaving();
-        let members = self.members.clone();
-        tokio::spawn(async move { members.remove_own_object().await });
         tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
         self.shared.stop();
         loop {
@@ -135,6 +134,28 @@
     }
 }
 
+/// Starts the exchange of members and routes with other nodes and with the store.
+fn spawn_control(shared: &Arc<MeshShared>, platform: SharedMeshPlatform) {
+    let driver = GossipDriver {
+        members: Arc::clone(&shared.members),
+        sender: Arc::new(shared.peers.clone()),
+        sink: MemberChanges { shared: Arc::clone(shared) },
+    };
+    let seeds = SeedPublisher {
+        members: Arc::clone(&shared.members),
+        store: platform.store(),
+        kind: SEEDS_KIND,
+    };
+    let departures = DepartureStore::new(Arc::clone(shared), platform.store());
+    tokio::spawn(driver.run());
+    tokio::spawn(seeds.run());
+    tokio::spawn(departures.run());
+    tokio::spawn(delete_orphaned_departures(Arc::clone(shared), platform.store()));
+    tokio::spawn(Arc::clone(shared).spread_routes());
+    tokio::spawn(Arc::clone(shared).broadcast_suspicions());
+    tokio::spawn(RouteWatch { shared: Arc::clone(shared), platform }.run());
+}
+
 async fn bind(addr: SocketAddr) -> Result<TcpListener, NodeStartError> {
     TcpListener::bind(addr).await.map_err(|source| NodeStartError::Bind { addr, source })
 }
@@ -142,8 +163,11 @@
 /// Creates the incarnation, the number that identifies this start of the node. It grows from start
 /// to start, so that others know which of two processes at one address is the later one.
 fn new_incarnation() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let millis = since_epoch.as_millis() as u64;
     let random = u64::from(rand::random::<u16>());
-    (millis << RANDOM_BITS) | random
+    (unix_time_ms() << RANDOM_BITS) | random
+}
+
+fn unix_time_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.as_millis() as u64
 }
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -1,15 +1,17 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use pollenlever_core::config::ServiceConfig;
 use pollenlever_core::id::{ChainId, NodeId, ServiceName};
-use pollenlever_core::membership::{Member, TargetState};
+use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, LostMembers, MemberChange,
-    MemberTable, RegistryChange, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, RegistryChange, RouteTable,
+    RouteVersion, StartTime, TargetReport, WeightedSplit,
 };
+use pollenlever_core::policy::TargetNotice;
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
 
@@ -19,12 +21,23 @@
 use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
+use crate::gossip::{SharedMachine, SharedMembership};
 use crate::node::{Clock, InFlightCounter};
 use crate::peer::PeerClient;
 use crate::settings::MeshSettings;
 
 /// Time over which the load share of a new target grows to its full value.
 const RAMP_UP: Duration = Duration::from_secs(3);
+/// Time for which changes of members are collected before they are pushed together. It is short, as
+/// requests to a target that leaves are refused until its departure is known.
+const GOSSIP_PUSH_INTERVAL: Duration = Duration::from_millis(20);
+/// Members of a region that watch the store for all of its nodes.
+const WATCHERS_PER_REGION: usize = 3;
+/// Seed for choosing the watchers.
+const WATCHER_SEED: u64 = 0x7761_7463_6865;
+/// Time after the start during which a node does not watch the store, because it does not know
+/// enough members yet to tell whether it is one of the watchers.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
 
 /// State that the parts of a mesh node share.
 pub struct MeshShared {
@@ -46,8 +59,12 @@
     /// Limits log lines about single requests.
     pub(super) request_log: RequestLog,
     pub(super) metrics: MeshMetrics,
-    /// Signalled when this node's own member record has changed.
-    pub(super) own_member_changed: Notify,
+    /// The other nodes, as gossip tells.
+    pub(super) members: SharedMembership,
+    /// Signalled when the target has left or another one is in use.
+    pub(super) departure_changed: Notify,
+    /// Signalled when other routes are in force.
+    pub(super) routes_changed: Notify,
     state: Mutex<State>,
     last_id: AtomicU64,
     leaving: AtomicBool,
@@ -63,14 +80,11 @@
     pub(super) routes_since: Duration,
     pub(super) splits: HashMap<Arc<str>, WeightedSplit>,
     pub(super) routing: TwoChoices,
-    pub(super) members: MemberTable,
     /// Members that do not answer and are probed.
-    pub(super) lost: LostMembers,
-    /// Names of the members' objects in the store.
-    pub(super) object_names: HashMap<NodeId, String>,
-    pub(super) downstream: Arc<Downstream>,
+    pub(super) lost: BTreeMap<SocketAddr, NodeId>,
+    /// When another node was last in contact with this one, on the node's clock.
+    pub(super) last_contact: Duration,
     pub(super) call_classifier: CallClassifier,
-    pub(super) own: Member,
 }
 
 impl MeshShared {
@@ -96,13 +110,15 @@
             routes_since: Duration::ZERO,
             splits: HashMap::new(),
             routing,
-            members: MemberTable::default(),
-            lost: LostMembers::default(),
-            object_names: HashMap::new(),
-            downstream: Arc::clone(&downstream),
+            lost: BTreeMap::new(),
+            last_contact: Duration::ZERO,
             call_classifier: CallClassifier::default(),
-            own,
         };
+        let membership = MembershipSettings {
+            push_interval: GOSSIP_PUSH_INTERVAL,
+            ..MembershipSettings::default()
+        };
+        let membership = Membership::new(membership, own, me.incarnation);
         let gate =
             Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
         MeshShared {
@@ -116,7 +132,9 @@
             open_connections: InFlightCounter::default(),
             request_log: RequestLog::default(),
             metrics,
-            own_member_changed: Notify::new(),
+            members: Arc::new(SharedMachine::new(membership)),
+            departure_changed: Notify::new(),
+            routes_changed: Notify::new(),
             state: Mutex::new(state),
             last_id: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
@@ -126,9 +144,20 @@
         }
     }
 
-    /// Whether callers may send new requests: routes are known and the node is not leaving.
+    /// Whether callers may send new requests: routes and other nodes are known and the node is not
+    /// leaving. A node that finds no other one becomes ready after a moment.
     pub fn is_ready(&self) -> bool {
-        !self.is_leaving() && self.lock().routes.is_some()
+        !self.is_leaving() && self.lock().routes.is_some() && self.has_joined()
+    }
+
+    fn has_joined(&self) -> bool {
+        self.clock.now() >= SETTLE_TIME || self.members.read(Membership::has_joined)
+    }
+
+    /// Whether this node is one of those that watch the store for all nodes of their region.
+    pub(super) fn is_store_watcher(&self) -> bool {
+        self.clock.now() >= SETTLE_TIME
+            && self.members.read(|it| it.is_chosen_in_region(WATCHER_SEED, WATCHERS_PER_REGION))
     }
 
     /// Whether the node has restored what its target reported to an earlier process of the node, or
@@ -142,7 +171,7 @@
     }
 
     /// Handles a report of the target about itself.
-    pub fn handle_target_report(self: &Arc<MeshShared>, report: TargetReport) {
+    pub fn handle_target_report(&self, report: TargetReport) {
         let text = format!(
             "instance={} started={} sequence={}",
             report.instance, report.started, report.sequence
@@ -152,18 +181,13 @@
     }
 
     /// Handles a notice of the target that it is shutting down.
-    pub fn handle_target_departure(
-        self: &Arc<MeshShared>,
-        instance: &InstanceId,
-        started: Option<StartTime>,
-    ) {
+    pub fn handle_target_departure(&self, instance: &InstanceId, started: Option<StartTime>) {
         let change = self.gate.handle_departure(instance, started);
         self.log_target_change(change, &format!("instance={instance}"));
-        // Stored, so that a later process of this node does not take the target for ready.
-        self.own_member_changed.notify_one();
+        self.departure_changed.notify_one();
     }
 
-    fn log_target_change(self: &Arc<MeshShared>, change: RegistryChange, what: &str) {
+    fn log_target_change(&self, change: RegistryChange, what: &str) {
         match change {
             RegistryChange::Opened => log_event!(LogEvent::TargetReady, "{what}"),
             RegistryChange::Closed => log_event!(LogEvent::TargetLeaving, "{what}"),
@@ -173,39 +197,28 @@
             RegistryChange::Refreshed => {}
         }
         if matches!(change, RegistryChange::Opened | RegistryChange::Closed) {
-            self.refresh_own_member();
+            self.announce_target();
         }
     }
 
-    /// Updates this node's member record from the target's state and announces it to all members.
-    pub(super) fn refresh_own_member(self: &Arc<MeshShared>) {
-        let target = self.gate.target();
-        let own = {
-            let mut state = self.lock();
-            let own = &mut state.own;
-            own.version += 1;
-            match target {
-                Some((report, serves)) => {
-                    own.service = Some(report.service);
-                    own.slots = report.slots;
-                    own.state = match (serves, report.cold_remaining.is_zero()) {
-                        (true, true) => TargetState::Ready,
-                        (true, false) => TargetState::Cold,
-                        (false, _) => TargetState::Leaving,
-                    };
-                }
-                None => own.state = TargetState::Absent,
-            }
-            own.clone()
+    /// Tells the other nodes about the state of the target beside this one.
+    fn announce_target(&self) {
+        let notice = match self.gate.target() {
+            Some((report, true)) => TargetNotice::Announce {
+                service: report.service,
+                slots: Some(report.slots),
+                cold: !report.cold_remaining.is_zero(),
+            },
+            Some((_, false)) => TargetNotice::Leaving,
+            None => TargetNotice::Exited,
         };
-        let now = self.clock.now();
-        self.lock().routing.update_members(now, std::slice::from_ref(&own));
-        self.own_member_changed.notify_one();
-        self.announce_to_all();
+        self.members.notify(MembershipEvent::Target(notice));
+        self.departure_changed.notify_one();
     }
 
-    pub(super) fn own_member(&self) -> Member {
-        self.lock().own.clone()
+    /// This node as the other nodes know it.
+    pub fn member(&self) -> Member {
+        self.members.read(|it| it.me().clone())
     }
 
     /// Service that the target beside this node runs.
@@ -238,12 +251,6 @@
         self.clock.now().saturating_sub(self.lock().routes_since)
     }
 
-    /// Number of other nodes in use, and of lost ones that do not answer.
-    pub(super) fn member_counts(&self) -> (usize, usize) {
-        let state = self.lock();
-        (state.members.len(), state.lost.len())
-    }
-
     /// Applies routes, unless the ones in force have the same or a later version.
     pub(super) fn apply_routes(&self, table: RouteTable, source: &str) {
         let mut state = self.lock();
@@ -276,6 +283,8 @@
         state.splits.retain(is_kept);
         state.call_classifier.retain(|name| table.routes.iter().any(|it| it.name == *name));
         state.routes = Some(Arc::new(table));
+        drop(state);
+        self.routes_changed.notify_one();
     }
 
     /// Limits for connections of callers.
@@ -326,10 +335,10 @@
     }
 
     /// Refuses requests of other nodes from now on; the node is no longer ready for callers.
-    pub(super) fn start_leaving(self: &Arc<MeshShared>) {
+    pub(super) fn start_leaving(&self) {
         self.leaving.store(true, Ordering::Relaxed);
         self.gate.close();
-        self.refresh_own_member();
+        self.members.notify(MembershipEvent::Leave);
     }
 
     /// Stops accepting requests from callers.
@@ -347,12 +356,6 @@
         self.gate.blocked_request_count()
     }
 
-    /// Number of other nodes whose targets accept requests.
-    pub fn serving_member_count(&self) -> usize {
-        let serves = |it: &&Member| matches!(it.state, TargetState::Ready | TargetState::Cold);
-        self.lock().members.iter().filter(serves).count()
-    }
-
     /// Whether no request is open, of a caller or at the gate, and no connection of a caller.
     pub(super) fn is_idle(&self) -> bool {
         self.in_flight_work.is_idle() && self.open_connections.is_idle()
@@ -369,16 +372,3 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-impl State {
-    /// Applies changes of the members to the choice of gates and to the shares of the retry budget.
-    pub(super) fn apply(&mut self, now: Duration, changes: Vec<MemberChange>) {
-        self.downstream.set_node_count(self.members.len() + self.lost.len() + 1);
-        for change in changes {
-            match change {
-                MemberChange::Up(member) => self.routing.update_members(now, &[member]),
-                MemberChange::Gone(node) => self.routing.remove_members(now, &[node]),
-            }
-        }
-    }
-}
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -228,10 +228,10 @@
         body: Bytes,
     ) -> Result<(AttemptReply, Bytes), SendFailure> {
         let id = head.request_id.clone();
-        let req = PeerRequest::Mesh(MeshRequest::Attempt(head));
+        let req = PeerRequest::Mesh(MeshRequest::Attempt(Box::new(head)));
         match self.shared.peers.exchange(gate, req, body).await {
             Ok((PeerReply::Mesh(MeshReply::Attempt(reply)), body)) => {
-                self.shared.fetch_routes_if_newer(gate, reply.routes);
+                self.shared.on_version_in_reply(gate, reply.routes);
                 Ok((reply, body))
             }
             // Another process has the address now; it refused the attempt without reading it.
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -6,62 +6,98 @@
 use super::log_event::{LogEvent, log_event};
 use super::store_backoff::{StoreBackoff, wait_before_relist};
 use super::{MeshShared, SharedMeshPlatform};
-use crate::store::{ObjectList, Revision, StoreError};
+use crate::store::{ObjectList, Revision, SharedObjectApi, StoreError};
 
 /// Timeout of one watch call; the platform allows no longer one.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
-
-/// Longest backoff between failed watches.
+/// Longest backoff between failed calls, and between reads of a node that has no routes yet.
 const MAX_BACKOFF: Duration = Duration::from_millis(1500);
+/// First wait between two reads of a node that has no routes yet; doubles with each read.
+const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two checks whether this node has to watch the store.
+const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Keeps the routes in force in step with the store.
+/// Keeps the routes in force in step with the store, on the few nodes that watch it for all others,
+/// and on every node that has no routes yet or is cut off from the other nodes.
 pub(super) struct RouteWatch {
     pub(super) shared: Arc<MeshShared>,
     pub(super) platform: SharedMeshPlatform,
 }
 
+/// Position of a watch in the store's sequence of updates.
+#[derive(Debug, Default)]
+struct WatchPosition {
+    since: Option<Revision>,
+    /// Whether the store no longer had the changes after the position. A stale list may then be
+    /// older than the history that the store still has.
+    lost_history: bool,
+}
+
 impl RouteWatch {
-    /// Watches the store for as long as the node runs.
+    /// Runs for as long as the node does.
     pub(super) async fn run(self) {
         let store = self.platform.store();
-        let (kind, _) = self.platform.routes_object();
         let mut backoff = StoreBackoff::new(MAX_BACKOFF);
-        let mut since: Option<Revision> = None;
-        let mut lost_history = false;
+        let mut position = WatchPosition::default();
+        let mut poll_interval = MIN_POLL_INTERVAL;
         loop {
-            let read = match since {
-                Some(since) => store.watch(kind, since, WATCH_TIMEOUT).await,
-                // A stale list may be older than the history that the store still has.
-                None if lost_history => store.list(kind).await,
-                None => store.list_allowing_stale(kind).await,
-            };
-            match read {
+            let watches = self.shared.is_store_watcher() || self.shared.is_out_of_contact();
+            let has_routes = self.shared.routes().is_some();
+            if has_routes && !watches {
+                position = WatchPosition::default();
+                tokio::time::sleep(DUTY_CHECK_INTERVAL).await;
+                continue;
+            }
+            match self.read(&store, &position).await {
                 Ok(list) => {
                     self.shared.metrics.record_store_call(true);
                     if backoff.reset() {
+                        let (kind, _) = self.platform.routes_object();
                         log_event!(LogEvent::StoreRegained, "kind={kind}");
                     }
-                    since = Some(list.revision);
+                    position.since = watches.then_some(list.revision);
                     self.apply_list(&list);
+                    if !watches && self.shared.routes().is_none() {
+                        tokio::time::sleep(poll_interval).await;
+                        poll_interval = (poll_interval * 2).min(MAX_BACKOFF);
+                    }
                 }
                 Err(StoreError::HistoryExpired) => {
                     self.shared.metrics.record_store_call(false);
-                    since = None;
-                    lost_history = true;
+                    position = WatchPosition { since: None, lost_history: true };
                     wait_before_relist().await;
                 }
                 Err(err) => {
-                    self.shared.metrics.record_store_call(false);
-                    if !backoff.is_failing() {
-                        let reason = err.to_string();
-                        log_event!(LogEvent::StoreLost, "kind={kind} reason={reason:?}");
-                    }
+                    self.record_failure(&backoff, &err);
                     backoff.pause().await;
                 }
             }
         }
     }
 
+    async fn read(
+        &self,
+        store: &SharedObjectApi,
+        position: &WatchPosition,
+    ) -> Result<ObjectList, StoreError> {
+        let (kind, _) = self.platform.routes_object();
+        match position {
+            WatchPosition { since: Some(since), .. } => {
+                store.watch(kind, *since, WATCH_TIMEOUT).await
+            }
+            WatchPosition { lost_history: true, .. } => store.list(kind).await,
+            WatchPosition { .. } => store.list_allowing_stale(kind).await,
+        }
+    }
+
+    fn record_failure(&self, backoff: &StoreBackoff, err: &StoreError) {
+        self.shared.metrics.record_store_call(false);
+        if !backoff.is_failing() {
+            let ((kind, _), reason) = (self.platform.routes_object(), err.to_string());
+            log_event!(LogEvent::StoreLost, "kind={kind} reason={reason:?}");
+        }
+    }
+
     fn apply_list(&self, list: &ObjectList) {
         let (_, name) = self.platform.routes_object();
         for object in list.objects.iter().filter(|it| it.name == name) {
--- a/crates/pollenlever/src/peer/peer_handler.rs
+++ b/crates/pollenlever/src/peer/peer_handler.rs
@@ -13,6 +13,9 @@
 pub trait PeerHandler: Send + Sync {
     /// Handles a request. The future is dropped if the peer resets the stream.
     fn handle(&self, from: NodeId, req: PeerRequest, body: Bytes) -> PeerReplyFuture;
+
+    /// Handles the news that a peer addressed another process at this node's address.
+    fn handle_misaddressed(&self, _from: NodeId) {}
 }
 
 /// A handler that the connections of a server share.
--- a/crates/pollenlever/src/peer/serve_stream.rs
+++ b/crates/pollenlever/src/peer/serve_stream.rs
@@ -48,6 +48,7 @@
     let is_for_any_incarnation =
         frame.to == ANY_INCARNATION && accepts_any_incarnation(&frame.request);
     if frame.to != server.local_node.incarnation && !is_for_any_incarnation {
+        server.handler.handle_misaddressed(frame.from);
         return Some((PeerReply::Refused(ErrorKind::WrongIncarnation), Bytes::new()));
     }
     tokio::select! {
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crash;
 mod drain;
+mod gossip_peer;
 mod hangup;
 mod memory_store;
 mod once;
