Read and show the rate limit that a target states in its answers

Change: the gate reads the two headers of an answer (rate limit, leaving), logs a line when they change (target-statement) and shows the rate as a gauge (target_rate_limit). Nothing acts on them yet. An unreadable rate keeps the one before.

--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -9,7 +9,7 @@
 use pollenlever_core::id::{AttemptId, ContentDigest, StreamId};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, AttemptStage, CrashSuspects, InstanceId, Lineage, MeshAttempt,
-    RequestClass, RunningRequest,
+    RequestClass, RunningRequest, StartTime,
 };
 use pollenlever_core::message::{GateLoad, Suspicion};
 use tokio::sync::{Notify, oneshot};
@@ -23,6 +23,7 @@
 use super::slot_guard::SlotGuard;
 use super::target_client::TargetClient;
 use super::target_result::TargetResult;
+use super::target_run::TargetRun;
 use crate::node::Clock;
 
 /// Customer of all requests: the mesh does not tell customers apart.
@@ -46,6 +47,8 @@
 /// A run of an attempt that got a slot.
 pub(super) struct RunStart {
     pub(super) instance: InstanceId,
+    /// Start time of the target's process.
+    pub(super) process_started: StartTime,
     pub(super) digest: ContentDigest,
     /// Start of the run on the node's clock.
     pub(super) at: Duration,
@@ -209,10 +212,9 @@
         if !state.ledger.start(head.id) {
             return Err(refused(ErrorKind::Overloaded, None));
         }
-        let serving = state.registry.serving();
-        let instance = serving.map(|it| it.instance.clone());
-        let instance = instance.ok_or_else(|| refused(ErrorKind::NoTarget, None))?;
-        Ok(RunStart { instance, digest, at: now, time_left: deadline - now })
+        let target = state.registry.serving().ok_or_else(|| refused(ErrorKind::NoTarget, None))?;
+        let (instance, process_started) = (target.instance.clone(), target.started);
+        Ok(RunStart { instance, process_started, digest, at: now, time_left: deadline - now })
     }
 
     async fn run(
@@ -223,10 +225,11 @@
         body: Bytes,
     ) -> (AttemptReply, Bytes) {
         let run = self.client.run(&start.instance, &head, start.time_left, body);
-        let result = match tokio::time::timeout(start.time_left, run).await {
-            Ok(result) => result,
-            Err(_) => TargetResult::TimedOut,
-        };
+        let run = tokio::time::timeout(start.time_left, run).await;
+        let TargetRun { result, statement } = run.unwrap_or_else(|_| TargetResult::TimedOut.into());
+        if let Some(statement) = statement {
+            self.record_statement(&start, statement);
+        }
         slot.record_end(self.run_outcome(&result));
         drop(slot);
         self.record_result(&head, start.digest, &result);
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -7,8 +7,8 @@
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, MeshAttempt,
-    RunningRequests, StartTime, TargetRegistry,
+    AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, LatestStatement,
+    MeshAttempt, RunningRequests, StartTime, TargetRegistry,
 };
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
@@ -23,6 +23,8 @@
 /// State of a gate: its target, and the requests that are queued or running.
 pub(super) struct GateState {
     pub(super) registry: TargetRegistry,
+    /// What the target states about itself in its answers.
+    pub(super) statement: LatestStatement,
     pub(super) admission: PriorityAdmission,
     pub(super) chain_admission: ChainAdmission,
     pub(super) waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
@@ -43,6 +45,7 @@
     fn default() -> GateState {
         GateState {
             registry: TargetRegistry::default(),
+            statement: LatestStatement::default(),
             admission: PriorityAdmission::new(AdmissionSettings {
                 limit: LimitKind::Failures,
                 ..AdmissionSettings::default()
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -1,8 +1,14 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use pollenlever_core::mesh::{DepartedTarget, InstanceId, RegistryChange, StartTime, TargetReport};
+use pollenlever_core::mesh::{
+    DepartedTarget, InstanceId, ProcessStatement, RegistryChange, RequestsPerSecond, StartTime,
+    TargetReport, TargetStatement,
+};
 
-use super::gate::Gate;
+use super::answer_statement::AnswerStatement;
+use super::gate::{Gate, RunStart};
+use super::log_event::{LogEvent, log_event};
+use super::stated_rate::StatedRate;
 
 /// The target beside the node: what it reports about itself, and when it leaves.
 impl Gate {
@@ -57,6 +63,33 @@
         self.lock().registry.last_departed().cloned()
     }
 
+    /// Records what the target stated about itself in the answer to a run.
+    pub(super) fn record_statement(&self, start: &RunStart, read: AnswerStatement) {
+        let mut state = self.lock();
+        let known = state.statement.get(&start.instance, start.process_started);
+        let rate_limit = match read.rate_limit {
+            StatedRate::Absent => None,
+            StatedRate::Limited(limit) => Some(limit),
+            StatedRate::Unreadable => known.rate_limit,
+        };
+        let statement = TargetStatement { rate_limit, is_leaving: read.is_leaving };
+        let said = ProcessStatement {
+            instance: start.instance.clone(),
+            started: start.process_started,
+            statement,
+        };
+        if let Some(before) = state.statement.record(said) {
+            log_statement(&start.instance, before, statement);
+        }
+    }
+
+    /// Requests a second that the target states it takes; `None` if it states none.
+    pub(super) fn stated_rate_limit(&self) -> Option<RequestsPerSecond> {
+        let state = self.lock();
+        let target = state.registry.current()?;
+        state.statement.get(&target.instance, target.started).rate_limit
+    }
+
     /// Refuses new requests from now on, because the node is leaving.
     pub(super) fn close(&self) {
         let mut state = self.lock();
@@ -77,6 +110,19 @@
     }
 }
 
+fn log_statement(instance: &InstanceId, before: TargetStatement, now: TargetStatement) {
+    let text = |limit: Option<RequestsPerSecond>| {
+        limit.map_or_else(|| "none".to_owned(), |it| it.to_string())
+    };
+    log_event!(
+        LogEvent::TargetStatement,
+        "instance={instance} rate_limit={} before={} leaving={}",
+        text(now.rate_limit),
+        text(before.rate_limit),
+        now.is_leaving
+    );
+}
+
 fn unix_time_ms() -> StartTime {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since_epoch.as_millis() as StartTime
--- a/crates/pollenlever/src/mesh/header_names.rs
+++ b/crates/pollenlever/src/mesh/header_names.rs
@@ -21,6 +21,11 @@
     pub proof_header: HeaderName,
     /// Present in an answer if the target did not run the request.
     pub not_run: HeaderName,
+    /// Set by a target to state how many requests a second it takes from all nodes together, as a
+    /// decimal number.
+    pub rate_limit: HeaderName,
+    /// Present in an answer if the target is shutting down.
+    pub leaving: HeaderName,
 }
 
 impl Default for HeaderNames {
@@ -32,6 +37,8 @@
             caller_service: HeaderName::from_static("pollenlever-caller"),
             proof_header: HeaderName::from_static("pollenlever-proof"),
             not_run: HeaderName::from_static("pollenlever-not-run"),
+            rate_limit: HeaderName::from_static("pollenlever-rate-limit"),
+            leaving: HeaderName::from_static("pollenlever-leaving"),
         }
     }
 }
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -22,6 +22,7 @@
     TargetClosed,
     TargetCrashed,
     TargetReportIgnored,
+    TargetStatement,
     RequestEnded,
     CallerHungUp,
     AttemptRepeated,
@@ -33,7 +34,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 25] = [
+    pub const ALL: [LogEvent; 26] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -52,6 +53,7 @@
         LogEvent::TargetClosed,
         LogEvent::TargetCrashed,
         LogEvent::TargetReportIgnored,
+        LogEvent::TargetStatement,
         LogEvent::RequestEnded,
         LogEvent::CallerHungUp,
         LogEvent::AttemptRepeated,
@@ -87,6 +89,7 @@
             LogEvent::TargetClosed => "target-closed",
             LogEvent::TargetCrashed => "target-crashed",
             LogEvent::TargetReportIgnored => "target-report-ignored",
+            LogEvent::TargetStatement => "target-statement",
             LogEvent::RequestEnded => "request-ended",
             LogEvent::CallerHungUp => "caller-hung-up",
             LogEvent::AttemptRepeated => "attempt-repeated",
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -61,6 +61,7 @@
     in_flight: IntGauge,
     queued: IntGauge,
     limit: IntGauge,
+    rate_limit: FloatGauge,
     failing: FloatGauge,
     overload_failure_ratio: FloatGauge,
     report_age: FloatGauge,
@@ -79,6 +80,8 @@
         registry.register("gate_in_flight", "Requests that the target runs", it.in_flight);
         registry.register("gate_queued", "Requests that wait at the gate", it.queued);
         registry.register("gate_limit", "Requests that may run at once", it.limit);
+        let help = "Requests a second that the target states it takes";
+        registry.register("target_rate_limit", help, it.rate_limit);
         registry.register("target_failing_ratio", "Runs lately rejected or failed", it.failing);
         registry.register(
             "calls_strained_ratio",
@@ -190,6 +193,7 @@
         it.in_flight.set(i64::from(load.in_flight));
         it.queued.set(i64::from(load.queued));
         it.limit.set(i64::from(load.limit));
+        it.rate_limit.set(shared.gate.stated_rate_limit().unwrap_or_default());
         it.failing.set(f64::from(load.failing_permille) / 1000.0);
         it.overload_failure_ratio.set(f64::from(load.overload_failure_permille) / 1000.0);
         it.report_age.set(shared.gate.report_age().as_secs_f64());
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! gate, the admission control, of a node whose target runs the requested service. A target gets
 //! requests only from the gate of its own node.
 
+mod answer_statement;
 mod control_server;
 mod departure_object;
 mod departure_store;
@@ -38,11 +39,13 @@
 mod run_mesh;
 mod sent_attempt;
 mod slot_guard;
+mod stated_rate;
 mod store_backoff;
 mod suspicion_exchange;
 mod target_client;
 mod target_connection;
 mod target_result;
+mod target_run;
 
 pub use control_server::{ControlAnswer, ControlHandler, SharedControlHandler};
 pub use header_names::HeaderNames;
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -10,9 +10,11 @@
 use hyper::body::Incoming;
 use pollenlever_core::mesh::{InstanceId, MeshAttempt};
 
+use super::answer_statement::AnswerStatement;
 use super::idle_limit::IdleLimit;
 use super::target_connection::TargetConnection;
 use super::target_result::TargetResult;
+use super::target_run::TargetRun;
 use super::{HeaderNames, forwarded_headers};
 use crate::node::InFlightCounter;
 
@@ -66,16 +68,18 @@
         head: &MeshAttempt,
         time_left: Duration,
         body: Bytes,
-    ) -> TargetResult {
+    ) -> TargetRun {
         let mut req = match self.request(instance, head, time_left, body) {
             Ok(req) => req,
-            Err(reason) => return TargetResult::Unsendable(reason),
+            Err(reason) => return TargetResult::Unsendable(reason).into(),
         };
         for _ in 0..MAX_CONNECTION_TRIES {
             let mut connection = match self.connection(head.is_idempotent).await {
                 Ok(connection) => connection,
-                Err(ConnectError::AtLimit) => return TargetResult::NoConnectionLeft,
-                Err(ConnectError::Failed(reason)) => return TargetResult::Unreachable(reason),
+                Err(ConnectError::AtLimit) => return TargetResult::NoConnectionLeft.into(),
+                Err(ConnectError::Failed(reason)) => {
+                    return TargetResult::Unreachable(reason).into();
+                }
             };
             let idle_time = connection.idle_time();
             let mut err = match connection.send(req).await {
@@ -89,11 +93,12 @@
                     if let Some(idle_time) = idle_time {
                         self.idle_limit.record_dead_connection(idle_time);
                     }
-                    return TargetResult::Unknown(err.into_error().to_string());
+                    return TargetResult::Unknown(err.into_error().to_string()).into();
                 }
             }
         }
-        TargetResult::Unreachable("connections closed before the request was sent".to_owned())
+        let reason = "connections closed before the request was sent".to_owned();
+        TargetResult::Unreachable(reason).into()
     }
 
     /// Closes all idle connections, because the target was replaced.
@@ -162,15 +167,25 @@
 
     async fn read_answer(
         &self,
-        mut connection: TargetConnection,
+        connection: TargetConnection,
         head: &MeshAttempt,
         response: Response<Incoming>,
+    ) -> TargetRun {
+        let status = response.status().as_u16();
+        if let Some(reason) = self.mismatch(head, response.headers(), status) {
+            return TargetResult::Unknown(reason).into();
+        }
+        let statement = Some(AnswerStatement::read(&self.names, response.headers()));
+        TargetRun { result: self.read_result(connection, response).await, statement }
+    }
+
+    async fn read_result(
+        &self,
+        mut connection: TargetConnection,
+        response: Response<Incoming>,
     ) -> TargetResult {
         let (parts, body) = response.into_parts();
         let status = parts.status.as_u16();
-        if let Some(reason) = self.mismatch(head, &parts.headers, status) {
-            return TargetResult::Unknown(reason);
-        }
         let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
         let body = match collected {
             Ok(body) => body.to_bytes(),
