Tests that fail: nodes send a target more than the rate that it states

The bound is the rule's: 1.5 times what the stated rates allow in a sliding 4 s, and 5, summed over the nodes that passed on a statement half a second before, from 3 s after the first one.

--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -14,5 +14,6 @@
 mod pipeline;
 mod raw_caller;
 mod scripted_target;
+mod stated_rate;
 mod stop;
 mod test_mesh;
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -1,6 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -35,6 +35,7 @@
 pub(crate) struct Arrival {
     pub(crate) head: String,
     pub(crate) body: String,
+    pub(crate) at: Instant,
 }
 
 impl Arrival {
@@ -52,6 +53,8 @@
     arrivals: Vec<Arrival>,
     connections: usize,
     hangups: usize,
+    /// Header lines that each answer has besides its own.
+    stated: String,
 }
 
 /// A target that follows a script: one action per request; the last one repeats for all further
@@ -95,6 +98,11 @@
         self.state.lock().unwrap().connections
     }
 
+    /// Sets header lines that each answer has from now on, besides its own.
+    pub(crate) fn state(&self, lines: &str) {
+        self.state.lock().unwrap().stated = lines.to_owned();
+    }
+
     /// Lets the requests answered with `Action::Hold` be answered.
     pub(crate) fn release(&self) {
         self.released.notify_waiters();
@@ -132,8 +140,9 @@
             let path = arrival.head.split(' ').nth(1).unwrap_or_default().to_owned();
             let action = self.record_arrival(arrival);
             let answer = |status: u16, body: &str| {
+                let stated = self.state.lock().unwrap().stated.clone();
                 format!(
-                    "HTTP/1.1 {status} X\r\nPollenlever-Request-Id: {id}\r\n\
+                    "HTTP/1.1 {status} X\r\nPollenlever-Request-Id: {id}\r\n{stated}\
                      Pollenlever-Proof: p\r\nContent-Length: {}\r\n\r\n{body}",
                     body.len()
                 )
@@ -192,7 +201,7 @@
         buf.extend_from_slice(&bytes[..len]);
     };
     let head = String::from_utf8(buf.drain(..head_len).collect()).unwrap();
-    let mut arrival = Arrival { head, body: String::new() };
+    let mut arrival = Arrival { head, body: String::new(), at: Instant::now() };
     let len: usize = arrival.header("content-length").map_or(0, |it| it.parse().unwrap());
     while buf.len() < len {
         let len = io.read(&mut bytes).await.ok().filter(|it| *it > 0)?;
