Keep a stated rate when the node beside the target restarts

Ruled out: the platform's store as memory of the rate (a write at each change, and nothing while the store is silent); a slow start of each new gate, which delays all callers for a case that is rare. Change: replies of a gate carry what its target stated, owners remember it while it states anything and send it with their attempts. The gate uses it until it has read an answer of the process itself; of several memories the strictest counts. A machine that was told is so held to the rate whatever restarts, and the spread of membership has no part in it.

--- a/crates/pollenlever-core/src/mesh/mesh_attempt.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_attempt.rs
@@ -2,7 +2,7 @@
 
 use bincode::{Decode, Encode};
 
-use super::{Lineage, RequestId};
+use super::{Lineage, ProcessStatement, RequestId};
 use crate::id::{AttemptId, ServiceName};
 
 /// Head of an attempt (one try to have a request run), sent by the owner of the request to the gate
@@ -31,4 +31,6 @@
     pub time_left: Duration,
     /// Maximum time that the request may wait in the gate's queue.
     pub max_wait: Duration,
+    /// What the target stated last in an answer that the owner passed on, if anything.
+    pub remembered: Option<ProcessStatement>,
 }
--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{AttemptOutcome, RouteTable, RouteVersion};
+use super::{AttemptOutcome, ProcessStatement, RouteTable, RouteVersion};
 use crate::id::NodeId;
 use crate::message::GateLoad;
 
@@ -15,6 +15,9 @@
     pub load: GateLoad,
     /// Version of the gate's routes.
     pub routes: RouteVersion,
+    /// What the target stated last in an answer that the gate read; `None` if the gate has read
+    /// none, and if neither side has anything to say.
+    pub statement: Option<ProcessStatement>,
 }
 
 /// The reply to a [`MeshRequest`](super::MeshRequest).
--- a/crates/pollenlever-core/src/mesh/target_statement.rs
+++ b/crates/pollenlever-core/src/mesh/target_statement.rs
@@ -14,6 +14,18 @@
     pub is_leaving: bool,
 }
 
+impl TargetStatement {
+    /// What holds if either statement may be the latest: the lower rate limit, and that the target
+    /// leaves.
+    pub(super) fn strictest(self, other: TargetStatement) -> TargetStatement {
+        let limits = self.rate_limit.into_iter().chain(other.rate_limit);
+        TargetStatement {
+            rate_limit: limits.reduce(f64::min),
+            is_leaving: self.is_leaving || other.is_leaving,
+        }
+    }
+}
+
 /// A statement and the process of the target that made it.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
 pub struct ProcessStatement {
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -119,7 +119,7 @@
         let run = tokio::spawn(async move { gate.run(slot, start, head, body).await });
         run.await.unwrap_or_else(|err| {
             log::error!("run ended without a result reason={:?}", err.to_string());
-            self.reply(class, AttemptOutcome::Unknown)
+            (self.reply_without_statement(class, AttemptOutcome::Unknown), Bytes::new())
         })
     }
 
@@ -166,6 +166,7 @@
         if !state.ledger.begin(head.id) {
             return Err(refused(ErrorKind::Overloaded, None));
         }
+        state.merge_remembered(now, head.remembered.as_ref());
         if let Some(error) = state.refusal_reason(head, digest) {
             state.ledger.seal(head.id);
             return Err(refused(error, None));
@@ -271,8 +272,7 @@
                 (AttemptOutcome::Unknown, Vec::new(), Bytes::new())
             }
         };
-        let (reply, _) = self.reply(head.lineage.class(), outcome);
-        (AttemptReply { headers, ..reply }, body)
+        (AttemptReply { headers, ..self.reply(&head, outcome) }, body)
     }
 
     /// Outcome of a run that the target answered with `status`.
@@ -395,14 +395,24 @@
 
     fn refuse(&self, head: &MeshAttempt, refusal: AttemptOutcome) -> (AttemptReply, Bytes) {
         self.log_refusal(head, &refusal);
-        self.reply(head.lineage.class(), refusal)
+        (self.reply(head, refusal), Bytes::new())
     }
 
-    fn reply(&self, class: RequestClass, outcome: AttemptOutcome) -> (AttemptReply, Bytes) {
+    fn reply(&self, head: &MeshAttempt, outcome: AttemptOutcome) -> AttemptReply {
+        let statement = self.statement_for_owner(head);
+        let reply = self.reply_without_statement(head.lineage.class(), outcome);
+        AttemptReply { statement, ..reply }
+    }
+
+    fn reply_without_statement(
+        &self,
+        class: RequestClass,
+        outcome: AttemptOutcome,
+    ) -> AttemptReply {
         let failure_ratio = 1.0 - self.downstream.completion_ratio(class);
         let expected_failure_permille = (failure_ratio * 1000.0) as u16;
         let load = GateLoad { expected_failure_permille, ..self.load() };
-        (AttemptReply { outcome, headers: Vec::new(), load, routes: 0 }, Bytes::new())
+        AttemptReply { outcome, headers: Vec::new(), load, routes: 0, statement: None }
     }
 
     pub(super) fn notify_crash(&self) {
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -8,11 +8,12 @@
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
     AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, LatestStatement,
-    MeshAttempt, RunningRequests, StartTime, TargetRegistry, TargetStatement,
+    MeshAttempt, ProcessStatement, RunningRequests, StartTime, TargetRegistry, TargetStatement,
 };
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
 
+use super::gate_target::log_statement;
 use super::log_event::{LogEvent, log_event};
 
 /// Shortest time between two log lines about the concurrency limit.
@@ -130,6 +131,17 @@
         })
     }
 
+    /// Merges what an owner remembers of the target's statements, if it is of the present process.
+    pub(super) fn merge_remembered(&mut self, now: Duration, stated: Option<&ProcessStatement>) {
+        let Some(stated) = stated else { return };
+        let is_present =
+            self.registry.current().is_some_and(|it| stated.is_of(&it.instance, it.started));
+        if is_present && let Some(before) = self.statement.merge_remembered(stated) {
+            log_statement(stated, before, "owner");
+            self.apply_statement(now);
+        }
+    }
+
     /// Brings the admission in line with what the target stated last.
     pub(super) fn apply_statement(&mut self, now: Duration) {
         let limit = self.stated().rate_limit;
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -1,8 +1,8 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use pollenlever_core::mesh::{
-    DepartedTarget, InstanceId, ProcessStatement, RegistryChange, RequestsPerSecond, StartTime,
-    TargetReport, TargetStatement,
+    DepartedTarget, InstanceId, MeshAttempt, ProcessStatement, RegistryChange, RequestsPerSecond,
+    StartTime, TargetReport, TargetStatement,
 };
 
 use super::answer_statement::AnswerStatement;
@@ -80,17 +80,30 @@
             StatedRate::Unreadable => known.rate_limit,
         };
         let statement = TargetStatement { rate_limit, is_leaving: read.is_leaving };
-        let said = ProcessStatement {
+        let stated = ProcessStatement {
             instance: start.instance.clone(),
             started: start.process_started,
             statement,
         };
-        if let Some(before) = state.statement.record(said) {
-            log_statement(&start.instance, before, statement);
+        if let Some(before) = state.statement.record(stated.clone()) {
+            log_statement(&stated, before, "answer");
             state.apply_statement(self.clock.now());
         }
     }
 
+    /// What the owner of an attempt has to remember of the target's statements; `None` if it
+    /// remembers the same.
+    pub(super) fn statement_for_owner(&self, head: &MeshAttempt) -> Option<ProcessStatement> {
+        let state = self.lock();
+        let own = state.statement.own()?;
+        let states_nothing = own.statement == TargetStatement::default();
+        let is_known = match &head.remembered {
+            Some(remembered) => remembered == own,
+            None => states_nothing,
+        };
+        (!is_known).then(|| own.clone())
+    }
+
     /// Requests a second that the target states it takes; `None` if it states none.
     pub(super) fn stated_rate_limit(&self) -> Option<RequestsPerSecond> {
         self.lock().stated().rate_limit
@@ -116,16 +129,18 @@
     }
 }
 
-fn log_statement(instance: &InstanceId, before: TargetStatement, now: TargetStatement) {
+/// Logs that the target states something else than `before`. `source` is where it was read.
+pub(super) fn log_statement(stated: &ProcessStatement, before: TargetStatement, source: &str) {
     let text = |limit: Option<RequestsPerSecond>| {
         limit.map_or_else(|| "none".to_owned(), |it| it.to_string())
     };
     log_event!(
         LogEvent::TargetStatement,
-        "instance={instance} rate_limit={} before={} leaving={}",
-        text(now.rate_limit),
+        "instance={} rate_limit={} before={} leaving={} source={source}",
+        stated.instance,
+        text(stated.statement.rate_limit),
         text(before.rate_limit),
-        now.is_leaving
+        stated.statement.is_leaving
     );
 }
 
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -8,8 +8,8 @@
 use pollenlever_core::id::{ChainId, NodeId, ServiceName};
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, RegistryChange, RouteTable,
-    RouteVersion, StartTime, TargetReport, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, ProcessStatement, RegistryChange,
+    RememberedStatements, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
 };
 use pollenlever_core::policy::TargetNotice;
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
@@ -66,6 +66,7 @@
     /// Signalled when other routes are in force.
     pub(super) routes_changed: Notify,
     state: Mutex<State>,
+    remembered_statements: Mutex<RememberedStatements>,
     last_id: AtomicU64,
     leaving: AtomicBool,
     target_state_restored: AtomicBool,
@@ -136,6 +137,7 @@
             departure_changed: Notify::new(),
             routes_changed: Notify::new(),
             state: Mutex::new(state),
+            remembered_statements: Mutex::default(),
             last_id: AtomicU64::new(0),
             leaving: AtomicBool::new(false),
             target_state_restored: AtomicBool::new(false),
@@ -325,6 +327,18 @@
         self.lock().routing.choose(now, req)
     }
 
+    /// What the target beside `gate` stated last, as far as this node passed it on.
+    pub(super) fn remembered_statement(&self, gate: NodeId) -> Option<ProcessStatement> {
+        let remembered = self.remembered_statements.lock();
+        remembered.unwrap_or_else(PoisonError::into_inner).get(gate.addr)
+    }
+
+    /// Remembers what a target stated, as the gate beside it says in its reply.
+    pub(super) fn remember_statement(&self, gate: NodeId, stated: Option<ProcessStatement>) {
+        let remembered = self.remembered_statements.lock();
+        remembered.unwrap_or_else(PoisonError::into_inner).record(gate.addr, stated);
+    }
+
     /// Returns a number that this process has not used before.
     pub(super) fn next_id(&self) -> u64 {
         self.last_id.fetch_add(1, Ordering::Relaxed) + 1
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -200,7 +200,8 @@
     ) -> (AttemptReply, Bytes) {
         let now = self.shared.clock.now();
         let id = AttemptId { sender: self.shared.me, seq: self.shared.next_id() };
-        let head = req.head(&self.shared, id, now, repeat);
+        let remembered = self.shared.remembered_statement(gate);
+        let head = MeshAttempt { remembered, ..req.head(&self.shared, id, now, repeat) };
         let sent = self.shared.record_sent(gate, req.body.len() as u64);
         let result = if gate == self.shared.me {
             Ok(self.shared.gate.attempt(head, req.body.clone()).await)
@@ -208,7 +209,8 @@
             self.exchange(gate, head, req.body.clone()).await
         };
         match result {
-            Ok((reply, body)) => {
+            Ok((mut reply, body)) => {
+                self.shared.remember_statement(gate, reply.statement.take());
                 sent.record_reply(&reply.load, body.len() as u64);
                 self.shared.downstream.record_load(&req.service, req.lineage, &reply.load);
                 (reply, body)
@@ -314,7 +316,8 @@
 }
 
 fn reply_without_load(outcome: AttemptOutcome) -> AttemptReply {
-    AttemptReply { outcome, headers: Vec::new(), load: GateLoad::default(), routes: 0 }
+    let load = GateLoad::default();
+    AttemptReply { outcome, headers: Vec::new(), load, routes: 0, statement: None }
 }
 
 /// Cost of a retry in the retry budget: 1 for the request itself, plus the calls that the target
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -111,6 +111,7 @@
             is_idempotent: self.route.is_idempotent,
             time_left,
             max_wait,
+            remembered: None,
         }
     }
 }
