Tests that fail: requests reach a target that states in its answers that it leaves

Same class of fault as the stated rate: a header in which a target asks for something, and nobody reads it.

--- a/crates/pollenlever/tests/mesh/drain.rs
+++ b/crates/pollenlever/tests/mesh/drain.rs
@@ -24,6 +24,28 @@
     assert_eq!(mesh.arrivals(), [0]);
 }
 
+/// The target says in an answer that it leaves, and its report of it does not arrive.
+#[tokio::test]
+async fn no_request_reaches_a_target_after_it_stated_that_it_leaves() {
+    let scripts = ([Action::Answer(200, "first")], [Action::Answer(200, "second")]);
+    let mesh = TestMesh::start(&[("charge", &scripts.0), ("charge", &scripts.1)]).await;
+    mesh.nodes[0].target.state("Pollenlever-Leaving: 1\r\n");
+    assert_eq!(mesh.call("POST", "/charge/1", "told").await.body, "first");
+    for round in 0..8 {
+        let answer = mesh.call("POST", "/charge/1", &format!("r{round}")).await;
+        assert_eq!(answer.body, "second");
+    }
+    mesh.nodes[0].report_ready(2);
+    assert_eq!(mesh.call("POST", "/charge/1", "late").await.body, "second");
+    assert_eq!(mesh.arrivals(), [1, 9]);
+    let shared = mesh.nodes[1].node.shared();
+    wait_until("departure known", || shared.serving_member_count() == 0).await;
+    wait_until("departure stored", || mesh.store.names("pollenlever-departures").len() == 1).await;
+    mesh.nodes[0].target.state("");
+    mesh.nodes[0].report_restart(2);
+    wait_until("new process known", || shared.serving_member_count() == 1).await;
+}
+
 #[tokio::test]
 async fn a_request_in_flight_completes_while_its_target_drains() {
     let mesh = TestMesh::start(&[("charge", &[Action::Hold])]).await;
