Send nothing more to a target that states in its answers that it leaves

A target that says in its answers that it leaves, and whose report of it is late or lost, got new requests until it ended; after a restart of its node also those of owners that had passed on such an answer.

Cause: the header had no reader. Change: the gate takes such an answer as the departure of the process: it closes, refuses what waits, tells the other nodes and stores the departure. Owners remember it like a stated rate and send it with their attempts, so a gate that was restarted closes before it hands on the first of them, also while the store is silent. It ends with the process: another start of the target is used again.

--- a/crates/pollenlever-core/src/mesh/target_registry.rs
+++ b/crates/pollenlever-core/src/mesh/target_registry.rs
@@ -88,6 +88,15 @@
         if closes { RegistryChange::Closed } else { RegistryChange::Refreshed }
     }
 
+    /// Records the departure of the present process, which stated it in an answer.
+    pub fn close_current(&mut self) -> RegistryChange {
+        let Some(current) = &mut self.current else { return RegistryChange::Stale };
+        let was_draining = std::mem::replace(&mut current.is_draining, true);
+        let departed = (current.instance.clone(), current.started);
+        self.record_departure(departed);
+        if was_draining { RegistryChange::Refreshed } else { RegistryChange::Closed }
+    }
+
     /// Records that the processes of a target up to a start time are gone.
     pub fn record_departure(&mut self, target: DepartedTarget) {
         if self.departed.contains(&target) {
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -9,7 +9,7 @@
 use pollenlever_core::id::{AttemptId, ContentDigest, StreamId};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, AttemptStage, CrashSuspects, InstanceId, Lineage, MeshAttempt,
-    RequestClass, RunningRequest, StartTime,
+    RegistryChange, RequestClass, RunningRequest, StartTime,
 };
 use pollenlever_core::message::{GateLoad, Suspicion};
 use tokio::sync::{Notify, oneshot};
@@ -43,6 +43,8 @@
     pub(super) metrics: MeshMetrics,
     /// Signalled when a crash of the target was recorded.
     crash_recorded: Notify,
+    /// Signalled when the target stated that it leaves, and the other nodes have to be told.
+    pub(super) target_left: Notify,
     /// Signalled when a request waits for the rate limit of the target.
     waits_for_rate_limit: Notify,
     downstream: Arc<Downstream>,
@@ -75,6 +77,7 @@
             log: RequestLog::default(),
             metrics,
             crash_recorded: Notify::new(),
+            target_left: Notify::new(),
             waits_for_rate_limit: Notify::new(),
             downstream,
             state: Mutex::default(),
@@ -166,7 +169,9 @@
         if !state.ledger.begin(head.id) {
             return Err(refused(ErrorKind::Overloaded, None));
         }
-        state.merge_remembered(now, head.remembered.as_ref());
+        if state.merge_remembered(now, head.remembered.as_ref()) == RegistryChange::Closed {
+            self.target_left.notify_one();
+        }
         if let Some(error) = state.refusal_reason(head, digest) {
             state.ledger.seal(head.id);
             return Err(refused(error, None));
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -8,7 +8,8 @@
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
     AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, LatestStatement,
-    MeshAttempt, ProcessStatement, RunningRequests, StartTime, TargetRegistry, TargetStatement,
+    MeshAttempt, ProcessStatement, RegistryChange, RunningRequests, StartTime, TargetRegistry,
+    TargetStatement,
 };
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
@@ -132,23 +133,38 @@
     }
 
     /// Merges what an owner remembers of the target's statements, if it is of the present process.
-    pub(super) fn merge_remembered(&mut self, now: Duration, stated: Option<&ProcessStatement>) {
-        let Some(stated) = stated else { return };
+    /// Returns the effect on the target's registration.
+    pub(super) fn merge_remembered(
+        &mut self,
+        now: Duration,
+        stated: Option<&ProcessStatement>,
+    ) -> RegistryChange {
+        let Some(stated) = stated else { return RegistryChange::Refreshed };
         let is_present =
             self.registry.current().is_some_and(|it| stated.is_of(&it.instance, it.started));
         if is_present && let Some(before) = self.statement.merge_remembered(stated) {
             log_statement(stated, before, "owner");
-            self.apply_statement(now);
+            return self.apply_statement(now);
         }
+        RegistryChange::Refreshed
     }
 
-    /// Brings the admission in line with what the target stated last.
-    pub(super) fn apply_statement(&mut self, now: Duration) {
-        let limit = self.stated().rate_limit;
-        self.is_rate_limited = limit.is_some();
+    /// Acts on what the target stated last: its rate limit, and that it leaves. Returns the effect
+    /// on the target's registration.
+    pub(super) fn apply_statement(&mut self, now: Duration) -> RegistryChange {
+        let stated = self.stated();
+        self.is_rate_limited = stated.rate_limit.is_some();
         let mut verdicts = Vec::new();
-        self.admission.set_rate_limit(now, limit, &mut verdicts);
+        self.admission.set_rate_limit(now, stated.rate_limit, &mut verdicts);
         self.deliver_verdicts(verdicts);
+        if !stated.is_leaving {
+            return RegistryChange::Refreshed;
+        }
+        let change = self.registry.close_current();
+        if change == RegistryChange::Closed {
+            self.refuse_waiting();
+        }
+        change
     }
 
     /// When a request that waits for the rate limit has to be started or shed; `None` if none waits.
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -87,7 +87,9 @@
         };
         if let Some(before) = state.statement.record(stated.clone()) {
             log_statement(&stated, before, "answer");
-            state.apply_statement(self.clock.now());
+            if state.apply_statement(self.clock.now()) == RegistryChange::Closed {
+                self.target_left.notify_one();
+            }
         }
     }
 
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -203,6 +203,16 @@
         }
     }
 
+    /// Tells the other nodes when the target states in an answer that it leaves, for as long as the
+    /// node runs.
+    pub(super) async fn announce_departures(self: Arc<MeshShared>) {
+        loop {
+            self.gate.target_left.notified().await;
+            log_event!(LogEvent::TargetLeaving, "source=answer");
+            self.announce_target();
+        }
+    }
+
     /// Tells the other nodes about the state of the target beside this one.
     fn announce_target(&self) {
         let notice = match self.gate.target() {
