Bound what is read of a target's answer

A target in trouble may send bytes that are no answer, without end, in a head or a body. On the code before: interim answers and short chunks without end were read until the deadline (504 after 15 s in place of 502), chunk sizes without end too; four bodies without end took up to 64 MiB each (288 MB read in all), and a body of short parts was kept as a list of parts, each far larger in memory than its bytes.

Cause: the bound counted the data of one body only, not what comes on the connection, nor all answers together. Change: the connection counts what it reads for an answer: 512 KiB until the head is complete, 64 MiB in all, and an answer may take at most half of what the others leave of 128 MiB, so short answers are read beside endless ones. Parts of a body are copied into one buffer, and each counts 512 bytes besides its own for the time that it costs. What is too long ends the connection; the outcome is unknown, as for each broken answer.

--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -5,6 +5,8 @@
 //! where the request is sent. The node beside a target (server process) is the gate of that target:
 //! requests reach the target only through it. Owners and gates decide without consensus.
 
+mod answer_buffer;
+mod answer_limits;
 mod attempt_ledger;
 mod attempt_outcome;
 mod call_classifier;
@@ -37,6 +39,8 @@
 mod weighted_service;
 mod weighted_split;
 
+pub use answer_buffer::{AnswerBuffer, AnswerBytes, AnswerTooLong};
+pub use answer_limits::AnswerLimits;
 pub use attempt_ledger::{AttemptLedger, AttemptStage};
 pub use attempt_outcome::AttemptOutcome;
 pub use call_classifier::CallClassifier;
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -3,7 +3,9 @@
 //! gate, the admission control, of a node whose target runs the requested service. A target gets
 //! requests only from the gate of its own node.
 
+mod answer_body;
 mod answer_statement;
+mod bounded_io;
 mod control_server;
 mod departure_object;
 mod departure_store;
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -1,3 +1,4 @@
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -6,10 +7,11 @@
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
-use pollenlever_core::mesh::{InstanceId, MeshAttempt};
+use pollenlever_core::mesh::{AnswerBuffer, InstanceId, MeshAttempt};
 
+use super::answer_body::BodyError;
 use super::answer_statement::AnswerStatement;
 use super::idle_limit::IdleLimit;
 use super::target_connection::TargetConnection;
@@ -25,8 +27,6 @@
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_secs(1);
 /// Connections that are tried if the target closes them before the request is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
-/// Largest answer of a target, in bytes.
-const MAX_ANSWER_BYTES: usize = 64 << 20;
 
 /// Sends requests to the target beside the node and reuses its connections.
 #[derive(Debug)]
@@ -35,6 +35,7 @@
     names: HeaderNames,
     idle: Mutex<Vec<TargetConnection>>,
     idle_limit: IdleLimit,
+    answers: AnswerBuffer,
     /// Counts open connections, in use or idle.
     open: InFlightCounter,
     /// Number of connections that the target accepts; 0 means unlimited.
@@ -56,6 +57,7 @@
             names,
             idle: Mutex::default(),
             idle_limit: IdleLimit::default(),
+            answers: AnswerBuffer::default(),
             open: InFlightCounter::default(),
             max_open: AtomicUsize::new(0),
         }
@@ -127,7 +129,7 @@
             }
         }
         self.make_room()?;
-        let opened = TargetConnection::open(self.addr, self.open.start()).await;
+        let opened = TargetConnection::open(self.addr, self.open.start(), &self.answers).await;
         opened.map_err(ConnectError::Failed)
     }
 
@@ -186,13 +188,9 @@
     ) -> TargetResult {
         let (parts, body) = response.into_parts();
         let status = parts.status.as_u16();
-        let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
-        let body = match collected {
-            Ok(body) => body.to_bytes(),
-            Err(err) => {
-                let reason = format!("answer truncated: {err}");
-                return TargetResult::Unknown(reason);
-            }
+        let body = match connection.read_body(body).await {
+            Ok(body) => body,
+            Err(err) => return TargetResult::Unknown(broken_answer(&err)),
         };
         if connection.finish_exchange(&parts.headers).await {
             let mut idle = self.idle_connections();
@@ -230,3 +228,9 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Says why an answer could not be read to its end.
+fn broken_answer(err: &BodyError) -> String {
+    let cause = err.source().map(|it| format!(": {it}")).unwrap_or_default();
+    format!("answer truncated: {err}{cause}")
+}
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -8,8 +9,11 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
+use pollenlever_core::mesh::{AnswerBuffer, AnswerBytes};
 use tokio::net::TcpStream;
 
+use super::answer_body::{BodyError, read_body};
+use super::bounded_io::BoundedIo;
 use crate::node::InFlightGuard;
 
 /// Timeout for a new connection to the target.
@@ -23,6 +27,8 @@
 #[derive(Debug)]
 pub(super) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes of the answer that is being read.
+    bytes: Arc<AnswerBytes>,
     /// When the last answer was read; `None` before the first one.
     idle_since: Option<Instant>,
     idle_limit: Duration,
@@ -35,6 +41,7 @@
     pub(super) async fn open(
         addr: SocketAddr,
         open: InFlightGuard,
+        buffer: &AnswerBuffer,
     ) -> Result<TargetConnection, String> {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await;
         let io = connect.map_err(|_| "connect timed out".to_owned())?;
@@ -42,13 +49,21 @@
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
+        let bytes = Arc::new(buffer.new_connection());
+        let io = BoundedIo { io, bytes: Arc::clone(&bytes) };
         let (sender, driver) = handshake(TokioIo::new(io)).await.map_err(|err| err.to_string())?;
         tokio::spawn(async move {
             if let Err(err) = driver.await {
                 log::debug!("connection to the target ended reason={:?}", err.to_string());
             }
         });
-        Ok(TargetConnection { sender, idle_since: None, idle_limit: DEFAULT_IDLE, _open: open })
+        Ok(TargetConnection {
+            sender,
+            bytes,
+            idle_since: None,
+            idle_limit: DEFAULT_IDLE,
+            _open: open,
+        })
     }
 
     /// Whether the connection is ready and has been idle for less than its limit and `max_idle`, so
@@ -69,11 +84,20 @@
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.sender.try_send_request(req).await
+        self.bytes.start_answer();
+        let response = self.sender.try_send_request(req).await?;
+        self.bytes.start_body();
+        Ok(response)
+    }
+
+    /// Reads the body of the answer whose head [`send`](TargetConnection::send) returned.
+    pub(super) async fn read_body(&self, body: Incoming) -> Result<Bytes, BodyError> {
+        read_body(body, &self.bytes).await
     }
 
     /// Records that an answer was read to its end. Returns whether the connection can be reused.
     pub(super) async fn finish_exchange(&mut self, headers: &HeaderMap) -> bool {
+        self.bytes.release();
         self.idle_since = Some(Instant::now());
         if let Some(timeout) = keep_alive_timeout(headers) {
             self.idle_limit = timeout.saturating_sub(IDLE_MARGIN);
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crash;
 mod drain;
+mod endless_answers;
 mod gossip_peer;
 mod hangup;
 mod memory_store;
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -24,6 +24,9 @@
     Close,
     /// Close the connection without an answer if the request has this path, else answer 200.
     CloseOnPath(&'static str),
+    /// Write the first text, with `{id}` replaced by the request's id, then the second one again and
+    /// again until the caller closes the connection.
+    Endless(&'static str, &'static str),
     /// Never answer; wait until the caller hangs up.
     Hang,
     /// Answer once the test calls [`ScriptedTarget::release`].
@@ -53,6 +56,8 @@
     arrivals: Vec<Arrival>,
     connections: usize,
     hangups: usize,
+    /// Bytes written by `Action::Endless`.
+    endless_bytes: usize,
     /// Header lines that each answer has besides its own.
     stated: String,
 }
@@ -98,6 +103,11 @@
         self.state.lock().unwrap().connections
     }
 
+    /// Number of bytes that the target could write to answers without end.
+    pub(crate) fn endless_bytes(&self) -> usize {
+        self.state.lock().unwrap().endless_bytes
+    }
+
     /// Sets header lines that each answer has from now on, besides its own.
     pub(crate) fn state(&self, lines: &str) {
         self.state.lock().unwrap().stated = lines.to_owned();
@@ -159,6 +169,11 @@
                 Action::Close => return,
                 Action::CloseOnPath(it) if it == path => return,
                 Action::CloseOnPath(_) => (answer(200, "ran"), false),
+                Action::Endless(start, repeated) => {
+                    return self
+                        .write_endless(&mut io, &start.replace("{id}", &id), repeated)
+                        .await;
+                }
                 Action::Hang => return self.wait_until_closed(&mut io).await,
                 Action::Hold => {
                     let released = self.released.notified();
@@ -174,6 +189,18 @@
         }
     }
 
+    async fn write_endless(&self, io: &mut TcpStream, start: &str, repeated: &str) {
+        const BLOCK_BYTES: usize = 64 << 10;
+        let block = repeated.repeat(BLOCK_BYTES / repeated.len());
+        let mut next = [start, &block].concat();
+        while io.write_all(next.as_bytes()).await.is_ok() {
+            self.state.lock().unwrap().endless_bytes += next.len();
+            next.clone_from(&block);
+        }
+        self.state.lock().unwrap().hangups += 1;
+        self.changed.notify_waiters();
+    }
+
     fn record_arrival(&self, arrival: Arrival) -> Action {
         let mut state = self.state.lock().unwrap();
         let at = state.arrivals.len().min(state.script.len() - 1);
