Keep the retry budget of all nodes together while regions lose each other

A node has an equal part of the minimum of retries (min_retries). When nodes disappear from its membership, it took the larger part at once, though those out of sight may go on spending theirs: 24 nodes cut into three regions of 8 spent 96 retries of 48.

Change: a lower number of nodes counts only after an hour, longer than regions are cut off from each other; a higher one counts at once. Nodes that leave for good lower the others' part for that hour.

Test: core mesh budget nodes_that_lose_sight_of_each_other_keep_the_budget_together fails before (96), passes; the budget that remains after nodes are gone for good has a test too. Not covered: a node that starts while it is cut off, or in the first moments of a deployment, counts only the nodes that it has heard of.

--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -23,6 +23,7 @@
 mod mesh_attempt;
 mod mesh_reply;
 mod mesh_request;
+mod node_count;
 mod recent_counts;
 mod remembered_statements;
 mod request_class;
--- a/crates/pollenlever-core/src/mesh/retry_budget.rs
+++ b/crates/pollenlever-core/src/mesh/retry_budget.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 
+use super::node_count::NodeCount;
 use super::recent_counts::BUCKETS;
 use super::service_counts::ServiceCounts;
 use super::{RetryBudgetSettings, RetryPriority};
@@ -30,8 +31,8 @@
 #[derive(Debug)]
 pub struct RetryBudget {
     settings: RetryBudgetSettings,
-    /// Number of nodes that share `min_retries`; `None` while the other nodes are unknown.
-    node_count: Option<usize>,
+    /// Number of nodes that share `min_retries`.
+    node_count: NodeCount,
     services: HashMap<ServiceName, ServiceCounts>,
 }
 
@@ -49,7 +50,7 @@
 impl RetryBudget {
     /// Creates a budget without any requests or retries.
     pub fn new(settings: RetryBudgetSettings) -> RetryBudget {
-        RetryBudget { settings, node_count: None, services: HashMap::new() }
+        RetryBudget { settings, node_count: NodeCount::default(), services: HashMap::new() }
     }
 
     /// Replaces the settings. The counts start anew if the window changes.
@@ -61,9 +62,10 @@
     }
 
     /// Sets the number of nodes that share `min_retries`, this one included. Until then this node
-    /// uses none of them.
-    pub fn set_node_count(&mut self, nodes: usize) {
-        self.node_count = Some(nodes.max(1));
+    /// uses none of them. A lower number counts only after an hour, since the other nodes may be
+    /// cut off and go on using their shares.
+    pub fn set_node_count(&mut self, now: Timestamp, nodes: usize) {
+        self.node_count.record(now, nodes.max(1));
     }
 
     /// Records a request that this node took from a caller.
@@ -91,7 +93,7 @@
     /// use pollenlever_core::mesh::{RetryBudget, RetryBudgetSettings, RetryPriority};
     /// let settings = RetryBudgetSettings { min_retries: 5.0, ..RetryBudgetSettings::default() };
     /// let mut budget = RetryBudget::new(settings);
-    /// budget.set_node_count(2);
+    /// budget.set_node_count(Duration::ZERO, 2);
     /// let priority = RetryPriority { importance: Importance::Normal, is_call: false };
     /// let mut try_spend =
     ///     || budget.try_spend(Duration::ZERO, &"balance".into(), priority, 1.0).is_granted;
@@ -163,7 +165,7 @@
         cost: f64,
     ) -> RetryDecision {
         let RetryBudgetSettings { ratio, min_retries, .. } = self.settings;
-        let min_retries = self.node_count.map_or(0.0, |it| min_retries / it as f64);
+        let min_retries = self.node_count.get().map_or(0.0, |it| min_retries / it as f64);
         let counts = self.services.get(service);
         let reserved = counts.map_or(0.0, |it| it.reserved_above(now, priority));
         // Recent spans of every length up to a window: the one that leaves least decides.
--- a/crates/pollenlever-core/tests/mesh/budget.rs
+++ b/crates/pollenlever-core/tests/mesh/budget.rs
@@ -27,10 +27,38 @@
 /// A budget shared by `nodes` nodes.
 fn shared_budget(settings: RetryBudgetSettings, nodes: usize) -> RetryBudget {
     let mut budget = RetryBudget::new(settings);
-    budget.set_node_count(nodes);
+    budget.set_node_count(Duration::ZERO, nodes);
     budget
 }
 
+/// Regions lose each other: each node still knows the nodes of its own region only. The budget is
+/// that of all nodes together.
+#[test]
+fn nodes_that_lose_sight_of_each_other_keep_the_budget_together() {
+    let settings = RetryBudgetSettings { min_retries: 48.0, ..settings() };
+    let mut budgets: Vec<_> = (0..24).map(|_| shared_budget(settings, 24)).collect();
+    let cut_at = Duration::from_secs(60);
+    let mut spent = 0;
+    for budget in &mut budgets {
+        budget.set_node_count(cut_at, 8);
+        while budget.try_spend(cut_at, &service(), ROOT, 1.0).is_granted {
+            spent += 1;
+        }
+    }
+    assert!(spent <= 48, "{spent} retries of 48");
+}
+
+/// Nodes are taken away for good: the others share what they had.
+#[test]
+fn nodes_that_remain_share_the_budget_of_those_that_are_gone() {
+    let mut budget = shared_budget(RetryBudgetSettings { min_retries: 48.0, ..settings() }, 24);
+    budget.set_node_count(Duration::from_secs(60), 8);
+    let later = Duration::from_secs(2 * 3600);
+    budget.set_node_count(later, 8);
+    let granted = (0..48).filter(|_| budget.try_spend(later, &service(), ROOT, 1.0).is_granted);
+    assert!(granted.count() >= 4);
+}
+
 #[test]
 fn repeated_calls_use_up_the_budget() {
     let mut budget = shared_budget(RetryBudgetSettings { min_retries: 5.0, ..settings() }, 1);
--- a/crates/pollenlever/src/mesh/downstream.rs
+++ b/crates/pollenlever/src/mesh/downstream.rs
@@ -36,7 +36,7 @@
 
     /// Sets the number of nodes that share the retry budget, this one included.
     pub(super) fn set_node_count(&self, nodes: usize) {
-        self.lock().budget.set_node_count(nodes);
+        self.lock().budget.set_node_count(self.clock.now(), nodes);
     }
 
     /// Counts a request that this node took from a caller.
--- a/crates/pollenlever/src/mesh/member_changes.rs
+++ b/crates/pollenlever/src/mesh/member_changes.rs
@@ -70,7 +70,7 @@
     }
 
     /// Updates the number of nodes that share the retry budget.
-    fn update_node_count(&self) {
+    pub(super) fn update_node_count(&self) {
         let nodes = self.members.read(|it| it.table().live().count());
         if nodes > 1 || self.clock.now() >= MIN_TIME_ALONE {
             self.downstream.set_node_count(nodes);
--- a/crates/pollenlever/src/mesh/route_spread.rs
+++ b/crates/pollenlever/src/mesh/route_spread.rs
@@ -34,6 +34,7 @@
             let receivers = tokio::select! {
                 () = self.routes_changed.notified() => links,
                 () = tokio::time::sleep(COMPARE_INTERVAL.mul_f64(jitter)) => {
+                    self.update_node_count();
                     links.choose(&mut rand::rng()).copied().into_iter().collect()
                 }
             };
