--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -2,7 +2,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::header::CONTENT_ENCODING;
@@ -83,9 +83,14 @@
                     return TargetResult::Unreachable(reason).into();
                 }
             };
-            let idle_time = connection.idle_time();
+            let (idle_time, sent_at) = (connection.idle_time(), Instant::now());
             let mut err = match connection.send(req).await {
-                Ok(response) => return self.read_answer(connection, head, response).await,
+                Ok(response) => {
+                    if let Some(idle_time) = idle_time {
+                        self.idle_limit.record_reuse(idle_time);
+                    }
+                    return self.read_answer(connection, head, response).await;
+                }
                 Err(err) => err,
             };
             match err.take_message() {
@@ -93,7 +98,7 @@
                 Some(unsent) => req = unsent,
                 None => {
                     if let Some(idle_time) = idle_time {
-                        self.idle_limit.record_dead_connection(idle_time);
+                        self.idle_limit.record_loss(idle_time, sent_at.elapsed());
                     }
                     return TargetResult::Unknown(err.into_error().to_string()).into();
                 }
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -31,6 +31,8 @@
     Hang,
     /// Answer once the test calls [`ScriptedTarget::release`].
     Hold,
+    /// Close the connection without an answer once the test calls [`ScriptedTarget::release`].
+    HoldAndClose,
 }
 
 /// A request as it was received.
@@ -175,6 +177,7 @@
                         .await;
                 }
                 Action::Hang => return self.wait_until_closed(&mut io).await,
+                Action::HoldAndClose => return self.released.notified().await,
                 Action::Hold => {
                     let released = self.released.notified();
                     tokio::select! {
