Write the last log lines before the sidecar ends

The thread that writes the log ended with the process, so node-stopped, which says whether requests were still open, was often lost: that line is needed to find the processes that outlast their grace time.

--- a/crates/pollenlever/src/telemetry/logging.rs
+++ b/crates/pollenlever/src/telemetry/logging.rs
@@ -1,6 +1,8 @@
 use std::io::Write;
 use std::str::FromStr;
+use std::time::Duration;
 
+use crossbeam_channel::{Receiver, Sender};
 use log::LevelFilter;
 use simplelog::{ColorChoice, ConfigBuilder, TermLogger, TerminalMode, WriteLogger};
 
@@ -28,9 +30,36 @@
 /// Capacity of the queue between the logger and the writing thread.
 const MAX_QUEUED_LINES: usize = 4096;
 
+/// Gives access to the thread that writes log lines.
+#[derive(Debug, Clone)]
+pub struct LogWriter {
+    tx: Sender<LogItem>,
+}
+
+/// Entry of the queue between the logger and the writing thread.
+#[derive(Debug)]
+enum LogItem {
+    /// A line to write.
+    Line(Vec<u8>),
+    /// Confirm that all lines before this entry are written.
+    Flush(Sender<()>),
+}
+
+impl LogWriter {
+    /// Waits until the lines logged so far are written, at most for `timeout`. A process calls this
+    /// before it exits, as its last lines would be lost otherwise.
+    pub fn flush(&self, timeout: Duration) {
+        let (tx, written) = crossbeam_channel::bounded(1);
+        // Without a confirmation in time the output is stuck, and there is nowhere to report it.
+        if self.tx.send_timeout(LogItem::Flush(tx), timeout).is_ok() {
+            let _ = written.recv_timeout(timeout);
+        }
+    }
+}
+
 /// Installs a logger that writes to standard output on a separate thread. When the queue is full,
 /// lines are dropped, so that a slow reader of the output does not delay requests.
-pub fn init_stdout_logging(level: &str) {
+pub fn init_stdout_logging(level: &str) -> LogWriter {
     let level = LevelFilter::from_str(level).unwrap_or(LevelFilter::Info);
     let cfg = ConfigBuilder::new()
         .set_time_format_rfc3339()
@@ -45,20 +74,26 @@
     if let Err(err) = spawned {
         eprintln!("cannot start thread log: {err}");
     }
-    let _ = WriteLogger::init(level, cfg, LineQueue { tx, line: Vec::new(), dropped: 0 });
+    let queue = LineQueue { tx: tx.clone(), line: Vec::new(), dropped: 0 };
+    let _ = WriteLogger::init(level, cfg, queue);
+    LogWriter { tx }
 }
 
-fn write_lines(lines: &crossbeam_channel::Receiver<Vec<u8>>) {
+fn write_lines(items: &Receiver<LogItem>) {
     let mut out = std::io::stdout().lock();
-    while let Ok(line) = lines.recv() {
-        // If standard output is closed, the error cannot be reported anywhere.
-        let _ = out.write_all(&line).and_then(|()| out.flush());
+    while let Ok(item) = items.recv() {
+        match item {
+            // If standard output is closed, the error cannot be reported anywhere.
+            LogItem::Line(line) => drop(out.write_all(&line).and_then(|()| out.flush())),
+            // The receiver may have stopped waiting.
+            LogItem::Flush(written) => drop(written.try_send(())),
+        }
     }
 }
 
 /// Collects the output of a logger into lines and queues them for the writing thread.
 struct LineQueue {
-    tx: crossbeam_channel::Sender<Vec<u8>>,
+    tx: Sender<LogItem>,
     line: Vec<u8>,
     /// Lines dropped since the last queued line; reported on the next line.
     dropped: u64,
@@ -72,7 +107,7 @@
                 self.line.truncate(self.line.len() - 1);
                 self.line.extend_from_slice(format!(" dropped={}\n", self.dropped).as_bytes());
             }
-            match self.tx.try_send(std::mem::take(&mut self.line)) {
+            match self.tx.try_send(LogItem::Line(std::mem::take(&mut self.line))) {
                 Ok(()) => self.dropped = 0,
                 Err(_) => self.dropped += 1,
             }
--- a/crates/pollenlever/src/telemetry/mod.rs
+++ b/crates/pollenlever/src/telemetry/mod.rs
@@ -20,7 +20,7 @@
 
 pub use kind_burn::KindBurn;
 pub use kind_objective::KindObjective;
-pub use logging::{init_logging, init_stdout_logging};
+pub use logging::{LogWriter, init_logging, init_stdout_logging};
 pub use multi_window_counts::MultiWindowCounts;
 pub use node_burn::NodeBurn;
 pub use node_telemetry::NodeTelemetry;
