--- a/crates/pollenlever/src/mesh/gate_log.rs
+++ b/crates/pollenlever/src/mesh/gate_log.rs
@@ -1,6 +1,7 @@
 use pollenlever_core::mesh::{AttemptOutcome, MeshAttempt};
 
-use super::gate::{Gate, RunStart};
+use super::gate::Gate;
+use super::gate_run::RunStart;
 use super::log_event::{LogEvent, log_event};
 use super::request_log::RequestLog;
 use super::target_result::TargetResult;
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -6,7 +6,8 @@
 };
 
 use super::answer_statement::AnswerStatement;
-use super::gate::{Gate, RunStart};
+use super::gate::Gate;
+use super::gate_run::RunStart;
 use super::log_event::{LogEvent, log_event};
 use super::stated_rate::StatedRate;
 
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -8,10 +8,9 @@
 use pollenlever_core::id::{ChainId, NodeId, ServiceName};
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, InstanceId, Lineage, ProcessStatement, RegistryChange,
-    RememberedStatements, RouteTable, RouteVersion, StartTime, TargetReport, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteTable,
+    RouteVersion, WeightedSplit,
 };
-use pollenlever_core::policy::TargetNotice;
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
 
@@ -66,7 +65,8 @@
     /// Signalled when other routes are in force.
     pub(super) routes_changed: Notify,
     state: Mutex<State>,
-    remembered_statements: Mutex<RememberedStatements>,
+    /// What targets stated in the answers that this node passed on.
+    pub(super) remembered_statements: Mutex<RememberedStatements>,
     last_id: AtomicU64,
     leaving: AtomicBool,
     target_state_restored: AtomicBool,
@@ -172,62 +172,6 @@
         self.target_state_restored.store(true, Ordering::Relaxed);
     }
 
-    /// Handles a report of the target about itself.
-    pub fn handle_target_report(&self, report: TargetReport) {
-        let text = format!(
-            "instance={} started={} sequence={}",
-            report.instance, report.started, report.sequence
-        );
-        let change = self.gate.handle_report(report);
-        self.log_target_change(change, &text);
-    }
-
-    /// Handles a notice of the target that it is shutting down.
-    pub fn handle_target_departure(&self, instance: &InstanceId, started: Option<StartTime>) {
-        let change = self.gate.handle_departure(instance, started);
-        self.log_target_change(change, &format!("instance={instance}"));
-        self.departure_changed.notify_one();
-    }
-
-    fn log_target_change(&self, change: RegistryChange, what: &str) {
-        match change {
-            RegistryChange::Opened => log_event!(LogEvent::TargetReady, "{what}"),
-            RegistryChange::Closed => log_event!(LogEvent::TargetLeaving, "{what}"),
-            RegistryChange::Stale => {
-                log_event!(LogEvent::TargetReportIgnored, "reason=stale {what}");
-            }
-            RegistryChange::Refreshed => {}
-        }
-        if matches!(change, RegistryChange::Opened | RegistryChange::Closed) {
-            self.announce_target();
-        }
-    }
-
-    /// Tells the other nodes when the target states in an answer that it leaves, for as long as the
-    /// node runs.
-    pub(super) async fn announce_departures(self: Arc<MeshShared>) {
-        loop {
-            self.gate.target_left.notified().await;
-            log_event!(LogEvent::TargetLeaving, "source=answer");
-            self.announce_target();
-        }
-    }
-
-    /// Tells the other nodes about the state of the target beside this one.
-    fn announce_target(&self) {
-        let notice = match self.gate.target() {
-            Some((report, true)) => TargetNotice::Announce {
-                service: report.service,
-                slots: Some(report.slots),
-                cold: !report.cold_remaining.is_zero(),
-            },
-            Some((_, false)) => TargetNotice::Leaving,
-            None => TargetNotice::Exited,
-        };
-        self.members.notify(MembershipEvent::Target(notice));
-        self.departure_changed.notify_one();
-    }
-
     /// This node as the other nodes know it.
     pub fn member(&self) -> Member {
         self.members.read(|it| it.me().clone())
@@ -337,18 +281,6 @@
         self.lock().routing.choose(now, req)
     }
 
-    /// What the target beside `gate` stated last, as far as this node passed it on.
-    pub(super) fn remembered_statement(&self, gate: NodeId) -> Option<ProcessStatement> {
-        let remembered = self.remembered_statements.lock();
-        remembered.unwrap_or_else(PoisonError::into_inner).get(gate.addr)
-    }
-
-    /// Remembers what a target stated, as the gate beside it says in its reply.
-    pub(super) fn remember_statement(&self, gate: NodeId, stated: Option<ProcessStatement>) {
-        let remembered = self.remembered_statements.lock();
-        remembered.unwrap_or_else(PoisonError::into_inner).record(gate.addr, stated);
-    }
-
     /// Returns a number that this process has not used before.
     pub(super) fn next_id(&self) -> u64 {
         self.last_id.fetch_add(1, Ordering::Relaxed) + 1
