--- a/crates/pollenlever/src/peer/codec.rs
+++ b/crates/pollenlever/src/peer/codec.rs
@@ -43,8 +43,9 @@
 ///
 /// ```
 /// use pollenlever::peer::{WireError, decode_request};
+/// use pollenlever_core::message::PROTOCOL_VERSION;
 /// let err = decode_request(&[99]).unwrap_err();
-/// assert_eq!(err, WireError::Version { found: 99, expected: 3 });
+/// assert_eq!(err, WireError::Version { found: 99, expected: PROTOCOL_VERSION });
 /// ```
 pub fn decode_request(head: &[u8]) -> Result<RequestFrame, WireError> {
     decode(head)
