One socket that tells an observer what is read, for connections to nodes and to the target

The wrapper that bounds answers repeated the one that watches peers for signs of life, line for line but for the read. Both use ObservedIo now; what is done with a read is behind the trait ReadObserver.

--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -7,6 +7,7 @@
 mod gossip;
 pub mod manifest;
 pub mod mesh;
+mod net;
 pub mod node;
 pub mod peer;
 pub mod ring;
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -5,7 +5,6 @@
 
 mod answer_body;
 mod answer_statement;
-mod bounded_io;
 mod control_server;
 mod departure_object;
 mod departure_store;
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -13,7 +14,7 @@
 use tokio::net::TcpStream;
 
 use super::answer_body::{BodyError, read_body};
-use super::bounded_io::BoundedIo;
+use crate::net::{ObservedIo, ReadObserver};
 use crate::node::InFlightGuard;
 
 /// Timeout for a new connection to the target.
@@ -50,7 +51,7 @@
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
         let bytes = Arc::new(buffer.new_connection());
-        let io = BoundedIo { io, bytes: Arc::clone(&bytes) };
+        let io = ObservedIo::new(io, bytes.clone());
         let (sender, driver) = handshake(TokioIo::new(io)).await.map_err(|err| err.to_string())?;
         tokio::spawn(async move {
             if let Err(err) = driver.await {
@@ -110,6 +111,13 @@
     }
 }
 
+/// Reading fails once an answer is longer than allowed.
+impl ReadObserver for AnswerBytes {
+    fn record_read(&self, bytes: usize) -> io::Result<()> {
+        self.record(bytes).map_err(io::Error::other)
+    }
+}
+
 /// Timeout from the header `Keep-Alive: timeout=SECONDS`.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/pollenlever/src/mesh/bounded_io.rs
+++ b/crates/pollenlever/src/net/observed_io.rs
@@ -1,20 +1,25 @@
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-use pollenlever_core::mesh::AnswerBytes;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A connection to the target on which reading fails once an answer is longer than allowed.
-#[derive(Debug)]
-pub(super) struct BoundedIo {
-    pub(super) io: TcpStream,
-    pub(super) bytes: Arc<AnswerBytes>,
+use super::SharedReadObserver;
+
+/// Socket that tells an observer what is read from it.
+pub(crate) struct ObservedIo {
+    io: TcpStream,
+    observer: SharedReadObserver,
+}
+
+impl ObservedIo {
+    pub(crate) fn new(io: TcpStream, observer: SharedReadObserver) -> ObservedIo {
+        ObservedIo { io, observer }
+    }
 }
 
-impl AsyncRead for BoundedIo {
+impl AsyncRead for ObservedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -22,12 +27,11 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
-        let recorded = self.bytes.record(buf.filled().len() - before);
-        Poll::Ready(recorded.map_err(io::Error::other))
+        Poll::Ready(self.observer.record_read(buf.filled().len() - before))
     }
 }
 
-impl AsyncWrite for BoundedIo {
+impl AsyncWrite for ObservedIo {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
--- a/crates/pollenlever/src/peer/liveness.rs
+++ b/crates/pollenlever/src/peer/liveness.rs
@@ -1,3 +1,4 @@
+use std::io;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -7,7 +8,7 @@
 use tokio::sync::Notify;
 
 use super::close_reason::CloseReason;
-use super::watched_io::WatchedIo;
+use crate::net::{ObservedIo, ReadObserver};
 
 /// Time for which a stream waits without activity of the peer before the connection is pinged.
 const PING_AFTER_SILENCE: Duration = Duration::from_millis(300);
@@ -68,8 +69,8 @@
     }
 
     /// Wraps a socket so that bytes from the peer count as activity.
-    pub(super) fn watch(&self, io: TcpStream) -> WatchedIo {
-        WatchedIo::new(io, Arc::clone(&self.state))
+    pub(super) fn watch(&self, io: TcpStream) -> ObservedIo {
+        ObservedIo::new(io, self.state.clone())
     }
 
     /// Waits until the connection should be closed: a stream waited without activity of the peer
@@ -126,7 +127,7 @@
         let _ = self.waiting_since_ms.compare_exchange(NOT_WAITING, now, order, order);
     }
 
-    pub(super) fn record_activity(&self) {
+    fn record_activity(&self) {
         let now = self.now_ms();
         self.last_activity_ms.store(now, Ordering::Relaxed);
         let waiting_since = if self.has_streams() { now } else { NOT_WAITING };
@@ -149,3 +150,13 @@
         self.state.open_streams.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// Each read of at least one byte is activity of the peer.
+impl ReadObserver for LivenessState {
+    fn record_read(&self, bytes: usize) -> io::Result<()> {
+        if bytes > 0 {
+            self.record_activity();
+        }
+        Ok(())
+    }
+}
--- a/crates/pollenlever/src/peer/mod.rs
+++ b/crates/pollenlever/src/peer/mod.rs
@@ -15,7 +15,6 @@
 mod reply_frame;
 mod request_frame;
 mod serve_stream;
-mod watched_io;
 mod wire_error;
 
 pub use codec::{decode_reply, decode_request, encode_reply, encode_request};
