A rejection or another process withdraws no stated rate

A target that rejects a request, or another process that answers 421 at its address, may say nothing of a rate; the gate took that as a withdrawal and let through as many requests as came until the next answer to a run. With every second request rejected: 29 requests in 4 s from told nodes for 28 allowed; now held. That a process leaves is never taken back.

Test: stated_rate::a_rejection_does_not_withdraw_a_stated_rate, fails before.

--- a/crates/pollenlever/src/mesh/answer_statement.rs
+++ b/crates/pollenlever/src/mesh/answer_statement.rs
@@ -12,10 +12,14 @@
 }
 
 impl AnswerStatement {
+    /// Reads the headers of an answer to a request that the target ran or rejected. A rejection may
+    /// state a rate, but without one it does not withdraw the rate of earlier answers.
     pub(super) fn read(names: &HeaderNames, headers: &HeaderMap) -> AnswerStatement {
-        AnswerStatement {
-            rate_limit: StatedRate::read(headers.get(&names.rate_limit)),
-            is_leaving: headers.contains_key(&names.leaving),
-        }
+        let is_rejection = headers.contains_key(&names.not_run);
+        let rate_limit = match StatedRate::read(headers.get(&names.rate_limit)) {
+            StatedRate::Absent if is_rejection => StatedRate::Unchanged,
+            stated => stated,
+        };
+        AnswerStatement { rate_limit, is_leaving: headers.contains_key(&names.leaving) }
     }
 }
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -78,9 +78,11 @@
         let rate_limit = match read.rate_limit {
             StatedRate::Absent => None,
             StatedRate::Limited(limit) => Some(limit),
-            StatedRate::Unreadable => known.rate_limit,
+            StatedRate::Unchanged => known.rate_limit,
         };
-        let statement = TargetStatement { rate_limit, is_leaving: read.is_leaving };
+        // A process that leaves does not come back.
+        let is_leaving = known.is_leaving || read.is_leaving;
+        let statement = TargetStatement { rate_limit, is_leaving };
         let stated = ProcessStatement {
             instance: start.instance.clone(),
             started: start.process_started,
--- a/crates/pollenlever/src/mesh/stated_rate.rs
+++ b/crates/pollenlever/src/mesh/stated_rate.rs
@@ -8,8 +8,9 @@
     Absent,
     /// The target takes this many requests a second from all nodes together.
     Limited(RequestsPerSecond),
-    /// The answer states a rate that is not a decimal number of at least 0.
-    Unreadable,
+    /// The answer says nothing that counts, such as a rate that is not a decimal number of at least
+    /// 0; what earlier answers state stays.
+    Unchanged,
 }
 
 impl StatedRate {
@@ -18,6 +19,6 @@
         let Some(value) = value else { return StatedRate::Absent };
         let number = value.to_str().ok().and_then(|it| it.trim().parse().ok());
         let limit = number.filter(|it: &RequestsPerSecond| it.is_finite() && *it >= 0.0);
-        limit.map_or(StatedRate::Unreadable, StatedRate::Limited)
+        limit.map_or(StatedRate::Unchanged, StatedRate::Limited)
     }
 }
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -182,7 +182,9 @@
         if let Some(reason) = self.mismatch(head, response.headers(), status) {
             return TargetResult::Unknown(reason).into();
         }
-        let statement = Some(AnswerStatement::read(&self.names, response.headers()));
+        // Another process than the expected one answers 421.
+        let is_expected = status != 421;
+        let statement = is_expected.then(|| AnswerStatement::read(&self.names, response.headers()));
         TargetRun { result: self.read_result(connection, response).await, statement }
     }
 
--- a/crates/pollenlever/tests/mesh/stated_rate.rs
+++ b/crates/pollenlever/tests/mesh/stated_rate.rs
@@ -47,9 +47,12 @@
 /// Starts the target that states rates beside the first node, `others` targets of the same service,
 /// and nodes for callers.
 async fn start_mesh(others: usize) -> TestMesh {
-    let script = [Action::Answer(200, "x")];
-    let mut targets = vec![("read", &script[..]); 1 + others];
-    targets.resize(NODES, ("charge", &script[..]));
+    start_mesh_with(others, &[Action::Answer(200, "x")]).await
+}
+
+async fn start_mesh_with(others: usize, script: &[Action]) -> TestMesh {
+    let mut targets = vec![("read", script); 1 + others];
+    targets.resize(NODES, ("charge", script));
     TestMesh::start(&targets).await
 }
 
@@ -201,3 +204,15 @@
     assert!(seen.refused * 50 <= seen.answered, "{} refused, {}", seen.refused, seen.answered);
     assert_eq!(seen.other, 0);
 }
+
+/// Half of what the target is sent it rejects, without a word about its rate.
+#[tokio::test]
+async fn a_rejection_does_not_withdraw_a_stated_rate() {
+    let pairs = std::iter::repeat_n([Action::Answer(200, "x"), Action::Reject], 500);
+    let script: Vec<Action> = pairs.flatten().collect();
+    let phases = [phase(Some(5.0), 8)];
+    let mesh = start_mesh_with(0, &script).await;
+    let (seen, begins) = play(&mesh, &phases).await;
+    check_bound(&mesh, &phases, &seen, &begins);
+    assert!(seen.answered > 0);
+}
