A rejection that says nothing of a rate is not the gate's first word from its target

After a restart, a rejection without a rate made the gate hold that its target states none, and forget what owners remember. Found by reading the change again; such an answer is passed over now. Tests of stated rates pass as before.

--- a/crates/pollenlever/src/mesh/answer_statement.rs
+++ b/crates/pollenlever/src/mesh/answer_statement.rs
@@ -22,4 +22,8 @@
         };
         AnswerStatement { rate_limit, is_leaving: headers.contains_key(&names.leaving) }
     }
+    /// Whether the answer leaves open what the target states, as a rejection may.
+    pub(super) fn says_nothing(&self) -> bool {
+        self.rate_limit == StatedRate::Unchanged && !self.is_leaving
+    }
 }
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -67,6 +67,9 @@
 
     /// Records what the target stated about itself in the answer to a run.
     pub(super) fn record_statement(&self, start: &RunStart, read: AnswerStatement) {
+        if read.says_nothing() {
+            return;
+        }
         let mut state = self.lock();
         let is_of_start = |it: &TargetReport| {
             (&it.instance, it.started) == (&start.instance, start.process_started)
