--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -1,3 +1,5 @@
+mod shedding;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -179,13 +181,6 @@
         self.rate_limiter.is_limited() && self.expected_wait(now, waiting) > MAX_RATE_LIMIT_WAIT
     }
 
-    /// Reason for shedding a request now: the rate limit if only that keeps it from starting,
-    /// otherwise `error`.
-    fn shed_reason(&self, error: ErrorKind) -> ErrorKind {
-        let has_slot = self.running.len() < self.max_concurrency() as usize;
-        if self.rate_limiter.is_limited() && has_slot { ErrorKind::RateLimited } else { error }
-    }
-
     /// Whether the class has a lower limit than the target, has reached it, and already has that
     /// many waiting requests.
     fn is_class_full(&self, waiting: &Waiting) -> bool {
@@ -197,78 +192,6 @@
             && queued as u32 >= limit
     }
 
-    fn shed(
-        &mut self,
-        now: Timestamp,
-        waiting: &Waiting,
-        error: ErrorKind,
-        verdicts: &mut Vec<Verdict>,
-    ) {
-        let error = self.shed_reason(error);
-        self.recent_shed.record_shed(now, &self.settings);
-        self.shed_level.record_shed(now, waiting.ticket.importance);
-        let retry_after = self.recent_shed.retry_after(
-            now,
-            &self.settings,
-            self.queue.len(),
-            self.start_interval(),
-            waiting.ticket.chain,
-        );
-        verdicts.push(Verdict::Shed { id: waiting.ticket.id, error, retry_after });
-    }
-
-    /// Sheds the requests that have passed their latest start. Only the wait of the least important
-    /// ones in a standing queue is limited, and not if they have waited for the rate limit, which
-    /// allows a start now.
-    fn shed_late(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
-        let may_start = self.rate_limiter.is_limited() && self.rate_limiter.allows_start(now);
-        let is_standing = self.is_standing(now) && !may_start;
-        let mut queue = std::mem::take(&mut self.queue);
-        let least_important = queue.iter().map(|it| it.ticket.importance).min();
-        let late = queue.take_late(|it| {
-            let limits_wait = is_standing && Some(it.ticket.importance) == least_important;
-            self.latest_start(now, it, limits_wait) < now
-        });
-        self.queue = queue;
-        for waiting in late {
-            let cannot_finish = self.latest_start(now, &waiting, false) < now;
-            let error =
-                if cannot_finish { ErrorKind::DeadlineTooShort } else { ErrorKind::Overloaded };
-            self.shed(now, &waiting, error, verdicts);
-        }
-    }
-
-    fn shed_excess(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
-        while self.queue.len() > self.max_queue(now) {
-            let order = self.settings.order;
-            let shares = &self.depth_shares;
-            let is_preferred = |it: &Waiting| {
-                let Ticket { importance, depth, .. } = it.ticket;
-                depth == 0 && shares.prefers_new_chains(now, importance)
-            };
-            let worst = self.queue.pop_worst(now, &self.usage, order, is_preferred);
-            let Some(worst) = worst else { return };
-            self.shed(now, &worst, ErrorKind::Overloaded, verdicts);
-        }
-    }
-
-    /// Maximum length of the queue: the number of requests that can start within the longest wait,
-    /// or within half of the longest time that remains until a waiting request's latest start, if
-    /// that is shorter. It is `max_queue` of the settings if only new chains wait and the queue is
-    /// not standing, or if no service time is known yet.
-    fn max_queue(&self, now: Timestamp) -> usize {
-        let start_interval = self.start_interval();
-        let depth = self.queue.max_depth();
-        if start_interval.is_zero() || (depth == 0 && !self.is_standing(now)) {
-            return self.settings.max_queue;
-        }
-        let time_to_spare = |it: &Waiting| self.latest_start(now, it, false).saturating_sub(now);
-        let time_to_spare = self.queue.iter().map(time_to_spare).max().unwrap_or_default();
-        let wait = self.longest_wait(depth).min(time_to_spare / 2);
-        let starts = wait.as_secs_f64() / start_interval.as_secs_f64();
-        (starts.ceil() as usize).clamp(1, self.settings.max_queue)
-    }
-
     fn start_waiting(&mut self, now: Timestamp, verdicts: &mut Vec<Verdict>) {
         while self.running.len() < self.max_concurrency() as usize
             && self.rate_limiter.allows_start(now)
