--- a/crates/pollenlever-core/src/admission/admission_settings.rs
+++ b/crates/pollenlever-core/src/admission/admission_settings.rs
@@ -13,7 +13,7 @@
 pub struct AdmissionSettings {
     /// Algorithm that learns the concurrency limit.
     pub limit: LimitKind,
-    /// Order of requests with the same importance, depth and customer while the gate is overloaded.
+    /// Order of requests with the same importance, depth and workspace while the gate is overloaded.
     pub order: OrderKind,
     /// Maximum number of waiting requests.
     pub max_queue: usize,
@@ -23,7 +23,7 @@
     /// A queue is standing (not just absorbing a burst) once its delay has stayed above half of
     /// the longest wait for this long.
     pub queue_interval: Duration,
-    /// Decay time of the counts of runs by customer and of shed requests.
+    /// Decay time of the counts of runs by workspace and of shed requests.
     pub decay_time: Duration,
     /// Lower bound of the retry delay sent to a caller whose request was shed.
     pub min_retry_after: Duration,
--- a/crates/pollenlever-core/src/admission/mod.rs
+++ b/crates/pollenlever-core/src/admission/mod.rs
@@ -6,7 +6,6 @@
 mod chain_hash;
 mod class_limits;
 mod concurrency_limit;
-mod customer_usage;
 mod decaying_sum;
 mod depth_shares;
 mod failure_limit;
@@ -24,6 +23,7 @@
 mod shed_level;
 mod ticket;
 mod waiting;
+mod workspace_usage;
 
 pub use admission::{Admission, BoxAdmission};
 pub use admission_settings::AdmissionSettings;
--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use super::class_limits::{Class, ClassLimits};
-use super::customer_usage::CustomerUsage;
 use super::depth_shares::DepthShares;
 use super::queue::Queue;
 use super::rate_limiter::RateLimiter;
@@ -13,6 +12,7 @@
 use super::service_times::ServiceTimes;
 use super::shed_level::ShedLevel;
 use super::waiting::Waiting;
+use super::workspace_usage::WorkspaceUsage;
 use super::{Admission, AdmissionSettings, OrderKind, RunOutcome, Ticket, Verdict};
 use crate::Timestamp;
 use crate::answer::ErrorKind;
@@ -24,7 +24,7 @@
 /// another gate may serve the request sooner.
 const MAX_RATE_LIMIT_WAIT: Duration = Duration::from_millis(500);
 
-/// Admission by importance, depth, customer and chain, within a learned concurrency limit
+/// Admission by importance, depth, workspace and chain, within a learned concurrency limit
 /// and the rate limit that the target states.
 ///
 /// Deeper calls go before new chains of the same importance, but only while no smaller share of the
@@ -49,7 +49,7 @@
 ///     importance: Importance::Critical,
 ///     chain: "127.0.0.1:7101@1f~2a".parse().unwrap(),
 ///     depth: 0,
-///     customer: "bologna".into(),
+///     workspace: "bologna".into(),
 ///     deadline: Duration::from_secs(2),
 /// };
 /// let mut verdicts = Vec::new();
@@ -67,7 +67,7 @@
     queue: Queue,
     running: BTreeMap<StreamId, Running>,
     service_times: ServiceTimes,
-    usage: CustomerUsage,
+    usage: WorkspaceUsage,
     depth_shares: DepthShares,
     recent_shed: RecentShed,
     shed_level: ShedLevel,
@@ -95,7 +95,7 @@
             queue: Queue::default(),
             running: BTreeMap::new(),
             service_times: ServiceTimes::default(),
-            usage: CustomerUsage::new(settings.decay_time),
+            usage: WorkspaceUsage::new(settings.decay_time),
             depth_shares: DepthShares::default(),
             recent_shed: RecentShed::default(),
             shed_level: ShedLevel::default(),
@@ -139,7 +139,7 @@
         since.is_some_and(|it| now.saturating_sub(it) >= self.settings.queue_interval)
     }
 
-    /// Order among requests of the same importance, depth and customer.
+    /// Order among requests of the same importance, depth and workspace.
     fn order(&self, now: Timestamp) -> OrderKind {
         if self.is_standing(now) { self.settings.order } else { OrderKind::Fifo }
     }
@@ -198,8 +198,8 @@
         {
             let order = self.order(now);
             let Some(best) = self.pop_best(now, order) else { return };
-            let Ticket { id, importance, customer, .. } = &best.ticket;
-            self.usage.record_run(now, *importance, customer);
+            let Ticket { id, importance, workspace, .. } = &best.ticket;
+            self.usage.record_run(now, *importance, workspace);
             self.depth_shares.record_started(now, *importance, best.ticket.depth);
             let concurrency = self.running.len() as u32 + 1;
             self.limits.record_start(best.class());
--- a/crates/pollenlever-core/src/admission/queue.rs
+++ b/crates/pollenlever-core/src/admission/queue.rs
@@ -2,11 +2,11 @@
 use std::collections::BTreeMap;
 
 use super::OrderKind;
-use super::customer_usage::CustomerUsage;
 use super::waiting::Waiting;
+use super::workspace_usage::WorkspaceUsage;
 use crate::Timestamp;
 use crate::config::Importance;
-use crate::id::{CustomerId, StreamId};
+use crate::id::{StreamId, WorkspaceName};
 
 /// Requests that wait for a slot, stored in order of arrival.
 #[derive(Debug, Default)]
@@ -78,17 +78,17 @@
     }
 
     /// Removes and returns the request to run next among those for which `may_run` returns true:
-    /// highest class, then the customer with the least usage, then by `order`.
+    /// highest class, then the workspace with the least usage, then by `order`.
     pub(super) fn pop_best(
         &mut self,
         now: Timestamp,
-        usage: &CustomerUsage,
+        usage: &WorkspaceUsage,
         order: OrderKind,
         may_run: impl Fn(&Waiting) -> bool,
     ) -> Option<Waiting> {
         let startable = self.items.iter().filter(|it| may_run(it));
         let class = startable.map(Waiting::class).max()?;
-        let used = |it: &Waiting| usage.get(now, it.ticket.importance, &it.ticket.customer);
+        let used = |it: &Waiting| usage.get(now, it.ticket.importance, &it.ticket.workspace);
         let candidates = self.items.iter().enumerate().filter(|(_, it)| it.class() == class);
         let best = candidates.max_by(|(_, a), (_, b)| {
             used(b).total_cmp(&used(a)).then_with(|| compare(order, a, b))
@@ -98,24 +98,24 @@
     }
 
     /// Removes and returns the request to shed first: lowest importance, then those that are not
-    /// preferred, then lowest depth, then the customer with the most usage plus waiting requests,
+    /// preferred, then lowest depth, then the workspace with the most usage plus waiting requests,
     /// then the last by `order`.
     pub(super) fn pop_worst(
         &mut self,
         now: Timestamp,
-        usage: &CustomerUsage,
+        usage: &WorkspaceUsage,
         order: OrderKind,
         is_preferred: impl Fn(&Waiting) -> bool,
     ) -> Option<Waiting> {
         let rank = |it: &Waiting| (it.ticket.importance, is_preferred(it), it.ticket.depth);
         let lowest = self.items.iter().map(rank).min()?;
-        let mut load_by_customer: BTreeMap<CustomerId, f64> = BTreeMap::new();
+        let mut load_by_workspace: BTreeMap<WorkspaceName, f64> = BTreeMap::new();
         for it in self.items.iter().filter(|it| rank(it) == lowest) {
-            let used = usage.get(now, it.ticket.importance, &it.ticket.customer);
-            *load_by_customer.entry(it.ticket.customer.clone()).or_insert(used) += 1.0;
+            let used = usage.get(now, it.ticket.importance, &it.ticket.workspace);
+            *load_by_workspace.entry(it.ticket.workspace.clone()).or_insert(used) += 1.0;
         }
         let load =
-            |it: &Waiting| load_by_customer.get(&it.ticket.customer).copied().unwrap_or_default();
+            |it: &Waiting| load_by_workspace.get(&it.ticket.workspace).copied().unwrap_or_default();
         let candidates = self.items.iter().enumerate().filter(|(_, it)| rank(it) == lowest);
         let worst = candidates.max_by(|(_, a), (_, b)| {
             load(a).total_cmp(&load(b)).then_with(|| compare(order, b, a))
@@ -125,7 +125,7 @@
     }
 }
 
-/// Compares two requests of one class and customer; the greater one runs first.
+/// Compares two requests of one class and workspace; the greater one runs first.
 fn compare(order: OrderKind, a: &Waiting, b: &Waiting) -> Ordering {
     let by_age = (b.arrived, b.ticket.id).cmp(&(a.arrived, a.ticket.id));
     match order {
--- a/crates/pollenlever-core/src/admission/ticket.rs
+++ b/crates/pollenlever-core/src/admission/ticket.rs
@@ -3,7 +3,7 @@
 use crate::Timestamp;
 use crate::answer::ErrorKind;
 use crate::config::Importance;
-use crate::id::{ChainId, CustomerId, ServiceName, StreamId};
+use crate::id::{ChainId, ServiceName, StreamId, WorkspaceName};
 
 /// A request waiting for admission to the target.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,8 +18,8 @@
     pub chain: ChainId,
     /// Number of calls above this one in the chain; 0 for a new chain.
     pub depth: u8,
-    /// Customer on whose behalf the call is made.
-    pub customer: CustomerId,
+    /// Workspace on whose behalf the call is made.
+    pub workspace: WorkspaceName,
     /// Time at which the caller stops waiting.
     pub deadline: Timestamp,
 }
--- a/crates/pollenlever-core/src/id/mod.rs
+++ b/crates/pollenlever-core/src/id/mod.rs
@@ -23,8 +23,8 @@
 pub type ServiceName = Arc<str>;
 /// Name of a declared kind of request.
 pub type KindName = Arc<str>;
-/// Name of the customer on whose behalf a call is made.
-pub type CustomerId = Arc<str>;
+/// Name of the workspace on whose behalf a call is made.
+pub type WorkspaceName = Arc<str>;
 /// Name of a region.
 pub type RegionName = Arc<str>;
 /// Name of an availability zone.
@@ -37,5 +37,5 @@
 pub type StreamId = u64;
 /// Local number of a request that this node handed to its target.
 pub type RunId = u64;
-/// Hash of customer, method, path and body.
+/// Hash of workspace, method, path and body.
 pub type ContentDigest = u64;
--- a/crates/pollenlever-core/src/message/forward_head.rs
+++ b/crates/pollenlever-core/src/message/forward_head.rs
@@ -3,7 +3,7 @@
 use bincode::{Decode, Encode};
 
 use crate::config::Importance;
-use crate::id::{ChainId, ContentDigest, CustomerId, RequestKey, ServiceName};
+use crate::id::{ChainId, ContentDigest, RequestKey, ServiceName, WorkspaceName};
 
 /// Head of a keyed request, sent by its entry (the node that received it from the caller) to the
 /// home named in its key.
@@ -21,14 +21,14 @@
     pub path: String,
     /// Headers for the target.
     pub headers: Vec<(String, String)>,
-    /// Customer on whose behalf the call is made.
-    pub customer: CustomerId,
+    /// Workspace on whose behalf the call is made.
+    pub workspace: WorkspaceName,
     /// Importance of the chain; the least important requests are shed first.
     pub importance: Importance,
     /// Number of calls above this one in the chain; 0 for a new chain.
     pub depth: u8,
     /// Time left until the caller's deadline.
     pub time_left: Duration,
-    /// Hash of customer, method, path and body.
+    /// Hash of workspace, method, path and body.
     pub digest: ContentDigest,
 }
--- a/crates/pollenlever-core/src/naive/entry.rs
+++ b/crates/pollenlever-core/src/naive/entry.rs
@@ -140,7 +140,7 @@
             method: pending.call.method.clone(),
             path: pending.call.path.clone(),
             headers: pending.call.headers.clone(),
-            customer: pending.call.customer.clone(),
+            workspace: pending.call.workspace.clone(),
             importance: pending.kind.importance,
             depth: 0,
             time_left: pending.deadline.saturating_sub(now),
@@ -217,7 +217,7 @@
         out.push(Action::RecordCall(Observation {
             service: pending.call.service,
             kind: pending.kind.name,
-            customer: pending.call.customer,
+            workspace: pending.call.workspace,
             status: answer.status,
             error: answer.error,
             latency: now.saturating_sub(pending.arrived),
--- a/crates/pollenlever-core/src/node/calls.rs
+++ b/crates/pollenlever-core/src/node/calls.rs
@@ -13,7 +13,7 @@
 use crate::Timestamp;
 use crate::answer::{Answer, ErrorKind, Outcome, RetryAdvice};
 use crate::config::RequestKind;
-use crate::id::{AttemptId, CallId, ChainId, CustomerId, KindName, RequestKey, ServiceName};
+use crate::id::{AttemptId, CallId, ChainId, KindName, RequestKey, ServiceName, WorkspaceName};
 use crate::once::{KeyMint, Waiter};
 use crate::policy::{Action, Call, Observation};
 
@@ -23,12 +23,12 @@
         let chain = call.chain;
         let may_have_run = call.key.is_some() || chain.is_some();
         let kind = self.kind_of(&call).map(|it| it.name);
-        let (service, customer) = (call.service.clone(), call.customer.clone());
+        let (service, workspace) = (call.service.clone(), call.workspace.clone());
         let (call, needs_grant) = match self.open_call(cx.now, call) {
             Ok(opened) => opened,
             Err(err) => {
                 if let Ok(kind) = kind {
-                    cx.push(Action::RecordCall(refusal_observation(service, kind, customer, err)));
+                    cx.push(Action::RecordCall(refusal_observation(service, kind, workspace, err)));
                 }
                 return self.refuse_call(cx, id, chain, err, may_have_run);
             }
@@ -49,7 +49,7 @@
     /// Assigns a call to its chain. Also returns whether it is a resend that needs a grant.
     fn open_call(&mut self, now: Timestamp, call: Call) -> Result<(OpenCall, bool), ErrorKind> {
         let kind = self.kind_of(&call)?;
-        let call = self.with_customer_of_parent(call)?;
+        let call = self.with_workspace_of_parent(call)?;
         let digest = call_digest(&call);
         let position = self.chain_position(now, &call, &kind, digest)?;
         let key = Self::request_key(&call, &kind, &position, digest)?;
@@ -67,7 +67,7 @@
             path: call.path,
             headers: call.headers,
             body: call.body,
-            customer: call.customer,
+            workspace: call.workspace,
             importance: position.importance,
             depth: position.depth,
             deadline: position.deadline,
@@ -96,10 +96,10 @@
         cfg.kind_of(&call.method, &call.path).cloned()
     }
 
-    fn with_customer_of_parent(&mut self, call: Call) -> Result<Call, ErrorKind> {
+    fn with_workspace_of_parent(&mut self, call: Call) -> Result<Call, ErrorKind> {
         let Some(id) = call.parent else { return Ok(call) };
         let parent = self.parent_mut(id).ok_or(ErrorKind::ParentEnded)?;
-        Ok(Call { customer: parent.head.customer.clone(), ..call })
+        Ok(Call { workspace: parent.head.workspace.clone(), ..call })
     }
 
     fn request_key(
@@ -259,7 +259,7 @@
 
 /// Whether an equal call that follows this error counts as a resend.
 fn counts_as_failure(err: ErrorKind) -> bool {
-    !matches!(err, ErrorKind::RetryRefused | ErrorKind::CustomerLimit | ErrorKind::Suspect)
+    !matches!(err, ErrorKind::RetryRefused | ErrorKind::WorkspaceLimit | ErrorKind::Suspect)
 }
 
 fn observation(now: Timestamp, call: &OpenCall, answer: &Answer) -> Observation {
@@ -267,7 +267,7 @@
     Observation {
         service: call.req.service.clone(),
         kind: call.req.kind.clone(),
-        customer: call.req.customer.clone(),
+        workspace: call.req.workspace.clone(),
         status: answer.status,
         error: answer.error,
         latency: now.saturating_sub(call.arrived),
@@ -279,9 +279,9 @@
 fn refusal_observation(
     service: ServiceName,
     kind: KindName,
-    customer: CustomerId,
+    workspace: WorkspaceName,
     err: ErrorKind,
 ) -> Observation {
     let (status, error) = (err.response().status, Some(err));
-    Observation { service, kind, customer, status, error, latency: Duration::ZERO, is_good: false }
+    Observation { service, kind, workspace, status, error, latency: Duration::ZERO, is_good: false }
 }
--- a/crates/pollenlever-core/src/node/chain_position.rs
+++ b/crates/pollenlever-core/src/node/chain_position.rs
@@ -71,7 +71,7 @@
     }
 
     /// The chain of an equal call without key or chain that failed recently, if there is one.
-    /// Fails if the customer has used up its resends.
+    /// Fails if the workspace has used up its resends.
     fn chain_of_failed_call(
         &mut self,
         now: Timestamp,
@@ -81,19 +81,19 @@
         let Some(chain) = self.recent_failures.chain_of_failed_call(now, digest) else {
             return Ok(None);
         };
-        if self.take_customer_resend(now, call) {
+        if self.take_workspace_resend(now, call) {
             Ok(Some(chain))
         } else {
-            Err(ErrorKind::CustomerLimit)
+            Err(ErrorKind::WorkspaceLimit)
         }
     }
 
-    fn take_customer_resend(&mut self, now: Timestamp, call: &Call) -> bool {
-        let (burst, rate) = (self.cfg.customer_resend_burst, self.cfg.customer_resends_per_s);
+    fn take_workspace_resend(&mut self, now: Timestamp, call: &Call) -> bool {
+        let (burst, rate) = (self.cfg.workspace_resend_burst, self.cfg.workspace_resends_per_s);
         if self.resend_buckets.len() >= self.cfg.max_recent_failures {
             self.resend_buckets.retain(|_, bucket| !bucket.is_full(now));
         }
-        let id = (call.customer.clone(), call.service.clone());
+        let id = (call.workspace.clone(), call.service.clone());
         if self.resend_buckets.len() >= self.cfg.max_recent_failures
             && !self.resend_buckets.contains_key(&id)
         {
--- a/crates/pollenlever-core/src/node/gates.rs
+++ b/crates/pollenlever-core/src/node/gates.rs
@@ -91,7 +91,7 @@
             importance: attempt.head.importance,
             chain: attempt.head.chain,
             depth: attempt.head.depth,
-            customer: attempt.head.customer.clone(),
+            workspace: attempt.head.workspace.clone(),
             deadline: attempt.deadline,
         };
         let mut verdicts = Vec::new();
--- a/crates/pollenlever-core/src/node/node.rs
+++ b/crates/pollenlever-core/src/node/node.rs
@@ -18,8 +18,8 @@
 use crate::chain::{ChainRetryBudgets, RecentFailures, TokenBucket};
 use crate::config::ServiceConfig;
 use crate::id::{
-    AttemptId, CallId, ContentDigest, CustomerId, ExchangeId, NodeId, RegionName, RequestKey,
-    RunId, ServiceName, StreamId, ZoneName,
+    AttemptId, CallId, ContentDigest, ExchangeId, NodeId, RegionName, RequestKey, RunId,
+    ServiceName, StreamId, WorkspaceName, ZoneName,
 };
 use crate::membership::Member;
 use crate::message::PeerRequest;
@@ -46,7 +46,7 @@
     pub(super) chain_retry_budgets: ChainRetryBudgets,
     pub(super) recent_failures: RecentFailures,
     pub(super) retry_buckets: BTreeMap<ServiceName, TokenBucket>,
-    pub(super) resend_buckets: BTreeMap<(CustomerId, ServiceName), TokenBucket>,
+    pub(super) resend_buckets: BTreeMap<(WorkspaceName, ServiceName), TokenBucket>,
     pub(super) own_home: Home,
     /// Homes whose records this node has taken over.
     pub(super) inherited_homes: BTreeMap<NodeId, Home>,
--- a/crates/pollenlever-core/src/node/node_settings.rs
+++ b/crates/pollenlever-core/src/node/node_settings.rs
@@ -26,12 +26,12 @@
     /// Time after a failed call in which an equal call without key or chain counts as a resend.
     pub resend_window: Duration,
     /// Maximum number of failed calls remembered to detect resends, and of resend budgets (one per
-    /// customer and service).
+    /// workspace and service).
     pub max_recent_failures: usize,
-    /// Number of resends without key or chain that a customer may make to one service at once.
-    pub customer_resend_burst: f64,
-    /// Number of resends without key or chain that a customer may make to one service per second.
-    pub customer_resends_per_s: f64,
+    /// Number of resends without key or chain that a workspace may make to one service at once.
+    pub workspace_resend_burst: f64,
+    /// Number of resends without key or chain that a workspace may make to one service per second.
+    pub workspace_resends_per_s: f64,
     /// Number of retries to one service that its retry budget allows at once.
     pub retry_burst: f64,
     /// Number of retries per second that the retry budget of a service gains without first attempts.
@@ -87,8 +87,8 @@
             chain_window: Duration::from_secs(10),
             resend_window: Duration::from_secs(2),
             max_recent_failures: 16_384,
-            customer_resend_burst: 20.0,
-            customer_resends_per_s: 5.0,
+            workspace_resend_burst: 20.0,
+            workspace_resends_per_s: 5.0,
             retry_burst: 3.0,
             min_retries_per_s: 1.0,
             max_ended_attempts: 65_536,
--- a/crates/pollenlever-core/src/node/request.rs
+++ b/crates/pollenlever-core/src/node/request.rs
@@ -4,7 +4,9 @@
 
 use crate::Timestamp;
 use crate::config::{Importance, RequestKind};
-use crate::id::{AttemptId, ChainId, ContentDigest, CustomerId, KindName, RequestKey, ServiceName};
+use crate::id::{
+    AttemptId, ChainId, ContentDigest, KindName, RequestKey, ServiceName, WorkspaceName,
+};
 use crate::message::{AttemptHead, ForwardHead};
 use crate::policy::Call;
 use crate::suspicion::content_digest;
@@ -20,7 +22,7 @@
     pub(super) path: String,
     pub(super) headers: Vec<(String, String)>,
     pub(super) body: Bytes,
-    pub(super) customer: CustomerId,
+    pub(super) workspace: WorkspaceName,
     pub(super) importance: Importance,
     pub(super) depth: u8,
     pub(super) deadline: Timestamp,
@@ -45,7 +47,7 @@
             path: head.path,
             headers: head.headers,
             body,
-            customer: head.customer,
+            workspace: head.workspace,
             importance: head.importance,
             depth: head.depth,
             deadline: now + head.time_left,
@@ -70,7 +72,7 @@
             method: self.method.clone(),
             path: self.path.clone(),
             headers: self.headers.clone(),
-            customer: self.customer.clone(),
+            workspace: self.workspace.clone(),
             importance: self.importance,
             depth: self.depth,
             time_left: self.time_left(now),
@@ -89,7 +91,7 @@
             method: self.method.clone(),
             path: self.path.clone(),
             headers: self.headers.clone(),
-            customer: self.customer.clone(),
+            workspace: self.workspace.clone(),
             importance: self.importance,
             depth: self.depth,
             time_left: self.time_left(now),
@@ -102,8 +104,8 @@
     }
 }
 
-/// Hash of customer, service, method, path and body of a call.
+/// Hash of workspace, service, method, path and body of a call.
 pub(super) fn call_digest(call: &Call) -> ContentDigest {
-    let (customer, service) = (call.customer.as_bytes(), call.service.as_bytes());
-    content_digest([customer, service, call.method.as_bytes(), call.path.as_bytes(), &call.body])
+    let (workspace, service) = (call.workspace.as_bytes(), call.service.as_bytes());
+    content_digest([workspace, service, call.method.as_bytes(), call.path.as_bytes(), &call.body])
 }
--- a/crates/pollenlever-core/src/once/handover_record.rs
+++ b/crates/pollenlever-core/src/once/handover_record.rs
@@ -12,7 +12,7 @@
     pub key: RequestKey,
     /// Service of the request.
     pub service: ServiceName,
-    /// Hash of customer, service, method, path and body.
+    /// Hash of workspace, service, method, path and body.
     pub digest: ContentDigest,
     /// Status, headers and outcome of the answer, without the body.
     pub answer: Answer,
--- a/crates/pollenlever-core/src/policy/event.rs
+++ b/crates/pollenlever-core/src/policy/event.rs
@@ -6,8 +6,8 @@
 use super::{RunResult, TargetNotice};
 use crate::config::ServiceConfig;
 use crate::id::{
-    AttemptId, CallId, ChainId, CustomerId, ExchangeId, NodeId, RequestKey, RunId, ServiceName,
-    StreamId,
+    AttemptId, CallId, ChainId, ExchangeId, NodeId, RequestKey, RunId, ServiceName, StreamId,
+    WorkspaceName,
 };
 use crate::membership::Member;
 use crate::message::{PeerReply, PeerRequest};
@@ -25,8 +25,8 @@
     pub headers: Vec<(String, String)>,
     /// Whole body.
     pub body: Bytes,
-    /// Customer on whose behalf the call is made.
-    pub customer: CustomerId,
+    /// Workspace on whose behalf the call is made.
+    pub workspace: WorkspaceName,
     /// Request key that the caller got for this request, if any.
     pub key: Option<RequestKey>,
     /// Chain copied from an earlier answer; present if the call is a resend.
--- a/crates/pollenlever-core/src/policy/observation.rs
+++ b/crates/pollenlever-core/src/policy/observation.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use crate::answer::ErrorKind;
-use crate::id::{CustomerId, KindName, ServiceName};
+use crate::id::{KindName, ServiceName, WorkspaceName};
 
 /// An ended call, as recorded by its entry (the node that received it from the caller) for metrics
 /// and the burn report.
@@ -11,8 +11,8 @@
     pub service: ServiceName,
     /// Kind of request.
     pub kind: KindName,
-    /// Customer on whose behalf the call was made.
-    pub customer: CustomerId,
+    /// Workspace on whose behalf the call was made.
+    pub workspace: WorkspaceName,
     /// HTTP status of the answer.
     pub status: u16,
     /// Reason for which no target answered; `None` if one did.
--- a/crates/pollenlever-core/tests/admission/chain.rs
+++ b/crates/pollenlever-core/tests/admission/chain.rs
@@ -98,7 +98,7 @@
             importance,
             chain: chain_id(id),
             depth: 0,
-            customer: format!("customer-{}", rng.random_range(0..4)).into(),
+            workspace: format!("workspace-{}", rng.random_range(0..4)).into(),
             deadline: self.now + ms(1000),
         };
         *self.report.offered.entry(importance).or_default() += 1;
--- a/crates/pollenlever-core/tests/admission/estimate.rs
+++ b/crates/pollenlever-core/tests/admission/estimate.rs
@@ -14,7 +14,7 @@
         importance: Importance::Normal,
         chain: "127.0.0.1:7101@1f~2a".parse().unwrap(),
         depth: 0,
-        customer: "bologna".into(),
+        workspace: "bologna".into(),
         deadline: now + DEADLINE,
     }
 }
--- a/crates/pollenlever-core/tests/admission/main.rs
+++ b/crates/pollenlever-core/tests/admission/main.rs
@@ -41,7 +41,7 @@
     ChainId { origin: "127.0.0.1:7101@1f".parse().unwrap(), seq }
 }
 
-/// A ticket of normal importance for customer `a`, with a deadline at ten seconds.
+/// A ticket of normal importance for workspace `a`, with a deadline at ten seconds.
 fn ticket(id: StreamId) -> Ticket {
     Ticket {
         id,
@@ -49,7 +49,7 @@
         importance: Importance::Normal,
         chain: chain_id(id),
         depth: 0,
-        customer: "a".into(),
+        workspace: "a".into(),
         deadline: Duration::from_secs(10),
     }
 }
--- a/crates/pollenlever-core/tests/admission/order.rs
+++ b/crates/pollenlever-core/tests/admission/order.rs
@@ -29,7 +29,7 @@
         Ticket { importance: Importance::High, depth: 3, ..ticket(2) }
     );
     deeper_calls_go_before_new_chains(Ticket { depth: 2, ..ticket(1) }, ticket(2));
-    customers_without_runs_go_first(Ticket { customer: "b".into(), ..ticket(1) }, ticket(2));
+    workspaces_without_runs_go_first(Ticket { workspace: "b".into(), ..ticket(1) }, ticket(2));
 }
 
 #[test]
@@ -106,11 +106,11 @@
 }
 
 fn arb_ticket() -> impl Strategy<Value = Ticket> {
-    (0..4usize, 0..3u8, 0..4u64, 1..400u64).prop_map(|(importance, depth, customer, deadline)| {
+    (0..4usize, 0..3u8, 0..4u64, 1..400u64).prop_map(|(importance, depth, workspace, deadline)| {
         Ticket {
             importance: Importance::ALL[importance],
             depth,
-            customer: format!("customer-{customer}").into(),
+            workspace: format!("workspace-{workspace}").into(),
             deadline: ms(deadline),
             ..ticket(0)
         }
--- a/crates/pollenlever-core/tests/histories/simulation.rs
+++ b/crates/pollenlever-core/tests/histories/simulation.rs
@@ -296,7 +296,7 @@
         path: path.to_owned(),
         headers: Vec::new(),
         body,
-        customer: "unibo".into(),
+        workspace: "unibo".into(),
         key: None,
         chain: None,
         parent: None,
--- a/crates/pollenlever-core/tests/node/driver.rs
+++ b/crates/pollenlever-core/tests/node/driver.rs
@@ -196,7 +196,7 @@
         path: path.to_owned(),
         headers: Vec::new(),
         body: Bytes::from("body"),
-        customer: "unibo".into(),
+        workspace: "unibo".into(),
         key: None,
         chain: None,
         parent: None,
--- a/crates/pollenlever-standins/src/load/arrival.rs
+++ b/crates/pollenlever-standins/src/load/arrival.rs
@@ -15,8 +15,8 @@
     pub at: Duration,
     /// Importance of the kind of request.
     pub importance: Importance,
-    /// Customer on whose behalf the request is made.
-    pub customer: String,
+    /// Workspace on whose behalf the request is made.
+    pub workspace: String,
     /// Seed of the caller's random choices, such as the node for each attempt.
     pub seed: u64,
 }
@@ -55,9 +55,9 @@
 
 fn draw_arrival(spec: &LoadSpec, rng: &mut StdRng, id: u64, at: Duration) -> Arrival {
     let importance = Importance::ALL[draw_index(rng, spec.importance_weights.iter().copied())];
-    let customer = draw_index(rng, spec.customers.iter().map(|it| it.weight));
-    let customer = spec.customers[customer].name.clone();
-    Arrival { id, at, importance, customer, seed: rng.random() }
+    let workspace = draw_index(rng, spec.workspaces.iter().map(|it| it.weight));
+    let workspace = spec.workspaces[workspace].name.clone();
+    Arrival { id, at, importance, workspace, seed: rng.random() }
 }
 
 /// Draws an index with a probability proportional to its weight.
--- a/crates/pollenlever-standins/src/load/caller.rs
+++ b/crates/pollenlever-standins/src/load/caller.rs
@@ -76,7 +76,7 @@
         let mut req = self
             .client
             .get(url)
-            .header("pollenlever-customer", &self.arrival.customer)
+            .header("pollenlever-customer", &self.arrival.workspace)
             .header("pollenlever-deadline-ms", left.as_millis().to_string());
         if let Some(chain_id) = chain_id {
             req = req.header("pollenlever-chain", chain_id);
--- a/crates/pollenlever-standins/src/load/load_report.rs
+++ b/crates/pollenlever-standins/src/load/load_report.rs
@@ -47,11 +47,11 @@
         share(self.arrived_between(from, to).filter(|it| it.arrival.importance == importance))
     }
 
-    /// Number of good requests by customer among those that arrived from `from` until `to`.
-    pub fn good_by_customer(&self, from: Duration, to: Duration) -> BTreeMap<&str, u32> {
+    /// Number of good requests by workspace among those that arrived from `from` until `to`.
+    pub fn good_by_workspace(&self, from: Duration, to: Duration) -> BTreeMap<&str, u32> {
         let mut counts = BTreeMap::new();
         for record in self.arrived_between(from, to).filter(|it| it.good) {
-            *counts.entry(record.arrival.customer.as_str()).or_default() += 1;
+            *counts.entry(record.arrival.workspace.as_str()).or_default() += 1;
         }
         counts
     }
--- a/crates/pollenlever-standins/src/load/load_spec.rs
+++ b/crates/pollenlever-standins/src/load/load_spec.rs
@@ -4,10 +4,10 @@
 
 use super::{Phase, ResendPolicy};
 
-/// A customer (on whose behalf requests are made) and its share of the load.
+/// A workspace (on whose behalf requests are made) and its share of the load.
 #[derive(Debug, Clone, PartialEq)]
-pub struct CustomerShare {
-    /// Name of the customer.
+pub struct WorkspaceShare {
+    /// Name of the workspace.
     pub name: String,
     /// Relative number of its requests.
     pub weight: f64,
@@ -22,8 +22,8 @@
     pub phases: Vec<Phase>,
     /// Relative number of requests by importance, in the order of [`Importance::ALL`].
     pub importance_weights: [f64; Importance::ALL.len()],
-    /// Customers among whom requests are divided by weight.
-    pub customers: Vec<CustomerShare>,
+    /// Workspaces among whom requests are divided by weight.
+    pub workspaces: Vec<WorkspaceShare>,
     /// How callers resend failed requests.
     pub resend: ResendPolicy,
     /// Time from arrival within which a complete answer counts as good.
@@ -45,12 +45,12 @@
 
 impl Default for LoadSpec {
     fn default() -> LoadSpec {
-        let customer = |name: &str| CustomerShare { name: name.to_owned(), weight: 1.0 };
+        let workspace = |name: &str| WorkspaceShare { name: name.to_owned(), weight: 1.0 };
         LoadSpec {
             seed: 1,
             phases: Vec::new(),
             importance_weights: [0.2, 0.4, 0.25, 0.15],
-            customers: ["bologna", "padova", "milano", "modena"].map(customer).to_vec(),
+            workspaces: ["bologna", "padova", "milano", "modena"].map(workspace).to_vec(),
             resend: ResendPolicy::default(),
             deadline: Duration::from_secs(2),
             network_delay: Duration::from_millis(8),
--- a/crates/pollenlever-standins/src/load/load_trial.rs
+++ b/crates/pollenlever-standins/src/load/load_trial.rs
@@ -4,7 +4,7 @@
 
 use pollenlever::settings::PolicyName;
 
-use super::{CustomerShare, LoadReport, LoadRun, LoadSpec, Phase};
+use super::{LoadReport, LoadRun, LoadSpec, Phase, WorkspaceShare};
 use crate::cluster::{Cluster, ClusterError, ClusterSpec, Deployment, Ports};
 use crate::measure::MeasurementOptions;
 
@@ -60,13 +60,13 @@
         Ok(LoadTrial { cluster: Cluster::start(spec)?, capacity, options: *options })
     }
 
-    /// Creates a load with these phases and the customers and network delay of this deployment.
+    /// Creates a load with these phases and the workspaces and network delay of this deployment.
     pub fn load_spec(&self, phases: Vec<Phase>) -> LoadSpec {
         let default = LoadSpec::default();
-        let customers = match self.options.deployment {
-            Deployment::Ferraresi => default.customers.clone(),
+        let workspaces = match self.options.deployment {
+            Deployment::Ferraresi => default.workspaces.clone(),
             Deployment::Vegmerking => ["sudurnes", "akureyri", "egilsstadir", "selfoss"]
-                .map(|name| CustomerShare { name: name.to_owned(), weight: 1.0 })
+                .map(|name| WorkspaceShare { name: name.to_owned(), weight: 1.0 })
                 .to_vec(),
         };
         let network_delay = match self.options.deployment {
@@ -77,7 +77,7 @@
         LoadSpec {
             seed: self.options.seed,
             phases,
-            customers,
+            workspaces,
             network_delay,
             service: configs[0].service.to_string(),
             depth: configs.len(),
--- a/crates/pollenlever-standins/src/load/mod.rs
+++ b/crates/pollenlever-standins/src/load/mod.rs
@@ -15,7 +15,7 @@
 pub use arrival::Arrival;
 pub use load_report::LoadReport;
 pub use load_run::LoadRun;
-pub use load_spec::{CustomerShare, LoadSpec};
+pub use load_spec::{LoadSpec, WorkspaceShare};
 pub use load_trial::{LoadTrial, LoadTrialError};
 pub use phase::Phase;
 pub use record::Record;
--- a/crates/pollenlever-standins/src/measure/poison.rs
+++ b/crates/pollenlever-standins/src/measure/poison.rs
@@ -54,7 +54,7 @@
     let mut trial = LoadTrial::start(options, policy, |_| {})?;
     let spec = trial.load_spec(vec![Phase::new(LOAD_FACTOR * trial.capacity, LOAD_SECS)]);
     let end = spec.duration();
-    let (service, customer) = (spec.service.clone(), spec.customers[0].name.clone());
+    let (service, workspace) = (spec.service.clone(), spec.workspaces[0].name.clone());
     let client = reqwest::blocking::Client::builder().timeout(SEND_TIMEOUT).build()?;
     let run = trial.send(spec)?;
     let mut lost = 0;
@@ -65,7 +65,7 @@
             trial.cluster.machines.iter().filter(|it| it.service == service).collect();
         let entry = entries[send as usize % entries.len()].entry_addr;
         let url = format!("http://{entry}/call/{service}/read?id=poison");
-        let sent = client.get(url).header("pollenlever-customer", &customer).send();
+        let sent = client.get(url).header("pollenlever-customer", &workspace).send();
         statuses.push(sent.map_or(0, |it| it.status().as_u16()));
         lost += restart_exited_targets(&mut trial)?;
     }
--- a/crates/pollenlever-standins/src/target/handler.rs
+++ b/crates/pollenlever-standins/src/target/handler.rs
@@ -24,7 +24,7 @@
     method: String,
     path: String,
     call: String,
-    customer: String,
+    workspace: String,
     body: Vec<u8>,
 }
 
@@ -38,7 +38,7 @@
             method: req.method().to_string(),
             path: req.uri().to_string(),
             call: header("pollenlever-call"),
-            customer: header("pollenlever-customer"),
+            workspace: header("pollenlever-customer"),
             body,
         };
         // A separate task, so that a run that has started continues when the caller disconnects.
@@ -122,7 +122,7 @@
         .client
         .request(method, url)
         .header("pollenlever-call", &target_req.call)
-        .header("pollenlever-customer", &target_req.customer)
+        .header("pollenlever-customer", &target_req.workspace)
         .timeout(Duration::from_secs(10))
         .body(target_req.body.clone())
         .send()
--- a/crates/pollenlever/src/entry/call_headers.rs
+++ b/crates/pollenlever/src/entry/call_headers.rs
@@ -2,15 +2,15 @@
 use std::time::Duration;
 
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::id::{AttemptId, ChainId, CustomerId, RequestKey};
+use pollenlever_core::id::{AttemptId, ChainId, RequestKey, WorkspaceName};
 use rocket::http::HeaderMap;
 
 use crate::gate::is_end_to_end;
 
-/// Customer of a call without a `pollenlever-customer` header.
+/// Workspace of a call without a `pollenlever-workspace` header.
 const ANONYMOUS: &str = "anonymous";
-/// Longest name of a customer, in bytes.
-const MAX_CUSTOMER_BYTES: usize = 128;
+/// Longest name of a workspace, in bytes.
+const MAX_WORKSPACE_BYTES: usize = 128;
 
 /// The parsed headers of a call.
 #[derive(Debug)]
@@ -21,7 +21,7 @@
     pub(super) chain: Option<ChainId>,
     /// Attempt during which a target makes this call.
     pub(super) parent: Option<AttemptId>,
-    pub(super) customer: CustomerId,
+    pub(super) workspace: WorkspaceName,
     /// Time that the caller waits; `None` if it sent no deadline header.
     pub(super) timeout: Option<Duration>,
     /// Headers for the target, names in lower case.
@@ -39,7 +39,7 @@
             key: parse_single(headers, "pollenlever-key", ErrorKind::KeyMalformed)?,
             chain: parse_single(headers, "pollenlever-chain", ErrorKind::MalformedRequest)?,
             parent: parse_single(headers, "pollenlever-call", ErrorKind::MalformedRequest)?,
-            customer: parse_customer(headers)?,
+            workspace: parse_workspace(headers)?,
             timeout: timeout_ms.map(Duration::from_millis),
             forwarded: forwarded_headers(headers),
         })
@@ -60,12 +60,12 @@
     value.trim().parse().map(Some).map_err(|_| err)
 }
 
-fn parse_customer(headers: &HeaderMap<'_>) -> Result<CustomerId, ErrorKind> {
-    let customer: Option<String> =
+fn parse_workspace(headers: &HeaderMap<'_>) -> Result<WorkspaceName, ErrorKind> {
+    let workspace: Option<String> =
         parse_single(headers, "pollenlever-customer", ErrorKind::MalformedRequest)?;
-    match customer {
+    match workspace {
         None => Ok(ANONYMOUS.into()),
-        Some(name) if name.is_empty() || name.len() > MAX_CUSTOMER_BYTES => {
+        Some(name) if name.is_empty() || name.len() > MAX_WORKSPACE_BYTES => {
             Err(ErrorKind::MalformedRequest)
         }
         Some(name) => Ok(name.into()),
--- a/crates/pollenlever/src/entry/call_route.rs
+++ b/crates/pollenlever/src/entry/call_route.rs
@@ -109,7 +109,7 @@
             path: path.path.to_owned(),
             headers: headers.forwarded,
             body,
-            customer: headers.customer,
+            workspace: headers.workspace,
             key: headers.key,
             chain: headers.chain,
             parent: headers.parent,
--- a/crates/pollenlever/src/mesh/gate_admission.rs
+++ b/crates/pollenlever/src/mesh/gate_admission.rs
@@ -11,8 +11,8 @@
 use super::gate_state::GateState;
 use super::slot_guard::SlotGuard;
 
-/// Customer of all requests: the mesh does not tell customers apart.
-const ANY_CUSTOMER: &str = "any";
+/// Workspace of all requests: the mesh does not tell workspaces apart.
+const ANY_WORKSPACE: &str = "any";
 /// Shortest time between two checks of the requests that wait for the rate limit of the target.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -82,7 +82,7 @@
             importance: head.lineage.importance,
             chain: head.lineage.chain,
             depth: head.lineage.depth,
-            customer: ANY_CUSTOMER.into(),
+            workspace: ANY_WORKSPACE.into(),
             deadline,
         };
         let mut verdicts = Vec::new();
--- a/crates/pollenlever/src/telemetry/verdict.rs
+++ b/crates/pollenlever/src/telemetry/verdict.rs
@@ -26,7 +26,7 @@
     /// let late = Observation {
     ///     service: "balance".into(),
     ///     kind: "check".into(),
-    ///     customer: "ateneo".into(),
+    ///     workspace: "ateneo".into(),
     ///     status: 200,
     ///     error: None,
     ///     latency: Duration::from_secs(3),
--- a/crates/pollenlever/tests/report_counts.rs
+++ b/crates/pollenlever/tests/report_counts.rs
@@ -11,7 +11,7 @@
     Observation {
         service: "balance".into(),
         kind: "check".into(),
-        customer: "ateneo".into(),
+        workspace: "ateneo".into(),
         status: 200,
         error: None,
         latency: Duration::from_millis(3),
