Bound the wait of a watch of the routes by 1.5 s

A store's silence ends without any sign on that connection.

Ruled out: noticing by other calls that the store answers again, since watchers make none while they wait; a second, cheaper read beside the watch, whose answer may be seconds old. Calls other than watches have a timeout of 2 s already, and the daemon's watches are ended by its periodic list.

Change: a watch waits 1.5 s at most. Nine watchers in three regions make 6 calls a second, six at the size to design for 4 a second.

--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -8,8 +8,9 @@
 use super::{MeshShared, SharedMeshPlatform};
 use crate::store::{ObjectList, Revision, SharedObjectApi, StoreError};
 
-/// Timeout of one watch call; the platform allows no longer one.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest wait of one watch call. A store that drops a call without an answer is noticed only when the
+/// call times out, and until then no node hears of new routes.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest backoff between failed calls, and between reads of a node that has no routes yet.
 const MAX_BACKOFF: Duration = Duration::from_millis(1500);
 /// First wait between two reads of a node that has no routes yet; doubles with each read.
--- a/crates/pollenlever/tests/mesh/config.rs
+++ b/crates/pollenlever/tests/mesh/config.rs
@@ -99,6 +99,20 @@
     }
 }
 
+/// A watch that a silent store has dropped must not keep later versions from the nodes.
+#[tokio::test]
+async fn a_version_after_the_stores_silence_takes_effect() {
+    let mesh = two_services().await;
+    wait_until("watched", || mesh.store.waiting_watches() > 0).await;
+    mesh.store.set_silent(true);
+    mesh.publish(read_moved_to(2, "charge"));
+    wait_for_version(&mesh, 2).await;
+    tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    mesh.store.set_silent(false);
+    mesh.publish(read_moved_to(3, "read"));
+    wait_for_version(&mesh, 3).await;
+}
+
 /// The number of watches must not grow with the number of nodes.
 #[tokio::test]
 async fn few_nodes_watch_the_routes_and_all_get_them() {
--- a/crates/pollenlever/tests/mesh/memory_store.rs
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -10,6 +10,9 @@
 
 type Key = (String, String);
 
+/// Time after which a call without an answer fails; for a watch, after its own wait.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
 #[derive(Default)]
 struct State {
     revision: Revision,
@@ -17,6 +20,8 @@
     /// Changes in order; `None` stands for a removed object.
     history: Vec<(Revision, Key, Option<Object>)>,
     is_down: bool,
+    /// Whether new calls get no answer.
+    is_silent: bool,
     /// Watches that wait for a change.
     waiting_watches: usize,
 }
@@ -34,6 +39,11 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// Sets whether watches sent from now on get no answer. Those that wait already do.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        self.state.lock().unwrap().is_silent = is_silent;
+    }
+
     /// Number of watches that wait for a change.
     pub(crate) fn waiting_watches(&self) -> usize {
         self.state.lock().unwrap().waiting_watches
@@ -145,7 +155,12 @@
 
     fn watch(&self, kind: &str, since: Revision, timeout: Duration) -> StoreFuture<ObjectList> {
         let (store, kind) = (self.clone(), kind.to_owned());
+        let is_silent = self.state.lock().unwrap().is_silent;
         Box::pin(async move {
+            if is_silent {
+                tokio::time::sleep(timeout + CALL_TIMEOUT).await;
+                return Err(StoreError::Unavailable("no answer".to_owned()));
+            }
             let _waiting = WaitingWatch::new(&store);
             let changed = async {
                 loop {
