Identify callers by the API keys of workspaces

Cause: configurations declare workspaces with API keys and a priority, and no code on the mesh's path read them: unknown keys were served, targets got the callers' Authorization and no workspace.

Ruled out: telling calls of a target without a key from callers by their deadlines, which a caller could imitate; only an id of a running request is taken as evidence, and the routes of calls are public. Letting a workspace's priority replace the route's, which sheds a charge and a read of one workspace alike (docs/design/api-keys.md).

Change: the owner of a request finds the workspace by the digest of its key, answers 401 otherwise, and sets the workspace header in place of the key. Route tables carry digests; a table whose workspaces share a key is refused by name. Admission knows the workspace, so its fairness among workspaces applies.

--- a/crates/pollenlever-core/src/mesh/route_table.rs
+++ b/crates/pollenlever-core/src/mesh/route_table.rs
@@ -2,6 +2,7 @@
 
 use super::{ClientLimits, HttpRoute, ServiceLimits};
 use crate::id::ServiceName;
+use crate::workspace::Workspace;
 
 /// Version of a route table; increases with each change.
 pub type RouteVersion = u64;
@@ -15,6 +16,8 @@
     pub routes: Vec<HttpRoute>,
     /// Declared properties of services.
     pub services: Vec<ServiceLimits>,
+    /// Workspaces whose callers may send requests; without any, requests need no API key.
+    pub workspaces: Vec<Workspace>,
     /// Limits of callers' connections.
     pub limits: ClientLimits,
 }
--- a/crates/pollenlever-core/src/mesh/running_requests.rs
+++ b/crates/pollenlever-core/src/mesh/running_requests.rs
@@ -2,7 +2,7 @@
 
 use super::{Lineage, RequestId};
 use crate::Timestamp;
-use crate::id::{ContentDigest, ServiceName, StreamId};
+use crate::id::{ContentDigest, ServiceName, StreamId, WorkspaceName};
 
 /// Separates the id of a request from the suffix that identifies a call made in its course.
 const CALL_SEPARATOR: char = '.';
@@ -12,6 +12,8 @@
 pub struct RunningRequest {
     /// Id that the caller gave to the request.
     pub id: RequestId,
+    /// Workspace on whose behalf the chain of calls runs; `None` if it is not known.
+    pub workspace: Option<WorkspaceName>,
     /// Position of the request in its chain of calls.
     pub lineage: Lineage,
     /// Deadline set by the caller or the route, whichever is earlier.
@@ -66,7 +68,8 @@
     /// let deadline = Duration::from_secs(1);
     /// let mut running = RunningRequests::default();
     /// let (id, calls) = ("9c41".into(), Default::default());
-    /// running.insert(7, RunningRequest { id, lineage, deadline, digest: 1, calls });
+    /// let run = RunningRequest { id, workspace: None, lineage, deadline, digest: 1, calls };
+    /// running.insert(7, run);
     /// assert_eq!(running.parent_of("9c41.07be").unwrap().lineage, lineage);
     /// assert!(running.parent_of("9c42.07be").is_none());
     /// assert!(running.parent_of("9c41").is_none());
--- a/crates/pollenlever/src/mesh/gate_calls.rs
+++ b/crates/pollenlever/src/mesh/gate_calls.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use pollenlever_core::id::ServiceName;
+use pollenlever_core::id::{ServiceName, WorkspaceName};
 use pollenlever_core::mesh::Lineage;
 
 use super::gate::Gate;
@@ -41,9 +41,16 @@
         self.lock().runs.last_deadline()
     }
 
-    /// Lineage of a call made by the target, if its id identifies the run that made it.
-    pub(super) fn lineage_of_call(&self, id: &str) -> Option<Lineage> {
-        self.lock().runs.parent_of(id).map(|it| it.lineage.child())
+    /// Lineage and workspace of a call made by the target, if its id identifies the run that made it.
+    pub(super) fn lineage_of_call(&self, id: &str) -> Option<(Lineage, Option<WorkspaceName>)> {
+        let state = self.lock();
+        let parent = state.runs.parent_of(id)?;
+        Some((parent.lineage.child(), parent.workspace.clone()))
+    }
+
+    /// Whether `id` is that of a call which a run of the target makes.
+    pub(super) fn is_call_of_run(&self, id: &str) -> bool {
+        self.lock().runs.parent_of(id).is_some()
     }
 
     /// Whether services that the target calls are overloaded.
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -18,3 +18,4 @@
 mod stated_rate;
 mod stop;
 mod test_mesh;
+mod workspaces;
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -41,9 +41,21 @@
 
     /// Sends a request without a body.
     pub(crate) async fn request(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) {
+        self.request_with(method, path, id, deadline_ms, "").await;
+    }
+
+    /// Sends a request without a body and with further header `lines`.
+    pub(crate) async fn request_with(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+        lines: &str,
+    ) {
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: a.example\r\nPollenlever-Request-Id: {id}\r\n\
-             Pollenlever-Deadline-Ms: {deadline_ms}\r\n\r\n"
+             Pollenlever-Deadline-Ms: {deadline_ms}\r\n{lines}\r\n"
         );
         self.write(&head).await;
     }
