--- a/crates/pollenlever-core/src/mesh/route_table.rs
+++ b/crates/pollenlever-core/src/mesh/route_table.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bincode::{Decode, Encode};
 
 use super::{ClientLimits, HttpRoute, ServiceLimits};
@@ -41,6 +43,11 @@
         covering.filter(|it| it.covers(path)).max_by_key(|it| it.prefix.len())
     }
 
+    /// The longest timeout of a route; zero without routes.
+    pub fn longest_timeout(&self) -> Duration {
+        self.routes.iter().map(|it| it.timeout).max().unwrap_or_default()
+    }
+
     /// Declared properties of a service, if there are any.
     pub fn service(&self, service: &ServiceName) -> Option<&ServiceLimits> {
         self.services.iter().find(|it| it.service == *service)
