Add quota settings and log events

Cause: quotas on the node need a number of shards for a new share table, and events for its changes. The number of shards is a setting of the creator only, so that nodes with different settings agree. Tests: not run yet, the module is not part of the build.

--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -24,6 +24,12 @@
     TargetReportIgnored,
     TargetStatement,
     ApiKeyRefused,
+    QuotaRefused,
+    SharesHeld,
+    ShareTableWritten,
+    ShareTableRefused,
+    QuotaHomeTaken,
+    QuotaHomeLost,
     RequestEnded,
     CallerHungUp,
     AttemptRepeated,
@@ -35,7 +41,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 27] = [
+    pub const ALL: [LogEvent; 33] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -56,6 +62,12 @@
         LogEvent::TargetReportIgnored,
         LogEvent::TargetStatement,
         LogEvent::ApiKeyRefused,
+        LogEvent::QuotaRefused,
+        LogEvent::SharesHeld,
+        LogEvent::ShareTableWritten,
+        LogEvent::ShareTableRefused,
+        LogEvent::QuotaHomeTaken,
+        LogEvent::QuotaHomeLost,
         LogEvent::RequestEnded,
         LogEvent::CallerHungUp,
         LogEvent::AttemptRepeated,
@@ -93,6 +105,12 @@
             LogEvent::TargetReportIgnored => "target-report-ignored",
             LogEvent::TargetStatement => "target-statement",
             LogEvent::ApiKeyRefused => "api-key-refused",
+            LogEvent::QuotaRefused => "quota-refused",
+            LogEvent::SharesHeld => "shares-held",
+            LogEvent::ShareTableWritten => "share-table-written",
+            LogEvent::ShareTableRefused => "share-table-refused",
+            LogEvent::QuotaHomeTaken => "quota-home-taken",
+            LogEvent::QuotaHomeLost => "quota-home-lost",
             LogEvent::RequestEnded => "request-ended",
             LogEvent::CallerHungUp => "caller-hung-up",
             LogEvent::AttemptRepeated => "attempt-repeated",
@@ -106,7 +124,9 @@
     /// Log level of the event.
     pub fn level(self) -> Level {
         match self {
-            LogEvent::SettingsRefused | LogEvent::RoutesRefused => Level::Error,
+            LogEvent::SettingsRefused
+            | LogEvent::RoutesRefused
+            | LogEvent::ShareTableRefused => Level::Error,
             LogEvent::StoreLost
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
@@ -124,4 +144,4 @@
     };
 }
 
-pub(super) use log_event;
+pub(crate) use log_event;
--- a/crates/pollenlever/src/mesh/request_log.rs
+++ b/crates/pollenlever/src/mesh/request_log.rs
@@ -15,7 +15,7 @@
 /// Ordinary requests are sampled by their id, so that all nodes log the same ones. Failures,
 /// refusals and retries are logged up to a rate; the next line carries the number of omitted ones.
 #[derive(Debug)]
-pub(super) struct RequestLog {
+pub(crate) struct RequestLog {
     state: Mutex<State>,
 }
 
@@ -28,13 +28,13 @@
 
 impl RequestLog {
     /// Whether the sample of ordinary requests includes this one.
-    pub(super) fn is_sampled(request: &str) -> bool {
+    pub(crate) fn is_sampled(request: &str) -> bool {
         xxh3_64(request.as_bytes()).is_multiple_of(SAMPLE_INTERVAL)
     }
 
     /// Returns the number of lines omitted since the last one if another line may be logged now, or
     /// else `None`.
-    pub(super) fn admit_line(&self, now: Duration) -> Option<u64> {
+    pub(crate) fn admit_line(&self, now: Duration) -> Option<u64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         let elapsed = now.saturating_sub(state.refilled_at).as_secs_f64();
         state.refilled_at = now;
--- a/crates/pollenlever/src/mesh/store_backoff.rs
+++ b/crates/pollenlever/src/mesh/store_backoff.rs
@@ -8,31 +8,31 @@
 
 /// Exponential backoff between calls to a store that fails.
 #[derive(Debug)]
-pub(super) struct StoreBackoff {
+pub(crate) struct StoreBackoff {
     next: Duration,
     max: Duration,
 }
 
 impl StoreBackoff {
     /// Creates a backoff that grows up to `max`, plus or minus half of it at random.
-    pub(super) fn new(max: Duration) -> StoreBackoff {
+    pub(crate) fn new(max: Duration) -> StoreBackoff {
         StoreBackoff { next: INITIAL_BACKOFF, max }
     }
 
     /// Waits before the next call, longer each time.
-    pub(super) async fn pause(&mut self) {
+    pub(crate) async fn pause(&mut self) {
         let jitter = rand::random_range(0.5..1.5);
         tokio::time::sleep(self.next.mul_f64(jitter)).await;
         self.next = (self.next * 2).min(self.max);
     }
 
     /// Whether the last call failed.
-    pub(super) fn is_failing(&self) -> bool {
+    pub(crate) fn is_failing(&self) -> bool {
         self.next > INITIAL_BACKOFF
     }
 
     /// Records that a call succeeded. Returns whether the one before had failed.
-    pub(super) fn reset(&mut self) -> bool {
+    pub(crate) fn reset(&mut self) -> bool {
         let had_failed = self.is_failing();
         self.next = INITIAL_BACKOFF;
         had_failed
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -10,6 +10,7 @@
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
 const RETRY_SLACK_RANGE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
+const QUOTA_SHARDS_RANGE: std::ops::RangeInclusive<u32> = 1..=256;
 
 /// Settings of a node in a service mesh. Unknown sections and keys are ignored, because the platform
 /// that writes the file may set keys that this version does not know.
@@ -49,6 +50,9 @@
     pub retry_budget: RetryBudgetSettings,
     /// `[bounds] stop_grace_s`: time from SIGTERM until the platform kills the process.
     pub stop_grace_period: Duration,
+    /// `[quota] shards`: number of shards into which workspaces with quotas are divided. Only the node
+    /// that creates the share table uses it; all others take the number from the table.
+    pub quota_shards: u32,
     /// `[log] level`: `error`, `warn`, `info`, `debug` or `trace`.
     pub log_level: String,
 }
@@ -85,6 +89,7 @@
         cfg.read_node(&doc, &mut faults);
         cfg.read_target_store_and_log(&doc, &mut faults);
         cfg.read_bounds(&doc, &mut faults);
+        cfg.read_quota(&doc, &mut faults);
         faults.into_result(cfg).map_err(SettingsError::Invalid)
     }
 
@@ -125,6 +130,12 @@
         set(&mut self.retry_budget.window, reader.optional("retry_window_s", seconds));
         set(&mut self.stop_grace_period, reader.optional("stop_grace_s", seconds));
     }
+
+    fn read_quota(&mut self, doc: &Document, faults: &mut Faults) {
+        let mut reader = SectionReader::new(doc, "quota", faults);
+        let shards = reader.optional("shards", values::number(QUOTA_SHARDS_RANGE));
+        set(&mut self.quota_shards, shards);
+    }
 }
 
 impl Default for MeshSettings {
@@ -145,6 +156,7 @@
             store: loopback(7300),
             retry_budget: RetryBudgetSettings::default(),
             stop_grace_period: Duration::from_secs(6),
+            quota_shards: 8,
             log_level: "info".to_owned(),
         }
     }
