--- a/crates/pollenlever-core/src/lib.rs
+++ b/crates/pollenlever-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod node;
 pub mod once;
 pub mod policy;
+pub mod quota;
 pub mod rollout;
 pub mod routing;
 mod suspicion;
