Carry out quotas on the node

Cause: the decisions about quotas need a node that reads and writes the share table, delegates units to the homes of the shards, takes tokens for requests of callers and grants them as a home. Ruled out: passing the members' names by gossip, since units can be held under the peer address, which identifies a node to all others and stays the same over a restart; reading the number of shards only from the store, as a node that starts while the store is silent would refuse all such requests. Change: folder quota with the tasks ShareKeeper and Delegator, the token client and the metrics; hooks in mesh. Nothing runs while no workspace has a quota.

--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -3,6 +3,7 @@
 use super::{AttemptOutcome, ProcessStatement, RouteTable, RouteVersion};
 use crate::id::NodeId;
 use crate::message::GateLoad;
+use crate::quota::{ShareDelegationReply, TokenGrant};
 
 /// Reply to an attempt. The body of the target's answer is sent separately.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -38,4 +39,10 @@
     Acknowledged,
     /// The routes, if they are newer than those of the requesting node.
     Routes(Option<RouteTable>),
+    /// Reply to a delegation of units.
+    SharesDelegated(ShareDelegationReply),
+    /// Grants for token requests, in their order.
+    Tokens(Vec<TokenGrant>),
+    /// Number of shards of the share table; 0 if the node does not know it.
+    QuotaShards(u32),
 }
--- a/crates/pollenlever-core/src/mesh/mesh_request.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_request.rs
@@ -3,6 +3,7 @@
 use super::{MeshAttempt, RouteVersion};
 use crate::id::AttemptId;
 use crate::message::Suspicion;
+use crate::quota::{ShareDelegation, TokenRequest};
 
 /// A request from one node of the mesh to another; answered with a [`MeshReply`](super::MeshReply).
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -17,4 +18,12 @@
     Suspects(Vec<Suspicion>),
     /// Send the receiver's routes if they are newer than this version.
     Routes(RouteVersion),
+    /// Delegate units of quotas to the receiver, or renew or withdraw them.
+    DelegateShares(ShareDelegation),
+    /// Grant tokens for requests of workspaces whose home the receiver is.
+    TakeTokens(Vec<TokenRequest>),
+    /// The share table in the store gives the receiver more units than before.
+    ShareTableWritten,
+    /// Send the number of shards of the share table.
+    QuotaShards,
 }
--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -10,6 +10,7 @@
 mod net;
 pub mod node;
 pub mod peer;
+pub mod quota;
 pub mod ring;
 pub mod settings;
 pub mod store;
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -124,9 +124,9 @@
     /// Log level of the event.
     pub fn level(self) -> Level {
         match self {
-            LogEvent::SettingsRefused
-            | LogEvent::RoutesRefused
-            | LogEvent::ShareTableRefused => Level::Error,
+            LogEvent::SettingsRefused | LogEvent::RoutesRefused | LogEvent::ShareTableRefused => {
+                Level::Error
+            }
             LogEvent::StoreLost
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
--- a/crates/pollenlever/src/mesh/member_changes.rs
+++ b/crates/pollenlever/src/mesh/member_changes.rs
@@ -56,6 +56,7 @@
             state.lost.remove(&node.addr);
             state.routing.update_members(now, &[member]);
         }
+        self.quota.on_members_changed();
         if is_same_service && node != self.me {
             self.send_suspicions(node);
         }
@@ -67,6 +68,8 @@
         let mut state = self.lock();
         state.lost.retain(|_, it| *it != node);
         state.routing.remove_members(now, &[node]);
+        drop(state);
+        self.quota.on_members_changed();
     }
 
     /// Updates the number of nodes that share the retry budget.
@@ -91,6 +94,7 @@
             }
             state.routing.remove_members(now, &[node]);
         }
+        self.quota.on_members_changed();
         log_event!(LogEvent::MemberLost, "node={node} reason=\"no reply\"");
         let shared = Arc::clone(self);
         tokio::spawn(async move { shared.probe(node).await });
@@ -124,6 +128,8 @@
             log_event!(LogEvent::MemberUp, "node={lost} state={:?}", member.state);
             state.routing.update_members(now, &[member]);
         }
+        drop(state);
+        self.quota.on_members_changed();
     }
 
     /// Returns the process that answers at an address; `None` if none does.
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -43,6 +43,20 @@
                 let newer = shared.routes().filter(|it| it.version > known);
                 (MeshReply::Routes(newer.map(|it| (*it).clone())), Bytes::new())
             }
+            MeshRequest::DelegateShares(delegation) => {
+                let reply = shared.quota.on_delegation(&delegation);
+                (MeshReply::SharesDelegated(reply), Bytes::new())
+            }
+            MeshRequest::TakeTokens(requests) => {
+                (MeshReply::Tokens(shared.quota.on_token_requests(&requests)), Bytes::new())
+            }
+            MeshRequest::ShareTableWritten => {
+                shared.quota.on_share_table_written();
+                (MeshReply::Acknowledged, Bytes::new())
+            }
+            MeshRequest::QuotaShards => {
+                (MeshReply::QuotaShards(shared.quota.shards()), Bytes::new())
+            }
         }
     }
 }
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -10,12 +10,16 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::{ControlAnswer, ControlHandler, MeshShared, SharedControlHandler};
+use crate::quota::QuotaMetrics;
+use crate::tool::output::to_json;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
     [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0];
 /// HTTP path at which the metrics are served.
 const METRICS_PATH: &str = "/metrics";
+/// HTTP path at which the state of quotas is served.
+const QUOTA_PATH: &str = "/quota";
 /// `Content-Type` of the metrics.
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
@@ -53,6 +57,7 @@
     hangups: Counter,
     unknown_keys: Counter,
     store_calls: Family<OutcomeLabels, Counter>,
+    pub(super) quota: QuotaMetrics,
     gauges: Gauges,
 }
 
@@ -123,6 +128,7 @@
             hangups: Counter::default(),
             unknown_keys: Counter::default(),
             store_calls: Family::default(),
+            quota: QuotaMetrics::default(),
             gauges: Gauges::default(),
             registry: Arc::default(),
         };
@@ -141,6 +147,7 @@
         let help = "Requests without an API key that a workspace has";
         registry.register("unknown_api_keys", help, it.unknown_keys.clone());
         registry.register("store_calls", "Calls to the store by result", it.store_calls.clone());
+        it.quota.register(&mut registry);
         it.gauges.register(&mut registry);
         MeshMetrics { registry: Arc::new(registry), ..metrics }
     }
@@ -214,13 +221,14 @@
         it.suspects.set(shared.blocked_request_count() as i64);
         it.open_requests.set(shared.in_flight_work.count() as i64);
         it.open_connections.set(shared.open_connection_count() as i64);
+        shared.quota.update_metrics();
         let mut buf = String::new();
         encode(&mut buf, &self.registry).expect("writing to a string does not fail");
         buf
     }
 }
 
-/// Serves the metrics of a node over HTTP.
+/// Serves the metrics of a node and the state of its quotas over HTTP.
 pub(super) struct MetricsHandler {
     shared: Arc<MeshShared>,
 }
@@ -233,11 +241,21 @@
 
 impl ControlHandler for MetricsHandler {
     fn handle(&self, method: &str, path: &str, _body: &[u8]) -> ControlAnswer {
-        if method != "GET" || path != METRICS_PATH {
-            let body = format!("the metrics are at {METRICS_PATH}");
-            return ControlAnswer { status: 404, content_type: "text/plain", body };
+        match (method, path) {
+            ("GET", METRICS_PATH) => {
+                let body = self.shared.metrics.encode_text(&self.shared);
+                ControlAnswer { status: 200, content_type: METRICS_TYPE, body }
+            }
+            ("GET", QUOTA_PATH) => {
+                let body = to_json(&self.shared.quota.status());
+                ControlAnswer { status: 200, content_type: "application/json", body }
+            }
+            _ => {
+                let body = format!(
+                    "the metrics are at {METRICS_PATH}, the state of quotas at {QUOTA_PATH}"
+                );
+                ControlAnswer { status: 404, content_type: "text/plain", body }
+            }
         }
-        let body = self.shared.metrics.encode_text(&self.shared);
-        ControlAnswer { status: 200, content_type: METRICS_TYPE, body }
     }
 }
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -19,6 +19,7 @@
 use crate::gossip::{GossipDriver, SeedPublisher};
 use crate::node::NodeStartError;
 use crate::peer::{PeerClient, PeerOptions, PeerServer};
+use crate::quota::{Delegator, ShareKeeper, SharedQuotaHost};
 use crate::settings::MeshSettings;
 
 /// Kind of the store objects that list nodes through which new nodes join.
@@ -122,7 +123,7 @@
         tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
         self.shared.stop();
         loop {
-            let is_idle = self.shared.is_idle();
+            let is_idle = self.shared.is_idle() && self.shared.quota.is_handed_back();
             let elapsed = self.shared.clock.now().saturating_sub(started);
             if is_idle || elapsed + EXIT_MARGIN >= grace {
                 let after_ms = elapsed.as_millis();
@@ -155,6 +156,9 @@
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
+    tokio::spawn(Delegator::new(Arc::clone(shared) as SharedQuotaHost).run());
+    let share_keeper = ShareKeeper::new(Arc::clone(shared) as SharedQuotaHost, platform.store());
+    tokio::spawn(share_keeper.run());
     tokio::spawn(RouteWatch { shared: Arc::clone(shared), platform }.run());
 }
 
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -25,6 +25,7 @@
 use crate::gossip::{SharedMachine, SharedMembership};
 use crate::node::{Clock, InFlightCounter};
 use crate::peer::PeerClient;
+use crate::quota::Quota;
 use crate::settings::MeshSettings;
 
 /// Time over which the load share of a new target grows to its full value.
@@ -60,6 +61,8 @@
     /// Limits log lines about single requests.
     pub(super) request_log: RequestLog,
     pub(super) metrics: MeshMetrics,
+    /// Quotas of the workspaces.
+    pub(super) quota: Arc<Quota>,
     /// The other nodes, as gossip tells.
     pub(super) members: SharedMembership,
     /// Signalled when the target has left or another one is in use.
@@ -124,8 +127,10 @@
         let membership = Membership::new(membership, own, me.incarnation);
         let gate =
             Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
+        let quota = Quota::new(me, clock, peers.clone(), metrics.quota.clone());
         MeshShared {
             me,
+            quota: Arc::new(quota),
             gate: Arc::new(gate),
             downstream,
             names,
@@ -254,6 +259,7 @@
         };
         state.splits.retain(is_kept);
         state.call_classifier.retain(|name| table.routes.iter().any(|it| it.name == *name));
+        self.quota.set_workspaces(&table.workspaces);
         state.routes = Some(routes);
         drop(state);
         self.routes_changed.notify_one();
@@ -327,6 +333,7 @@
         self.leaving.store(true, Ordering::Relaxed);
         self.gate.close();
         self.members.notify(MembershipEvent::Leave);
+        self.quota.start_leaving();
     }
 
     /// Stops accepting requests from callers.
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use http::Request;
 use hyper::body::Incoming;
-use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::answer::{ErrorKind, Outcome};
 use pollenlever_core::id::{AttemptId, NodeId};
 use pollenlever_core::mesh::{
     AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest, NextStep,
@@ -49,6 +49,13 @@
     Error(ErrorKind, Option<Duration>),
 }
 
+impl RequestResult {
+    /// Whether it says that the request has not run and never will.
+    fn is_not_run(&self) -> bool {
+        matches!(self, RequestResult::Error(kind, _) if kind.response().outcome == Outcome::NotRun)
+    }
+}
+
 impl RequestDispatcher {
     pub(super) fn new(shared: Arc<MeshShared>) -> RequestDispatcher {
         RequestDispatcher { shared }
@@ -74,12 +81,11 @@
     }
 
     async fn deliver(&self, req: RoutedRequest) -> EdgeResponse {
-        self.shared.downstream.record_request(&req.service, req.lineage);
         let left = req.deadline.saturating_sub(self.shared.clock.now());
         let mut delivery =
             Delivery::new(req.route.is_idempotent, req.route.max_attempts, req.is_urgent());
         let pending = PendingRequest::new(&self.shared, &req);
-        let result = tokio::time::timeout(left, self.run_attempts(&req, &mut delivery)).await;
+        let result = tokio::time::timeout(left, self.run(&req, &mut delivery)).await;
         let result = result.unwrap_or(RequestResult::Error(ErrorKind::DeadlinePassed, None));
         match result {
             RequestResult::Answer(answer) => {
@@ -96,6 +102,23 @@
         }
     }
 
+    /// Takes a token if the request uses a quota, and runs the request. The token is given back if the
+    /// request has not run. A request without a token adds nothing to the retry budget.
+    async fn run(&self, req: &RoutedRequest, delivery: &mut Delivery) -> RequestResult {
+        let mut token = None;
+        if let Some(workspace) = &req.quota_workspace {
+            match self.shared.quota.take_token(workspace, &req.id).await {
+                Ok(it) => token = Some(it),
+                Err(it) => return RequestResult::Error(it.error, Some(it.retry_after)),
+            }
+        }
+        self.shared.downstream.record_request(&req.service, req.lineage);
+        token.iter_mut().for_each(|it| it.set_may_have_run(true));
+        let result = self.run_attempts(req, delivery).await;
+        token.iter_mut().for_each(|it| it.set_may_have_run(!result.is_not_run()));
+        result
+    }
+
     /// Sends attempts until one yields the answer or no further one is allowed.
     async fn run_attempts(&self, req: &RoutedRequest, delivery: &mut Delivery) -> RequestResult {
         let mut last_answer = None;
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -42,6 +42,8 @@
     pub(super) lineage: Lineage,
     /// Workspace on whose behalf the chain runs; `None` if it is not known.
     workspace: Option<WorkspaceName>,
+    /// Workspace whose quota the request uses; `None` if it uses none.
+    pub(super) quota_workspace: Option<WorkspaceName>,
 }
 
 impl RoutedRequest {
@@ -83,6 +85,10 @@
             deadline,
             lineage,
             workspace,
+            quota_workspace: sender
+                .workspace()
+                .filter(|it| it.quota.is_some())
+                .map(|it| it.name.clone()),
             route,
         })
     }
--- a/crates/pollenlever/src/quota/home_map.rs
+++ b/crates/pollenlever/src/quota/home_map.rs
@@ -1,4 +1,4 @@
-use pollenlever_core::id::NodeId;
+use pollenlever_core::id::{NodeId, WorkspaceName};
 use pollenlever_core::membership::highest_scores;
 use pollenlever_core::quota::{ShardIndex, shard_of};
 
@@ -35,7 +35,7 @@
     }
 
     /// Home of the shard of a workspace; `None` while the number of shards is not known.
-    pub(super) fn home_of(&self, workspace: &str) -> Option<NodeId> {
+    pub(super) fn home_of(&self, workspace: &WorkspaceName) -> Option<NodeId> {
         if self.homes.is_empty() { None } else { self.home(shard_of(workspace, self.shards())) }
     }
 
--- a/crates/pollenlever/src/quota/quota_metrics.rs
+++ b/crates/pollenlever/src/quota/quota_metrics.rs
@@ -1,14 +1,17 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 
+use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::WorkspaceName;
-use pollenlever_core::quota::HomeShard;
+use pollenlever_core::quota::{HomeShard, TokenPermit};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 
+use super::QuotaRefusal;
+
 /// Most workspaces with labels of their own; the rest share one.
 const MAX_WORKSPACE_LABELS: usize = 128;
 /// Label of the other workspaces.
@@ -29,11 +32,22 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct WorkspaceCounters {
     /// Requests that got a token.
-    pub(super) granted: Counter,
+    granted: Counter,
     /// Requests refused because the workspace is over its quota.
-    pub(super) refused: Counter,
+    refused: Counter,
     /// Requests refused because the quota could not be determined.
-    pub(super) unavailable: Counter,
+    unavailable: Counter,
+}
+
+impl WorkspaceCounters {
+    /// Counts a request by whether it got a token.
+    pub(super) fn record(&self, result: &Result<TokenPermit, QuotaRefusal>) {
+        match result {
+            Ok(_) => self.granted.inc(),
+            Err(it) if it.error == ErrorKind::WorkspaceLimit => self.refused.inc(),
+            Err(_) => self.unavailable.inc(),
+        };
+    }
 }
 
 /// Metrics of quotas; clones share them.
@@ -55,7 +69,11 @@
         registry.register("quota_requests", help, it.requests);
         let help = "Messages with token requests that got no reply in time";
         registry.register("quota_no_replies", help, it.no_replies);
-        registry.register("quota_own_units", "Units of all quotas that this node holds", it.own_units);
+        registry.register(
+            "quota_own_units",
+            "Units of all quotas that this node holds",
+            it.own_units,
+        );
         let help = "Units delegated to this node as the home of a shard";
         registry.register("quota_shard_units", help, it.shard_units);
         let help = "Workspaces with a token bucket at this node as the home of a shard";
