Decide quotas: share table, holder, home and token store

Two types are new: GrantId, which permits carry, and ReturnedTokens, which replaces the count in a token request. A count alone lets a repeated message return the same tokens twice, and tokens that are returned and granted again in turn would add up outside the bucket. A home therefore takes back tokens of a grant once, and only as far as they fit into the bucket together with all grants that may still be used.

A pool needs more than half of the units for its minimum of one token, and not at least half, since there can be two pools with exactly half.

Ruled out: counting turned-away token requests over a second to say when to come back. One node that asks again would count itself and be sent away for longer than a small burst lasts; each node that is sent away gets a moment of its own instead.

--- a/crates/pollenlever-core/src/quota/mod.rs
+++ b/crates/pollenlever-core/src/quota/mod.rs
@@ -4,12 +4,18 @@
 //! All state machines here are free of I/O. docs/design/quota.md says what each part guarantees.
 
 mod delegated_shard;
+mod grant_id;
 mod home_bucket;
+mod home_link;
 mod home_shard;
+mod quota_bucket;
 mod quota_home;
 mod quota_settings;
 mod reclaim_timer;
+mod returned_tokens;
 mod shard;
+mod shard_delegations;
+mod shard_pool;
 mod share_delegation;
 mod share_delegation_reply;
 mod share_holder;
@@ -20,13 +26,17 @@
 mod token_permit;
 mod token_request;
 mod token_store;
+mod usage;
+mod workspace_tokens;
 
 pub use delegated_shard::DelegatedShard;
+pub use grant_id::GrantId;
 pub use home_bucket::HomeBucket;
 pub use home_shard::HomeShard;
 pub use quota_home::QuotaHome;
 pub use quota_settings::QuotaSettings;
 pub use reclaim_timer::ReclaimTimer;
+pub use returned_tokens::ReturnedTokens;
 pub use shard::shard_of;
 pub use share_delegation::ShareDelegation;
 pub use share_delegation_reply::ShareDelegationReply;
--- a/crates/pollenlever-core/src/quota/token_grant.rs
+++ b/crates/pollenlever-core/src/quota/token_grant.rs
@@ -2,6 +2,7 @@
 
 use bincode::{Decode, Encode};
 
+use super::GrantId;
 use crate::id::WorkspaceName;
 
 /// A home's reply to a token request.
@@ -9,6 +10,8 @@
 pub struct TokenGrant {
     /// Number of the token request.
     pub number: u64,
+    /// The grant.
+    pub id: GrantId,
     /// The workspace.
     pub workspace: WorkspaceName,
     /// Number of granted tokens, up to what was wanted and prefetched.
--- a/crates/pollenlever-core/src/quota/token_permit.rs
+++ b/crates/pollenlever-core/src/quota/token_permit.rs
@@ -1,3 +1,4 @@
+use super::GrantId;
 use crate::Timestamp;
 use crate::id::WorkspaceName;
 
@@ -6,6 +7,8 @@
 pub struct TokenPermit {
     /// The workspace.
     pub workspace: WorkspaceName,
+    /// The grant from which it comes.
+    pub grant: GrantId,
     /// Time from which the token may not be used any more.
     pub expires: Timestamp,
 }
--- a/crates/pollenlever-core/src/quota/token_request.rs
+++ b/crates/pollenlever-core/src/quota/token_request.rs
@@ -1,5 +1,6 @@
 use bincode::{Decode, Encode};
 
+use super::ReturnedTokens;
 use crate::id::WorkspaceName;
 
 /// Request of a node to the home of a workspace's shard for tokens.
@@ -13,6 +14,6 @@
     pub wanted: u32,
     /// Number of further tokens that the node expects to use.
     pub prefetch: u32,
-    /// Number of tokens granted earlier that the node will not use.
-    pub returned: u32,
+    /// Tokens of an earlier grant that the node will not use.
+    pub returned: Option<ReturnedTokens>,
 }
