--- a/crates/pollenlever/src/cli/tool_command.rs
+++ b/crates/pollenlever/src/cli/tool_command.rs
@@ -23,6 +23,8 @@
         /// Maximum wait until every node has seen the change.
         max_wait: Duration,
     },
+    /// Show the quotas of workspaces as one sidecar sees them.
+    Quota,
     /// Get request keys for non-idempotent requests from a node.
     Keys {
         /// Number of keys.
--- a/crates/pollenlever/src/cli/tool_flags.rs
+++ b/crates/pollenlever/src/cli/tool_flags.rs
@@ -77,6 +77,11 @@
             optional --wait-ms ms: u64
         }
 
+        /// Show the quotas of workspaces as a sidecar sees them: who holds units, the homes of the
+        /// shards, and the token buckets of the shards whose home it is. Takes the address at which
+        /// the sidecar serves its metrics as `--node`.
+        cmd quota { }
+
         /// Get request keys for non-idempotent requests from a node and print one per line.
         cmd keys {
             /// Number of keys to get. The default is 1.
@@ -123,6 +128,7 @@
     Apply(Apply),
     Status(Status),
     Drain(Drain),
+    Quota(Quota),
     Keys(Keys),
     Trace(Trace),
     Report(Report),
@@ -153,6 +159,9 @@
     pub wait_ms: Option<u64>,
 }
 
+#[derive(Debug)]
+pub struct Quota;
+
 #[derive(Debug)]
 pub struct Keys {
     pub count: Option<u32>,
--- a/crates/pollenlever/src/mesh/quota_host.rs
+++ b/crates/pollenlever/src/mesh/quota_host.rs
@@ -4,20 +4,25 @@
 use pollenlever_core::membership::{Member, TargetState};
 
 use super::MeshShared;
-use crate::quota::{Quota, QuotaHost};
+use crate::quota::{Quota, QuotaHost, QuotaMember, QuotaStatus};
 
 impl QuotaHost for MeshShared {
     fn quota(&self) -> &Arc<Quota> {
         &self.quota
     }
 
-    fn staying_members(&self) -> Vec<NodeId> {
+    fn members(&self) -> Vec<QuotaMember> {
         let lost = self.lock().lost.clone();
-        let stays = |it: &&Member| {
-            let is_leaving = it.state == TargetState::Leaving;
-            !is_leaving && lost.get(&it.node.addr) != Some(&it.node)
+        let to_quota_member = |it: &Member| QuotaMember {
+            node: it.node,
+            is_answering: lost.get(&it.node.addr) != Some(&it.node),
+            is_leaving: it.state == TargetState::Leaving,
         };
-        self.members.read(|it| it.table().live().filter(stays).map(|it| it.node).collect())
+        self.members.read(|it| it.table().live().map(to_quota_member).collect())
+    }
+
+    fn record_lost(self: Arc<Self>, node: NodeId) {
+        self.member_lost(node);
     }
 
     fn may_create_shares(&self) -> bool {
@@ -32,3 +37,10 @@
         self.metrics.record_store_call(is_success);
     }
 }
+
+impl MeshShared {
+    /// The state of quotas on this node.
+    pub fn quota_status(&self) -> QuotaStatus {
+        self.quota.status()
+    }
+}
--- a/crates/pollenlever/src/quota/delegator.rs
+++ b/crates/pollenlever/src/quota/delegator.rs
@@ -36,7 +36,10 @@
         let quota = Arc::clone(self.host.quota());
         loop {
             quota.wait_until_active().await;
-            quota.update_homes(|| self.host.staying_members());
+            for node in quota.take_lost() {
+                Arc::clone(&self.host).record_lost(node);
+            }
+            quota.update_homes(|| self.home_candidates());
             quota.send_due_delegations();
             self.checks = self.checks.wrapping_add(1);
             if self.checks.is_multiple_of(CHECKS_PER_HOME_CHECK) {
@@ -52,6 +55,17 @@
         }
     }
 
+    /// Members among which the homes are chosen: those that stay, or else all that answer.
+    fn home_candidates(&self) -> Vec<NodeId> {
+        let members = self.host.members();
+        let staying: Vec<NodeId> =
+            members.iter().filter(|it| it.is_staying()).map(|it| it.node).collect();
+        if !staying.is_empty() {
+            return staying;
+        }
+        members.iter().filter(|it| it.is_answering).map(|it| it.node).collect()
+    }
+
     fn log_home_changes(&mut self, quota: &Quota) {
         let shards = quota.lock_home().shards(quota.clock.now());
         for it in shards.iter().filter(|it| !self.home_shards.contains(&it.shard)) {
@@ -91,7 +105,7 @@
         }
     }
 
-    async fn delegate(&self, home: NodeId, delegation: ShareDelegation) {
+    async fn delegate(self: &Arc<Quota>, home: NodeId, delegation: ShareDelegation) {
         let reply = if home == self.me {
             self.on_delegation(&delegation)
         } else {
--- a/crates/pollenlever/src/quota/hand_back.rs
+++ b/crates/pollenlever/src/quota/hand_back.rs
@@ -26,7 +26,7 @@
     fn hand_back_write(&self) -> Option<ShareWrite> {
         let (expected, table) = self.known.table()?;
         let (name, incarnation) = (&self.quota.name, self.quota.me.incarnation);
-        let table = table.hand_back(name, incarnation, &self.live_names())?;
+        let table = table.hand_back(name, incarnation, &self.staying_names())?;
         Some(ShareWrite { action: ShareAction::HandBack, expected: *expected, table })
     }
 }
--- a/crates/pollenlever/src/quota/mod.rs
+++ b/crates/pollenlever/src/quota/mod.rs
@@ -18,9 +18,12 @@
 mod token_guard;
 mod token_queue;
 
+#[cfg(test)]
+mod tests;
+
 pub(crate) use delegator::Delegator;
 pub(crate) use quota::Quota;
-pub(crate) use quota_host::{QuotaHost, SharedQuotaHost};
+pub(crate) use quota_host::{QuotaHost, QuotaMember, SharedQuotaHost};
 pub(crate) use quota_metrics::QuotaMetrics;
 pub(crate) use quota_refusal::QuotaRefusal;
 pub use quota_status::{BucketStatus, QuotaStatus, ShardStatus};
--- a/crates/pollenlever/src/quota/quota.rs
+++ b/crates/pollenlever/src/quota/quota.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,6 +23,9 @@
 use crate::peer::PeerClient;
 use crate::store::Revision;
 
+/// Timeout of an exchange. It is longer than a connection needs to find its peer silent.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// Quotas on a node: takes tokens for its requests, grants tokens as a home, and delegates its
 /// units.
 ///
@@ -49,6 +52,8 @@
     members_version: AtomicU64,
     /// Whether homes have to be chosen anew.
     are_homes_outdated: AtomicBool,
+    /// Nodes that have not replied.
+    lost: Mutex<Vec<NodeId>>,
     /// Signalled when delegations may be due.
     pub(super) delegations_changed: Notify,
     /// Signalled when another node has written the share table in favour of this one.
@@ -80,6 +85,7 @@
             active: watch::channel(false).0,
             members_version: AtomicU64::new(0),
             are_homes_outdated: AtomicBool::new(true),
+            lost: Mutex::default(),
             delegations_changed: Notify::new(),
             table_written: Notify::new(),
             leaving: watch::channel(false).0,
@@ -203,7 +209,7 @@
     /// Sends a message about the share table to any process at an address; `None` without a reply in
     /// time.
     pub(super) async fn exchange_any(
-        &self,
+        self: &Arc<Quota>,
         addr: SocketAddr,
         req: MeshRequest,
         timeout: Duration,
@@ -211,29 +217,46 @@
         self.exchange(NodeId { addr, incarnation: ANY_INCARNATION }, req, timeout).await
     }
 
-    /// Sends a message about quotas to another node; `None` without a reply in time.
+    /// Sends a message about quotas to another node; `None` without a reply in time. A node that does
+    /// not reply for longer, or whose connection fails, counts as lost.
     pub(super) async fn exchange(
-        &self,
+        self: &Arc<Quota>,
         to: NodeId,
         req: MeshRequest,
         timeout: Duration,
     ) -> Option<MeshReply> {
-        let exchange = self.peers.exchange(to, PeerRequest::Mesh(req), Bytes::new());
+        let quota = Arc::clone(self);
+        // The task goes on after the timeout, until the connection tells whether the node is lost.
+        let exchange = tokio::spawn(async move { quota.try_exchange(to, req).await });
         match tokio::time::timeout(timeout, exchange).await {
-            Ok(Ok((PeerReply::Mesh(reply), _))) => Some(reply),
-            Ok(Ok((reply, _))) => {
-                log::debug!("message about quotas refused node={to} reply={reply:?}");
-                None
-            }
+            Ok(Ok(reply)) => reply,
             Ok(Err(err)) => {
-                log::debug!("no reply about quotas node={to} reason={:?}", err.reason);
+                log::error!("exchange about quotas failed node={to} reason={:?}", err.to_string());
                 None
             }
-            Err(_) => {
-                log::debug!("no reply about quotas node={to} reason=timeout");
-                None
+            Err(_) => None,
+        }
+    }
+
+    async fn try_exchange(&self, to: NodeId, req: MeshRequest) -> Option<MeshReply> {
+        let exchange = self.peers.exchange(to, PeerRequest::Mesh(req), Bytes::new());
+        match tokio::time::timeout(EXCHANGE_TIMEOUT, exchange).await {
+            Ok(Ok((PeerReply::Mesh(reply), _))) => return Some(reply),
+            Ok(Ok((reply, _))) => {
+                log::debug!("message about quotas refused node={to} reply={reply:?}");
+                return None;
             }
+            Ok(Err(err)) => log::debug!("no reply about quotas node={to} reason={:?}", err.reason),
+            Err(_) => log::debug!("no reply about quotas node={to} reason=timeout"),
         }
+        lock(&self.lost).push(to);
+        self.delegations_changed.notify_one();
+        None
+    }
+
+    /// Nodes that have not replied since the last call.
+    pub(super) fn take_lost(&self) -> Vec<NodeId> {
+        std::mem::take(&mut lock(&self.lost))
     }
 
     pub(super) fn lock_tokens(&self) -> MutexGuard<'_, TokenQueue> {
--- a/crates/pollenlever/src/quota/quota_host.rs
+++ b/crates/pollenlever/src/quota/quota_host.rs
@@ -9,8 +9,11 @@
     /// The state of quotas on this node.
     fn quota(&self) -> &Arc<Quota>;
 
-    /// Members that answer and are not about to leave, including this node unless it leaves.
-    fn staying_members(&self) -> Vec<NodeId>;
+    /// All members that are not gone, including this node.
+    fn members(&self) -> Vec<QuotaMember>;
+
+    /// Records that a member does not reply.
+    fn record_lost(self: Arc<Self>, node: NodeId);
 
     /// Whether this node is one of those that create the share table if there is none.
     fn may_create_shares(&self) -> bool;
@@ -24,3 +27,21 @@
 
 /// Shared [`QuotaHost`].
 pub(crate) type SharedQuotaHost = Arc<dyn QuotaHost>;
+
+/// A member as a possible home and holder of units.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct QuotaMember {
+    /// The member.
+    pub(crate) node: NodeId,
+    /// Whether it answers this node.
+    pub(crate) is_answering: bool,
+    /// Whether it has announced to leave.
+    pub(crate) is_leaving: bool,
+}
+
+impl QuotaMember {
+    /// Whether the member can be expected to stay.
+    pub(super) fn is_staying(&self) -> bool {
+        self.is_answering && !self.is_leaving
+    }
+}
--- a/crates/pollenlever/src/quota/quota_metrics.rs
+++ b/crates/pollenlever/src/quota/quota_metrics.rs
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct WorkspaceCounters {
     /// Requests that got a token.
-    granted: Counter,
+    pub(super) granted: Counter,
     /// Requests refused because the workspace is over its quota.
     refused: Counter,
     /// Requests refused because the quota could not be determined.
--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -5,12 +5,12 @@
 use pollenlever_core::id::NodeName;
 use pollenlever_core::mesh::{MeshReply, MeshRequest};
 use pollenlever_core::quota::{ReclaimTimer, ShareTable};
-use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 
 use super::known_table::KnownTable;
 use super::share_table_store::{ShareTableStore, StoredTable};
 use super::share_write::{ShareAction, ShareWrite};
-use super::{Quota, SharedQuotaHost, node_name};
+use super::{Quota, QuotaMember, SharedQuotaHost, node_name};
 use crate::mesh::{LogEvent, StoreBackoff, log_event};
 use crate::store::{ABSENT_VERSION, Revision, SharedObjectApi, StoreError};
 
@@ -159,7 +159,7 @@
         if !self.known.is_absent() || !self.host.may_create_shares() {
             return None;
         }
-        let create = || ShareTable::create(&self.live_names(), self.host.shards_for_new_table());
+        let create = || ShareTable::create(&self.staying_names(), self.host.shards_for_new_table());
         let table = self.known.last_table().cloned().unwrap_or_else(create);
         Some(ShareWrite { action: ShareAction::Create, expected: ABSENT_VERSION, table })
     }
@@ -178,14 +178,15 @@
         if let Some(after) = table.confirm(name, incarnation) {
             return Some((ShareAction::Confirm, after));
         }
-        let live = self.live_names();
-        if let Some(after) = table.give(name, incarnation, &live) {
+        if let Some(after) = table.give(name, incarnation, &self.staying_names()) {
             return Some((ShareAction::Give, after));
         }
         if !has_read {
             return None;
         }
-        let after = self.reclaim.next_table(now, table, name, incarnation, &live)?;
+        // A member that has announced to leave, or does not answer, is not gone yet.
+        let present = self.member_names(|_| true);
+        let after = self.reclaim.next_table(now, table, name, incarnation, &present)?;
         Some((ShareAction::Reclaim, after))
     }
 
@@ -250,17 +251,23 @@
     }
 
     async fn learn_shards(&self) {
-        let others = self.host.staying_members();
-        let others: Vec<_> = others.iter().filter(|it| **it != self.quota.me).collect();
-        let Some(other) = others.choose(&mut rand::rng()) else { return };
+        let is_asked = |it: &&QuotaMember| it.is_answering && it.node != self.quota.me;
+        let members = self.host.members();
+        let Some(other) = members.iter().filter(is_asked).choose(&mut rand::rng()) else { return };
         let req = MeshRequest::QuotaShards;
-        let reply = self.quota.exchange_any(other.addr, req, MESSAGE_TIMEOUT).await;
+        let reply = self.quota.exchange_any(other.node.addr, req, MESSAGE_TIMEOUT).await;
         if let Some(MeshReply::QuotaShards(shards)) = reply {
             self.quota.set_shards(shards);
         }
     }
 
-    pub(super) fn live_names(&self) -> Vec<NodeName> {
-        self.host.staying_members().iter().map(|it| node_name(it.addr)).collect()
+    /// Members that can be expected to stay.
+    pub(super) fn staying_names(&self) -> Vec<NodeName> {
+        self.member_names(QuotaMember::is_staying)
+    }
+
+    fn member_names(&self, is_included: impl Fn(&QuotaMember) -> bool) -> Vec<NodeName> {
+        let members = self.host.members();
+        members.iter().filter(|it| is_included(it)).map(|it| node_name(it.node.addr)).collect()
     }
 }
--- a/crates/pollenlever/src/tool/node/node_client.rs
+++ b/crates/pollenlever/src/tool/node/node_client.rs
@@ -10,6 +10,7 @@
 
 use super::NodeRequestError;
 use crate::control::ControlStatus;
+use crate::quota::QuotaStatus;
 use crate::telemetry::NodeBurn;
 use crate::tool::ToolError;
 
@@ -93,6 +94,16 @@
         Ok(taken.keys)
     }
 
+    /// Fetches the state of quotas on a sidecar from its metrics address.
+    ///
+    /// # Errors
+    ///
+    /// [`NodeRequestError`] if the sidecar does not answer with success.
+    pub fn quota(&self, addr: SocketAddr) -> Result<QuotaStatus, NodeRequestError> {
+        let buf = send(addr, self.http.get(format!("http://{addr}/quota")))?;
+        decode(addr, &buf)
+    }
+
     fn get<T: DeserializeOwned>(
         &self,
         addr: impl Display + Copy,
--- a/crates/pollenlever/tests/cli.rs
+++ b/crates/pollenlever/tests/cli.rs
@@ -5,6 +5,8 @@
 use std::path::PathBuf;
 
 use cli_support::{FakeHttp, FakeNode, FakeStore, Output, Reply, pollenlever, pollenleverd};
+use pollenlever::quota::QuotaStatus;
+use serde_json::json;
 
 const MANIFEST: &str = "ferraresi/manifest.ini";
 /// An address on which nothing listens.
@@ -33,6 +35,9 @@
     check_of_valid_manifest_as_json: pollenlever(&["check", MANIFEST, "--format", "json"]);
     check_of_invalid_manifest: pollenlever(&["check", "ferraresi/node.ini"]);
     check_of_absent_manifest: pollenlever(&["check", "absent.ini"]);
+    quota_without_node: pollenlever(&["quota"]);
+    quota_with_units: pollenlever(&["quota", "--node", &quota_node().addr.to_string()]);
+    quota_without_quotas: pollenlever(&["quota", "--node", &idle_quota_node().addr.to_string()]);
     apply_with_store_down: pollenlever(&["apply", MANIFEST, "--store", CLOSED, "--no-wait"]);
     check_as_html: pollenlever(&["check", MANIFEST, "--format", "html"]);
 }
@@ -43,6 +48,30 @@
     pollenlever(&[args.as_slice(), extra_args].concat())
 }
 
+/// A sidecar that is the home of one of two shards.
+fn quota_node() -> FakeHttp {
+    FakeHttp::start(|req| match req.path.as_str() {
+        "/quota" => Reply::ok(json!({
+            "node": "10.0.0.1:7100@1f",
+            "is_active": true,
+            "table_version": 12,
+            "holders": {"10.0.0.1:7100": 500_000, "10.0.0.2:7100": 500_000},
+            "units": 500_000,
+            "homes": ["10.0.0.1:7100@1f", "10.0.0.2:7100@20"],
+            "shards": [{"shard": 0, "units": 1_000_000, "holders": 2, "workspaces": 1}],
+            "buckets": [
+                {"workspace": "padova", "shard": 0, "tokens": 3.25, "granted": 410, "refused": 7},
+            ],
+        })),
+        _ => Reply { status: Some(404), body: "no such path".to_owned() },
+    })
+}
+
+/// A sidecar without quotas.
+fn idle_quota_node() -> FakeHttp {
+    FakeHttp::start(|_| Reply::ok(serde_json::to_string(&QuotaStatus::default()).unwrap()))
+}
+
 fn node() -> FakeNode {
     FakeNode::start("lombardia", "{}")
 }
--- a/crates/pollenlever/tests/mesh/memory_store.rs
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -17,8 +17,12 @@
     /// Changes in order; `None` stands for a removed object.
     history: Vec<(Revision, Key, Option<Object>)>,
     is_down: bool,
+    /// Kind of objects for which every call fails.
+    down_kind: Option<&'static str>,
     /// Watches that wait for a change.
     waiting_watches: usize,
+    /// Number of calls by kind; a watch counts anew with each change that it sees.
+    calls: BTreeMap<String, usize>,
 }
 
 /// In-memory implementation of the platform's store.
@@ -34,11 +38,27 @@
         self.state.lock().unwrap().is_down = is_down;
     }
 
+    /// Makes every call that concerns a kind fail.
+    pub(crate) fn set_kind_down(&self, kind: &'static str) {
+        self.state.lock().unwrap().down_kind = Some(kind);
+    }
+
     /// Number of watches that wait for a change.
     pub(crate) fn waiting_watches(&self) -> usize {
         self.state.lock().unwrap().waiting_watches
     }
 
+    /// Number of calls that concern a kind.
+    pub(crate) fn calls(&self, kind: &str) -> usize {
+        self.state.lock().unwrap().calls.get(kind).copied().unwrap_or(0)
+    }
+
+    /// Value of an object; `None` if it does not exist.
+    pub(crate) fn value(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.lock().unwrap();
+        state.objects.get(&(kind.to_owned(), name.to_owned())).map(|it| it.value.clone())
+    }
+
     /// Writes an object without checking its version.
     pub(crate) fn write(&self, kind: &str, name: &str, value: &Value) {
         self.change(kind, name, Some(value));
@@ -71,8 +91,10 @@
         revision
     }
 
-    fn check(&self) -> Result<(), StoreError> {
-        if self.state.lock().unwrap().is_down {
+    fn check(&self, kind: &str) -> Result<(), StoreError> {
+        let mut state = self.state.lock().unwrap();
+        *state.calls.entry(kind.to_owned()).or_default() += 1;
+        if state.is_down || state.down_kind == Some(kind) {
             return Err(StoreError::Unavailable("down".to_owned()));
         }
         Ok(())
@@ -99,7 +121,7 @@
     }
 
     fn expect(&self, kind: &str, name: &str, expected: Revision) -> Result<(), StoreError> {
-        self.check()?;
+        self.check(kind)?;
         let state = self.state.lock().unwrap();
         let found = state.objects.get(&(kind.to_owned(), name.to_owned()));
         if found.map_or(ABSENT_VERSION, |it| it.version) == expected {
@@ -111,7 +133,7 @@
 
 impl ObjectApi for MemoryStore {
     fn get(&self, kind: &str, name: &str) -> StoreFuture<Option<Object>> {
-        let found = self.check().map(|()| {
+        let found = self.check(kind).map(|()| {
             let state = self.state.lock().unwrap();
             state.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
         });
@@ -139,7 +161,7 @@
     }
 
     fn list(&self, kind: &str) -> StoreFuture<ObjectList> {
-        let list = self.check().map(|()| ObjectList { deleted: vec![], ..self.since(kind, 0) });
+        let list = self.check(kind).map(|()| ObjectList { deleted: vec![], ..self.since(kind, 0) });
         Box::pin(async move { list })
     }
 
@@ -150,7 +172,7 @@
             let changed = async {
                 loop {
                     let next = store.changed.notified();
-                    store.check()?;
+                    store.check(&kind)?;
                     let list = store.since(&kind, since);
                     if !list.objects.is_empty() || !list.deleted.is_empty() {
                         return Ok(list);
--- /dev/null
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -0,0 +1,275 @@
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use pollenlever::quota::QuotaStatus;
+use pollenlever_core::mesh::RouteTable;
+use pollenlever_core::workspace::{KeyDigest, QuotaLimit, Workspace};
+use serde_json::json;
+
+use super::log_lines::{error_lines_with, keep_error_lines};
+use super::raw_caller::RawCaller;
+use super::scripted_target::Action;
+use super::test_mesh::{METRICS_PORT, TestMesh, table, wait_until};
+
+/// Kind of the store object with the share table.
+const KIND: &str = "pollenlever-quota";
+/// Name of the store object with the share table.
+const NAME: &str = "shares";
+/// Quota of the workspace in most tests.
+const QUOTA: QuotaLimit = QuotaLimit { rate_per_s: 40.0, burst: 10.0 };
+/// Time after the loss of a home within which another one must grant tokens.
+const MAX_HANDOVER: Duration = Duration::from_secs(4);
+
+/// The test routes with workspace `padova`, whose key is `k1`.
+fn with_quota(version: u64, quota: Option<QuotaLimit>) -> RouteTable {
+    let keys = vec![KeyDigest::of("k1")];
+    let padova = Workspace { name: "padova".into(), keys, quota, ..Workspace::default() };
+    RouteTable { workspaces: vec![padova], ..table(version) }
+}
+
+/// Nodes whose target answers all requests, with the routes in force.
+async fn mesh_with(nodes: usize, quota: Option<QuotaLimit>) -> TestMesh {
+    let script = [Action::Answer(200, "ran")];
+    let targets: Vec<_> = (0..nodes).map(|_| ("read", &script[..])).collect();
+    let mesh = TestMesh::start(&targets).await;
+    mesh.publish(with_quota(2, quota));
+    for node in &mesh.nodes {
+        let shared = node.node.shared();
+        wait_until("version in force", || shared.route_version() == 2).await;
+    }
+    mesh
+}
+
+/// Statuses of requests that a caller sent.
+#[derive(Debug, Default)]
+struct Sent {
+    ran: f64,
+    over_quota: usize,
+    unavailable: usize,
+}
+
+/// Sends requests to a node one after the other, for some time and at most at a rate.
+async fn send(callers: SocketAddr, rate_per_s: f64, time: Duration) -> Sent {
+    let mut caller = RawCaller::connect(callers).await;
+    let (started, mut sent) = (Instant::now(), Sent::default());
+    let mut interval = tokio::time::interval(Duration::from_secs_f64(1.0 / rate_per_s));
+    while started.elapsed() < time {
+        interval.tick().await;
+        let id = format!("{callers}-{}", started.elapsed().as_nanos());
+        let answer = caller.get_with_key("/read/1", &id, "k1").await;
+        match (answer.status, answer.header("pollenlever-error")) {
+            (200, _) => sent.ran += 1.0,
+            (429, Some("customer-limit")) => sent.over_quota += 1,
+            (503, Some("quota-unavailable")) => sent.unavailable += 1,
+            _ => panic!("unexpected answer: {answer:?}"),
+        }
+        if answer.status != 200 {
+            assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        }
+    }
+    sent
+}
+
+/// Waits until a node answers a request of the workspace, and returns the time that it took.
+async fn wait_until_granted(callers: SocketAddr) -> Duration {
+    let started = Instant::now();
+    let mut caller = RawCaller::connect(callers).await;
+    for call in 0.. {
+        let answer = caller.get_with_key("/read/1", &format!("w{call}"), "k1").await;
+        if answer.status == 200 {
+            break;
+        }
+        assert!(started.elapsed() < Duration::from_secs(20), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    started.elapsed()
+}
+
+/// Index of the node that is the home of the workspace; `None` while there is none.
+fn home(mesh: &TestMesh) -> Option<usize> {
+    let has_bucket = |it: &pollenlever::mesh::MeshShared| !it.quota_status().buckets.is_empty();
+    mesh.nodes.iter().position(|it| has_bucket(it.node.shared()))
+}
+
+async fn wait_for_home(mesh: &TestMesh) -> usize {
+    wait_until("a home", || home(mesh).is_some()).await;
+    home(mesh).unwrap()
+}
+
+/// Requests that may run in `time` after a pause.
+fn max_runs(time: Duration) -> f64 {
+    // A grant may be used for 0.5 s.
+    (time.as_secs_f64() + 0.5) * QUOTA.rate_per_s + QUOTA.burst
+}
+
+/// A limit that each node applied on its own would let three times the quota run.
+#[tokio::test]
+async fn a_quota_holds_over_several_nodes_together() {
+    let mesh = mesh_with(3, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    let started = Instant::now();
+    let time = Duration::from_secs(4);
+    let [a, b, c] = [0, 1, 2].map(|it| send(mesh.nodes[it].callers, 100.0, time));
+    let sent = tokio::join!(a, b, c);
+    let ran = sent.0.ran + sent.1.ran + sent.2.ran;
+    assert!(ran <= max_runs(started.elapsed()), "{sent:?}");
+    assert!(ran >= QUOTA.rate_per_s * 2.0, "{sent:?}");
+    assert!(sent.0.over_quota + sent.1.over_quota + sent.2.over_quota > 0, "{sent:?}");
+}
+
+/// With a fixed part for each node, a workspace would get a third of its quota at one node.
+#[tokio::test]
+async fn a_workspace_gets_its_whole_quota_at_one_node() {
+    let mesh = mesh_with(3, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    let all_units = || {
+        let status = mesh.nodes.iter().map(|it| it.node.shared().quota_status());
+        status.flat_map(|it| it.shards).any(|it| it.workspaces > 0 && it.units > 990_000)
+    };
+    wait_until("all units at the home", all_units).await;
+    let (started, time) = (Instant::now(), Duration::from_secs(4));
+    let sent = send(mesh.nodes[0].callers, 100.0, time).await;
+    assert!(sent.ran <= max_runs(started.elapsed()), "{sent:?}");
+    assert!(sent.ran >= QUOTA.rate_per_s * 3.0, "{sent:?}");
+}
+
+/// Requests must not be refused for seconds when a home leaves in order, nor for longer than its
+/// delegations last when it crashes.
+#[tokio::test]
+async fn another_home_takes_over_from_one_that_leaves() {
+    let mesh = mesh_with(3, Some(QUOTA)).await;
+    let home = wait_for_home(&mesh).await;
+    let other = &mesh.nodes[(home + 1) % 3];
+    wait_until_granted(other.callers).await;
+    let leaving = mesh.nodes[home].node.leave();
+    let (is_idle, sent) =
+        tokio::join!(leaving, send(other.callers, 10.0, Duration::from_millis(3500)));
+    assert!(is_idle, "units should be handed back within the grace period");
+    assert!(sent.ran >= 25.0, "{sent:?}");
+    let table = mesh.store.value(KIND, NAME).unwrap();
+    assert_eq!(table["holders"].as_object().unwrap().len(), 2, "{table}");
+}
+
+#[tokio::test]
+async fn another_home_takes_over_from_one_that_crashes() {
+    let mut mesh = TestMesh::new();
+    mesh.publish(with_quota(1, Some(QUOTA)));
+    for _ in 0..3 {
+        mesh.add_crashable_node("read", &[Action::Answer(200, "ran")]).await;
+        mesh.nodes[mesh.nodes.len() - 1].report_ready(1);
+    }
+    mesh.wait_until_members_known().await;
+    let home = wait_for_home(&mesh).await;
+    let other = (home + 1) % 3;
+    wait_until_granted(mesh.nodes[other].callers).await;
+    mesh.nodes[home].crash();
+    // Tokens that the node has got before do not count.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let took = wait_until_granted(mesh.nodes[other].callers).await;
+    assert!(took < MAX_HANDOVER, "{took:?}");
+    let is_home = |it: usize| !mesh.nodes[it].node.shared().quota_status().buckets.is_empty();
+    assert!((0..3).filter(|it| *it != home).any(is_home));
+}
+
+/// A quota must not depend on leases that a silent store ends.
+#[tokio::test]
+async fn quotas_go_on_while_the_store_is_down() {
+    let mesh = mesh_with(3, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    mesh.store.set_down(true);
+    tokio::time::sleep(Duration::from_millis(2500)).await;
+    let sent = send(mesh.nodes[0].callers, 20.0, Duration::from_secs(2)).await;
+    assert!(sent.ran >= 30.0, "{sent:?}");
+}
+
+/// A node that joins while the store is down finds the homes of the others.
+#[tokio::test]
+async fn a_node_that_cannot_read_the_share_table_gets_tokens() {
+    let mut mesh = mesh_with(2, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    mesh.store.set_kind_down(KIND);
+    mesh.join("read", &[Action::Answer(200, "ran")]).await;
+    wait_until_granted(mesh.nodes[2].callers).await;
+}
+
+/// Operators see the cause of a refusal in the state and the metrics of a node.
+#[tokio::test]
+async fn state_and_metrics_show_quotas() {
+    let mesh = mesh_with(1, Some(QUOTA)).await;
+    wait_until_granted(mesh.nodes[0].callers).await;
+    let mut metrics = mesh.nodes[0].callers;
+    metrics.set_port(METRICS_PORT);
+    let mut caller = RawCaller::connect(metrics).await;
+    caller.write("GET /quota HTTP/1.1\r\nHost: node\r\n\r\n").await;
+    let answer = caller.answer().await.unwrap();
+    let status: QuotaStatus = serde_json::from_str(&answer.body).unwrap();
+    assert_eq!((status.units, status.homes.len(), status.shards.len()), (1_000_000, 8, 8));
+    assert!(status.buckets[0].workspace == "padova" && status.buckets[0].granted > 0, "{status:?}");
+    caller.write("GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n").await;
+    let text = caller.answer().await.unwrap().body;
+    let granted = "pollenlever_quota_requests_total{workspace=\"padova\",result=\"granted\"} 1\n";
+    assert!(text.contains(granted), "{text}");
+    assert!(text.contains("pollenlever_quota_own_units 1000000\n"), "{text}");
+}
+
+/// Deployments without quotas must be served as before.
+#[tokio::test]
+async fn without_quotas_the_store_gets_no_call_about_them() {
+    let mesh = mesh_with(2, None).await;
+    // The table would be created within about a second after the start.
+    let sent = send(mesh.nodes[0].callers, 20.0, Duration::from_millis(2500)).await;
+    assert!(sent.ran > 0.0 && sent.over_quota + sent.unavailable == 0, "{sent:?}");
+    assert_eq!((mesh.store.calls(KIND), mesh.store.names(KIND).len()), (0, 0));
+}
+
+/// Units must not be given anew while those of a table that cannot be read may be in use.
+#[tokio::test]
+async fn an_object_of_unknown_form_is_left_as_it_is() {
+    keep_error_lines();
+    let mesh = TestMesh::start(&[("read", &[Action::Answer(200, "ran")])]).await;
+    let unknown = json!({"shards": "many"});
+    mesh.store.write(KIND, NAME, &unknown);
+    mesh.publish(with_quota(2, Some(QUOTA)));
+    wait_until("read", || mesh.store.calls(KIND) > 3).await;
+    assert_eq!(mesh.store.value(KIND, NAME), Some(unknown));
+    let sent = send(mesh.nodes[0].callers, 20.0, Duration::from_millis(200)).await;
+    assert!(sent.ran == 0.0 && sent.unavailable > 0, "{sent:?}");
+    // One line for each version of the object, whatever the number of reads.
+    let lines = error_lines_with("event=share-table-refused");
+    assert!(lines.len() == 1 && lines[0].contains("restore the object"), "{lines:?}");
+    mesh.store.remove(KIND, NAME);
+    wait_until_granted(mesh.nodes[0].callers).await;
+}
+
+/// A target that rejects a request must not cost its workspace quota.
+#[tokio::test]
+async fn a_request_that_has_not_run_is_not_charged() {
+    let mesh = TestMesh::start(&[("read", &[Action::Reject])]).await;
+    // The second token comes 2 s after the first one.
+    mesh.publish(with_quota(2, Some(QuotaLimit { rate_per_s: 0.5, burst: 1.0 })));
+    let shared = mesh.nodes[0].node.shared();
+    wait_until("version in force", || shared.route_version() == 2).await;
+    let mut caller = RawCaller::connect(mesh.nodes[0].callers).await;
+    let mut error = String::new();
+    for call in 0..1000 {
+        let answer = caller.get_with_key("/read/1", &format!("r{call}"), "k1").await;
+        let before = std::mem::replace(
+            &mut error,
+            answer.header("pollenlever-error").expect("an error").to_owned(),
+        );
+        if before == "overloaded" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // The request after the rejected one has got the same token.
+    assert_eq!(error, "overloaded");
+}
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -48,6 +48,16 @@
         self.write(&head).await;
     }
 
+    /// Sends a `GET` request with an API key and waits for its answer.
+    pub(crate) async fn get_with_key(&mut self, path: &str, id: &str, key: &str) -> RawAnswer {
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nHost: a.example\r\nPollenlever-Request-Id: {id}\r\n\
+             Authorization: Bearer {key}\r\n\r\n"
+        );
+        self.write(&head).await;
+        self.answer().await.expect("an answer")
+    }
+
     /// Reads one answer; `None` if the connection ends first.
     pub(crate) async fn answer(&mut self) -> Option<RawAnswer> {
         let head_len = loop {
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -14,6 +14,7 @@
     WeightedService,
 };
 use serde_json::{Value, json};
+use tokio::runtime::{Builder, Runtime};
 
 use super::memory_store::MemoryStore;
 use super::raw_caller::{RawAnswer, RawCaller};
@@ -21,6 +22,8 @@
 
 /// Timeout of the conditions that a test waits for.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
+/// Port at which test nodes serve their metrics.
+pub(crate) const METRICS_PORT: u16 = 7400;
 /// Deadline of requests that should not reach it, in milliseconds.
 pub(crate) const DEADLINE_MS: u64 = 15_000;
 
@@ -69,6 +72,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) target: ScriptedTarget,
     service: &'static str,
+    /// Runtime of a node that can crash; `None` if it shares that of the test.
+    runtime: Option<Runtime>,
 }
 
 /// Mesh nodes that share a store.
@@ -103,7 +108,14 @@
 
     /// Starts a node whose target has not reported yet.
     pub(crate) async fn add_node(&mut self, service: &'static str, script: &[Action]) {
-        let node = self.start_node(self.nodes.len(), service, script).await;
+        let node = self.start_node(self.nodes.len(), service, script, None).await;
+        self.nodes.push(node);
+    }
+
+    /// Starts a node whose target has not reported yet, and which can crash.
+    pub(crate) async fn add_crashable_node(&mut self, service: &'static str, script: &[Action]) {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
+        let node = self.start_node(self.nodes.len(), service, script, Some(runtime)).await;
         self.nodes.push(node);
     }
 
@@ -121,7 +133,13 @@
         self.wait_until_members_known().await;
     }
 
-    async fn start_node(&self, index: usize, service: &'static str, script: &[Action]) -> TestNode {
+    async fn start_node(
+        &self,
+        index: usize,
+        service: &'static str,
+        script: &[Action],
+        runtime: Option<Runtime>,
+    ) -> TestNode {
         let target = ScriptedTarget::start(script).await;
         let ip = unique_loopback_ip();
         let at = |port| SocketAddr::from((ip, port));
@@ -131,6 +149,7 @@
             peer: at(7100),
             readiness_address: at(7200),
             control_address: at(7300),
+            metrics_address: Some(at(METRICS_PORT)),
             region: "lombardia".to_owned(),
             zone: format!("zone-{index}"),
             target: target.addr,
@@ -142,11 +161,16 @@
             ..MeshSettings::default()
         };
         let platform = TestPlatform { store: self.store.clone(), tables: Arc::clone(&self.tables) };
-        let node = MeshNode::start(&cfg, Arc::new(platform)).await.unwrap();
-        TestNode { node, callers: cfg.callers_address, target, service }
+        let callers = cfg.callers_address;
+        let start = async move { MeshNode::start(&cfg, Arc::new(platform)).await.unwrap() };
+        let node = match &runtime {
+            Some(runtime) => runtime.spawn(start).await.unwrap(),
+            None => start.await,
+        };
+        TestNode { node, callers, target, service, runtime }
     }
 
-    async fn wait_until_members_known(&self) {
+    pub(crate) async fn wait_until_members_known(&self) {
         for node in &self.nodes {
             let shared = Arc::clone(node.node.shared());
             let count = self.nodes.len() - 1;
@@ -201,6 +225,20 @@
     pub(crate) fn report_ready(&self, sequence: u64) {
         self.report(sequence, false);
     }
+
+    /// Ends all tasks of a crashable node at once, without a word to anybody.
+    pub(crate) fn crash(&mut self) {
+        self.runtime.take().expect("a crashable node").shutdown_background();
+    }
+}
+
+/// A runtime must not be dropped where tests run, as that would wait for its tasks.
+impl Drop for TestNode {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 /// The test routes, as table `version`.
