Bound the cost of home choices and of a hand-back that cannot complete

Cause: each change of a member led to a choice of all homes, which goes over all members; a node that stops while the store is silent waited for the whole grace period and reported open requests; refused workspaces used up the log lines of other failures. Ruled out: giving up the hand-back at once, as the store may only be slow. Change: at most ten choices a second, four seconds for the hand-back, log lines about quotas with a limit of their own. Tests of a crash of all nodes, of a joining node and of the number of shards.

--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -27,6 +27,9 @@
 /// Time for which a leaving node still accepts requests, so that its callers can notice that it is
 /// no longer ready.
 const DRAIN_DELAY: Duration = Duration::from_millis(2600);
+/// Longest time for which a leaving node without requests waits until its units of quotas are handed
+/// back. If they are not, its next process has them.
+const MAX_HAND_BACK_TIME: Duration = Duration::from_secs(4);
 /// Time before the end of the grace period at which a leaving node abandons its last requests.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval between checks whether requests are still open.
@@ -123,9 +126,11 @@
         tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
         self.shared.stop();
         loop {
-            let is_idle = self.shared.is_idle() && self.shared.quota.is_handed_back();
+            let is_idle = self.shared.is_idle();
             let elapsed = self.shared.clock.now().saturating_sub(started);
-            if is_idle || elapsed + EXIT_MARGIN >= grace {
+            let is_handed_back =
+                self.shared.quota.is_handed_back() || elapsed >= MAX_HAND_BACK_TIME;
+            if (is_idle && is_handed_back) || elapsed + EXIT_MARGIN >= grace {
                 let after_ms = elapsed.as_millis();
                 log_event!(LogEvent::NodeStopped, "idle={is_idle} after_ms={after_ms}");
                 return is_idle;
--- a/crates/pollenlever/src/mesh/pending_request.rs
+++ b/crates/pollenlever/src/mesh/pending_request.rs
@@ -25,12 +25,16 @@
     pub(super) fn record_answer(mut self, status: u16, delivery: &Delivery) {
         let outcome = if status < 500 { "answered" } else { "target-error" };
         let is_ordinary = status < 500 && delivery.handovers() == 1;
-        self.finish(outcome, status, is_ordinary, delivery);
+        self.finish(outcome, status, is_ordinary, &self.shared.request_log, delivery);
     }
 
     /// Records that the caller gets an error from the node itself.
     pub(super) fn record_error(mut self, kind: ErrorKind, delivery: &Delivery) {
-        self.finish(kind.as_str(), kind.response().status, false, delivery);
+        // A workspace far over its quota must not displace the lines of other requests.
+        let is_quota_refusal =
+            matches!(kind, ErrorKind::WorkspaceLimit | ErrorKind::QuotaUnavailable);
+        let log = if is_quota_refusal { &self.shared.quota.log } else { &self.shared.request_log };
+        self.finish(kind.as_str(), kind.response().status, false, log, delivery);
     }
 
     fn finish(
@@ -38,6 +42,7 @@
         outcome: &'static str,
         status: u16,
         is_ordinary: bool,
+        log: &RequestLog,
         delivery: &Delivery,
     ) {
         self.is_pending = false;
@@ -53,7 +58,7 @@
         if is_ordinary && !RequestLog::is_sampled(&req.id) {
             return;
         }
-        let Some(omitted) = self.shared.request_log.admit_line(now) else { return };
+        let Some(omitted) = log.admit_line(now) else { return };
         log_event!(
             LogEvent::RequestEnded,
             "request={} route={} service={} routes={} status={status} outcome={outcome} \
--- a/crates/pollenlever/src/quota/delegator.rs
+++ b/crates/pollenlever/src/quota/delegator.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pollenlever_core::Timestamp;
 use pollenlever_core::id::NodeId;
 use pollenlever_core::mesh::{MeshReply, MeshRequest};
 use pollenlever_core::quota::{ShardIndex, ShareDelegation};
@@ -13,22 +14,32 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Timeout of a delegation. After a longer time a ticket in the reply would be of little use.
 const DELEGATION_TIMEOUT: Duration = Duration::from_secs(1);
-/// Number of checks between two looks at the shards whose home this node is.
-const CHECKS_PER_HOME_CHECK: u32 = 20;
-/// Number of checks between two removals of workspaces that are not used any more.
-const CHECKS_PER_CLEANUP: u32 = 1200;
+/// Shortest time between two choices of the homes, which go over all members.
+const MIN_HOMES_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two looks at the shards whose home this node is.
+const HOME_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two removals of workspaces that are not used any more.
+const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
 
 /// Chooses the homes of the shards and delegates the units of this node to them.
 pub(crate) struct Delegator {
     host: SharedQuotaHost,
     /// Shards for which this node had units at the last look.
     home_shards: BTreeSet<ShardIndex>,
-    checks: u32,
+    next_homes: Timestamp,
+    next_home_log: Timestamp,
+    next_cleanup: Timestamp,
 }
 
 impl Delegator {
     pub(crate) fn new(host: SharedQuotaHost) -> Delegator {
-        Delegator { host, home_shards: BTreeSet::new(), checks: 0 }
+        Delegator {
+            host,
+            home_shards: BTreeSet::new(),
+            next_homes: Timestamp::ZERO,
+            next_home_log: Timestamp::ZERO,
+            next_cleanup: CLEANUP_INTERVAL,
+        }
     }
 
     /// Runs for as long as the node does.
@@ -36,17 +47,22 @@
         let quota = Arc::clone(self.host.quota());
         loop {
             quota.wait_until_active().await;
+            let now = quota.clock.now();
             for node in quota.take_lost() {
                 Arc::clone(&self.host).record_lost(node);
             }
-            quota.update_homes(|| self.home_candidates());
+            let is_choice_due = now >= self.next_homes || quota.lacks_homes();
+            if is_choice_due && quota.update_homes(|| self.home_candidates()) {
+                self.next_homes = now + MIN_HOMES_INTERVAL;
+            }
             quota.send_due_delegations();
-            self.checks = self.checks.wrapping_add(1);
-            if self.checks.is_multiple_of(CHECKS_PER_HOME_CHECK) {
+            if now >= self.next_home_log {
+                self.next_home_log = now + HOME_LOG_INTERVAL;
                 self.log_home_changes(&quota);
             }
-            if self.checks.is_multiple_of(CHECKS_PER_CLEANUP) {
-                quota.lock_tokens().remove_idle(quota.clock.now());
+            if now >= self.next_cleanup {
+                self.next_cleanup = now + CLEANUP_INTERVAL;
+                quota.lock_tokens().remove_idle(now);
             }
             tokio::select! {
                 () = tokio::time::sleep(CHECK_INTERVAL) => {}
@@ -90,6 +106,10 @@
     /// Sends the delegations that are due.
     pub(super) fn send_due_delegations(self: &Arc<Quota>) {
         let due = {
+            // Otherwise the units would first go to this node, and would have to be withdrawn.
+            if self.lacks_homes() {
+                return;
+            }
             let homes = self.lock_homes();
             let home_of = |shard| homes.home(shard).unwrap_or(self.me);
             self.lock_holder().due(self.clock.now(), home_of)
--- a/crates/pollenlever/src/quota/known_table.rs
+++ b/crates/pollenlever/src/quota/known_table.rs
@@ -95,6 +95,9 @@
             }
             StoredTable::Table(revision, table) if revision >= self.newest => {
                 self.presence = Presence::Table;
+                if revision > self.newest {
+                    self.quota.set_table(revision, &table);
+                }
                 self.newest = revision;
                 self.apply(now, revision, &table);
                 self.table = Some((revision, table));
@@ -112,7 +115,6 @@
             holder.on_table(now, revision, table);
             (before, holder.units(now))
         };
-        quota.set_table(revision, table);
         if units != before {
             let holders = table.holders.len();
             log_event!(
--- a/crates/pollenlever/src/quota/quota.rs
+++ b/crates/pollenlever/src/quota/quota.rs
@@ -1,5 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -23,6 +24,8 @@
 use crate::peer::PeerClient;
 use crate::store::Revision;
 
+/// Number of shards that a share table may have.
+pub(super) const SHARDS_RANGE: RangeInclusive<u32> = 1..=256;
 /// Timeout of an exchange. It is longer than a connection needs to find its peer silent.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -37,7 +40,8 @@
     pub(super) clock: Clock,
     pub(super) peers: PeerClient,
     pub(super) metrics: QuotaMetrics,
-    pub(super) log: RequestLog,
+    /// Limits log lines about refused requests.
+    pub(crate) log: RequestLog,
     tokens: Mutex<TokenQueue>,
     home: Mutex<QuotaHome>,
     holder: Mutex<ShareHolder>,
@@ -130,6 +134,10 @@
 
     /// Handles a delegation as the home of shards.
     pub(crate) fn on_delegation(&self, delegation: &ShareDelegation) -> ShareDelegationReply {
+        if !SHARDS_RANGE.contains(&delegation.shard_count) {
+            log::warn!("delegation ignored holder={} reason=shards", delegation.holder);
+            return ShareDelegationReply { sequence: delegation.sequence, tickets: Vec::new() };
+        }
         self.set_shards(delegation.shard_count);
         self.lock_home().on_delegation(self.clock.now(), delegation)
     }
@@ -152,7 +160,7 @@
     /// Sets the number of shards, which never changes once it is known.
     pub(super) fn set_shards(&self, shards: u32) {
         let is_new = self.shards.send_if_modified(|it| {
-            let is_new = *it == 0 && shards > 0;
+            let is_new = *it == 0 && SHARDS_RANGE.contains(&shards);
             if is_new {
                 *it = shards;
             }
@@ -175,11 +183,18 @@
         lock(&self.table).clone()
     }
 
-    /// Chooses the homes anew if members have changed.
-    pub(super) fn update_homes(&self, candidates: impl FnOnce() -> Vec<NodeId>) {
-        if self.are_homes_outdated.swap(false, Ordering::Relaxed) {
+    /// Whether the homes are not chosen although the number of shards is known.
+    pub(super) fn lacks_homes(&self) -> bool {
+        self.lock_homes().shards() != self.shards()
+    }
+
+    /// Chooses the homes anew if members have changed. Returns whether they have.
+    pub(super) fn update_homes(&self, candidates: impl FnOnce() -> Vec<NodeId>) -> bool {
+        let is_outdated = self.are_homes_outdated.swap(false, Ordering::Relaxed);
+        if is_outdated {
             *self.lock_homes() = HomeMap::new(self.me, self.shards(), &candidates());
         }
+        is_outdated
     }
 
     /// Starts to give the units of this node back.
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -40,6 +40,25 @@
     mesh
 }
 
+/// Three nodes that can crash, whose target answers all requests.
+async fn crashable_mesh() -> TestMesh {
+    let mut mesh = TestMesh::new();
+    mesh.publish(with_quota(1, Some(QUOTA)));
+    for index in 0..3 {
+        mesh.add_crashable_node("read", &[Action::Answer(200, "ran")]).await;
+        mesh.nodes[index].report_ready(1);
+    }
+    mesh.wait_until_members_known().await;
+    mesh
+}
+
+/// Units in the stored share table, by holder.
+fn units(mesh: &TestMesh) -> Vec<(String, u64)> {
+    let table = mesh.store.value(KIND, NAME).expect("a share table");
+    let holders = table["holders"].as_object().expect("holders");
+    holders.iter().map(|(name, units)| (name.clone(), units.as_u64().unwrap())).collect()
+}
+
 /// Statuses of requests that a caller sent.
 #[derive(Debug, Default)]
 struct Sent {
@@ -150,23 +169,16 @@
         tokio::join!(leaving, send(other.callers, 10.0, Duration::from_millis(3500)));
     assert!(is_idle, "units should be handed back within the grace period");
     assert!(sent.ran >= 25.0, "{sent:?}");
-    let table = mesh.store.value(KIND, NAME).unwrap();
-    assert_eq!(table["holders"].as_object().unwrap().len(), 2, "{table}");
+    assert_eq!(units(&mesh).len(), 2, "{:?}", units(&mesh));
 }
 
 #[tokio::test]
 async fn another_home_takes_over_from_one_that_crashes() {
-    let mut mesh = TestMesh::new();
-    mesh.publish(with_quota(1, Some(QUOTA)));
-    for _ in 0..3 {
-        mesh.add_crashable_node("read", &[Action::Answer(200, "ran")]).await;
-        mesh.nodes[mesh.nodes.len() - 1].report_ready(1);
-    }
-    mesh.wait_until_members_known().await;
+    let mut mesh = crashable_mesh().await;
     let home = wait_for_home(&mesh).await;
     let other = (home + 1) % 3;
     wait_until_granted(mesh.nodes[other].callers).await;
-    mesh.nodes[home].crash();
+    mesh.nodes[home].crash().await;
     // Tokens that the node has got before do not count.
     tokio::time::sleep(Duration::from_millis(600)).await;
     let took = wait_until_granted(mesh.nodes[other].callers).await;
@@ -175,6 +187,40 @@
     assert!((0..3).filter(|it| *it != home).any(is_home));
 }
 
+/// The units are in the store, so new processes must neither create nor lose any.
+#[tokio::test]
+async fn units_outlast_a_crash_of_all_nodes() {
+    let mut mesh = crashable_mesh().await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    let before = units(&mesh);
+    for node in &mut mesh.nodes {
+        node.crash().await;
+    }
+    for index in 0..3 {
+        mesh.restart(index, &[Action::Answer(200, "ran")]).await;
+        mesh.nodes[index].report_restart(2);
+    }
+    let sent = send(mesh.nodes[0].callers, 20.0, Duration::from_millis(1500)).await;
+    assert_eq!(sent.ran, 0.0, "delegations of the earlier processes may be in force: {sent:?}");
+    wait_until_granted(mesh.nodes[0].callers).await;
+    assert_eq!(units(&mesh), before);
+    assert_eq!(before.iter().map(|it| it.1).sum::<u64>(), 1_000_000);
+}
+
+/// A node without units must be given some, and the quota must go on meanwhile.
+#[tokio::test]
+async fn a_node_that_joins_gets_units() {
+    let mut mesh = mesh_with(2, Some(QUOTA)).await;
+    wait_until_granted(mesh.nodes[0].callers).await;
+    mesh.join("read", &[Action::Answer(200, "ran")]).await;
+    let sent = send(mesh.nodes[0].callers, 10.0, Duration::from_secs(3)).await;
+    assert!(sent.ran >= 20.0, "{sent:?}");
+    wait_until("units for all", || units(&mesh).len() == 3).await;
+    assert_eq!(units(&mesh).iter().map(|it| it.1).sum::<u64>(), 1_000_000);
+}
+
 /// A quota must not depend on leases that a silent store ends.
 #[tokio::test]
 async fn quotas_go_on_while_the_store_is_down() {
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -1,4 +1,4 @@
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -14,6 +14,7 @@
     WeightedService,
 };
 use serde_json::{Value, json};
+use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 
 use super::memory_store::MemoryStore;
@@ -108,17 +109,27 @@
 
     /// Starts a node whose target has not reported yet.
     pub(crate) async fn add_node(&mut self, service: &'static str, script: &[Action]) {
-        let node = self.start_node(self.nodes.len(), service, script, None).await;
+        let ip = unique_loopback_ip();
+        let node = self.start_node(self.nodes.len(), ip, service, script, None).await;
         self.nodes.push(node);
     }
 
     /// Starts a node whose target has not reported yet, and which can crash.
     pub(crate) async fn add_crashable_node(&mut self, service: &'static str, script: &[Action]) {
-        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap();
-        let node = self.start_node(self.nodes.len(), service, script, Some(runtime)).await;
+        let index = self.nodes.len();
+        let runtime = Some(node_runtime());
+        let node = self.start_node(index, unique_loopback_ip(), service, script, runtime).await;
         self.nodes.push(node);
     }
 
+    /// Starts a crashed node anew, at the same addresses. Its target has not reported yet.
+    pub(crate) async fn restart(&mut self, index: usize, script: &[Action]) {
+        let IpAddr::V4(ip) = self.nodes[index].callers.ip() else { unreachable!("see start_node") };
+        let service = self.nodes[index].service;
+        let runtime = Some(node_runtime());
+        self.nodes[index] = self.start_node(index, ip, service, script, runtime).await;
+    }
+
     /// Publishes a route table through the store.
     pub(crate) fn publish(&self, table: RouteTable) {
         let version = table.version;
@@ -136,12 +147,12 @@
     async fn start_node(
         &self,
         index: usize,
+        ip: Ipv4Addr,
         service: &'static str,
         script: &[Action],
         runtime: Option<Runtime>,
     ) -> TestNode {
         let target = ScriptedTarget::start(script).await;
-        let ip = unique_loopback_ip();
         let at = |port| SocketAddr::from((ip, port));
         let cfg = MeshSettings {
             name: format!("node-{index}"),
@@ -227,8 +238,11 @@
     }
 
     /// Ends all tasks of a crashable node at once, without a word to anybody.
-    pub(crate) fn crash(&mut self) {
+    pub(crate) async fn crash(&mut self) {
         self.runtime.take().expect("a crashable node").shutdown_background();
+        while TcpStream::connect(self.callers).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
     }
 }
 
@@ -274,6 +288,11 @@
     tokio::time::timeout(WAIT, met).await.unwrap_or_else(|_| panic!("{what} should come true"));
 }
 
+/// Returns a runtime for a node that can crash.
+fn node_runtime() -> Runtime {
+    Builder::new_multi_thread().worker_threads(1).enable_all().build().unwrap()
+}
+
 /// Returns a loopback address that no other node of this test run has. The node ports are below the
 /// range of ephemeral ports, so that no outgoing connection can take one.
 fn unique_loopback_ip() -> Ipv4Addr {
--- a/crates/pollenlever/tests/settings.rs
+++ b/crates/pollenlever/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::path::{Path, PathBuf};
 
-use pollenlever::settings::{Settings, SettingsError};
+use pollenlever::settings::{MeshSettings, Settings, SettingsError};
 
 const VALID: &str = "\
 [node]
@@ -51,6 +51,24 @@
     assert_eq!(cfg, Settings::parse("node.ini", &cfg.to_ini()).unwrap());
 }
 
+/// A share table with another number of shards would be refused by all nodes.
+#[test]
+fn number_of_shards_is_checked() {
+    let required = "[node]\nname = a\ncallers = 127.0.0.1:7000\npeer = 127.0.0.1:7100\n\
+        ready = 127.0.0.1:7200\ncontrol = 127.0.0.1:7300\nregion = r\nzone = z\n\
+        [target]\naddress = 127.0.0.1:7400\nservice = s\n[store]\naddress = 127.0.0.1:7500\n";
+    let shards = |text: &str| {
+        let text = format!("{required}[quota]\nshards = {text}\n");
+        MeshSettings::parse("node.ini", &text).map(|it| it.quota_shards)
+    };
+    assert_eq!(MeshSettings::parse("node.ini", required).unwrap().quota_shards, 8);
+    assert_eq!((shards("1").unwrap(), shards("256").unwrap()), (1, 256));
+    for refused in ["0", "257", "-1", "many"] {
+        let err = shards(refused).unwrap_err().to_string();
+        assert!(err.contains("a number from 1 to 256"), "{err}");
+    }
+}
+
 #[test]
 fn latin1_is_rejected_with_its_line() {
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("settings-latin1.ini");
