Test quotas with histories of several nodes

One home, holder and token store per node run against a stand-in of the store on a virtual clock, with lost, late and repeated messages, kills, suspensions, partitions, wrong views and leaving nodes. Checked are the bound in every window, the units of each holder against the table at every tick, and the age and number of the tokens of each grant. Without one of seven mechanisms (ticket check, sequence check, waiting before delegating elsewhere, lowering before the write, announcements, revisions, grant numbers) the check finds a breach. Those tests forge what arrives, so the code needs no switch.

A home that is short of tokens now also sends back the node that takes the last one.

Ruled out: the sum of all units as the only check. It stayed below the total while one holder's units were used twice and another's not at all, and showed no missing announcement.

--- a/crates/pollenlever-core/src/quota/home_shard.rs
+++ b/crates/pollenlever-core/src/quota/home_shard.rs
@@ -1,4 +1,5 @@
 use super::{ShardIndex, ShareUnits};
+use crate::id::NodeName;
 
 /// A shard at its home, for metrics and the tool.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -7,8 +8,8 @@
     pub shard: ShardIndex,
     /// Units that are delegated now.
     pub units: ShareUnits,
-    /// Number of holders that delegate them.
-    pub holders: usize,
+    /// The holders that delegate them and the units of each, by name.
+    pub holders: Vec<(NodeName, ShareUnits)>,
     /// Number of workspaces with a quota in this shard.
     pub workspaces: usize,
 }
--- a/crates/pollenlever-core/src/quota/quota_bucket.rs
+++ b/crates/pollenlever-core/src/quota/quota_bucket.rs
@@ -12,6 +12,10 @@
 /// Part of a token that may be missing because of rounding.
 const ROUNDING: f64 = 1e-6;
 
+/// Time after the last moment for which a node was sent back in which a node that takes the last
+/// token is sent back too. Otherwise it would ask once more at once, and in vain.
+const CONTENTION_TIME: Duration = Duration::from_millis(100);
+
 /// Token bucket of one workspace at its home.
 #[derive(Debug)]
 pub(super) struct QuotaBucket {
@@ -106,31 +110,32 @@
     ) -> TokenGrant {
         let available = (self.tokens + ROUNDING).max(0.0) as u32;
         let wanted = req.wanted.min(available);
-        // Half of the rest stays for other nodes.
-        let tokens = wanted + req.prefetch.min((available - wanted) / 2);
+        let is_contended = now < self.last_slot + CONTENTION_TIME;
+        // Without contention, half of the rest stays for other nodes; with it, each has its moment.
+        let rest = if is_contended { available - wanted } else { (available - wanted) / 2 };
+        let tokens = wanted + req.prefetch.min(rest);
         self.tokens -= f64::from(tokens);
         self.record_grant(now, id, tokens);
         self.granted += u64::from(tokens);
-        let missing = req.wanted - wanted;
-        self.refused += u64::from(missing);
-        let mut grant = TokenGrant {
+        self.refused += u64::from(req.wanted - wanted);
+        let is_short = wanted < req.wanted;
+        let is_unavailable = is_short && !is_majority(units);
+        let retry_after = if is_unavailable {
+            settings.unavailable_pause
+        } else if is_short || is_contended && wanted > 0 && self.tokens < 1.0 - ROUNDING {
+            self.next_slot(now, units, settings)
+        } else {
+            Duration::ZERO
+        };
+        TokenGrant {
             number: req.number,
             id,
             workspace: self.workspace.clone(),
             tokens,
-            retry_after: Duration::ZERO,
+            retry_after,
             refill: self.refill_time(units, settings),
-            is_unavailable: false,
-        };
-        if missing > 0 {
-            grant.is_unavailable = !is_majority(units);
-            grant.retry_after = if grant.is_unavailable {
-                settings.unavailable_pause
-            } else {
-                self.next_slot(now, units, settings)
-            };
+            is_unavailable,
         }
-        grant
     }
 
     /// Time until the moment at which the next node may come back. Each node that is sent back gets a
--- a/crates/pollenlever-core/src/quota/quota_home.rs
+++ b/crates/pollenlever-core/src/quota/quota_home.rs
@@ -90,8 +90,9 @@
         let mut shards = Vec::new();
         for (shard, pool) in (0..).zip(&mut self.pools) {
             pool.refill(now);
-            let (units, holders) = (pool.units(), pool.holders());
+            let units = pool.units();
             if units > 0 {
+                let holders = pool.holders();
                 let workspaces = pool.buckets.len();
                 shards.push(HomeShard { shard, units, holders, workspaces });
             }
--- a/crates/pollenlever-core/src/quota/shard_pool.rs
+++ b/crates/pollenlever-core/src/quota/shard_pool.rs
@@ -91,9 +91,12 @@
         self.units
     }
 
-    /// Number of holders that delegate units.
-    pub(super) fn holders(&self) -> usize {
-        self.delegations.values().filter(|it| it.units > 0).count()
+    /// Holders that delegate units, by name.
+    pub(super) fn holders(&self) -> Vec<(NodeName, ShareUnits)> {
+        let holders = self.delegations.iter().map(|(name, it)| (name.clone(), it.units));
+        let mut holders: Vec<_> = holders.filter(|it| it.1 > 0).collect();
+        holders.sort_unstable();
+        holders
     }
 
     /// Ends the delegations whose time has come, each at its own time.
--- a/crates/pollenlever-core/src/quota/token_grant.rs
+++ b/crates/pollenlever-core/src/quota/token_grant.rs
@@ -16,8 +16,8 @@
     pub workspace: WorkspaceName,
     /// Number of granted tokens, up to what was wanted and prefetched.
     pub tokens: u32,
-    /// Time for which the node must refuse requests without asking again; zero if all waiting
-    /// requests got a token.
+    /// Time for which the node must refuse requests without asking again, once it has used the
+    /// tokens. Not zero if not all waiting requests got a token, or none is left for the next.
     pub retry_after: Duration,
     /// Time in which the workspace gains one token.
     pub refill: Duration,
--- a/crates/pollenlever-core/src/quota/token_store.rs
+++ b/crates/pollenlever-core/src/quota/token_store.rs
@@ -89,7 +89,7 @@
     }
 
     /// Handles a grant. Waiting requests then call [`TokenStore::take`] again; those for which it
-    /// says [`TakeResult::Ask`] wait for another token request.
+    /// says [`TakeResult::Ask`] wait for another token request, which is for all of them together.
     pub fn on_grant(&mut self, now: Timestamp, grant: &TokenGrant) {
         let Some(tokens) = self.workspaces.get_mut(&grant.workspace) else { return };
         if let Some(expires) = tokens.on_grant(now, grant) {
--- /dev/null
+++ b/crates/pollenlever-core/tests/quota/cluster.rs
@@ -0,0 +1,494 @@
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use pollenlever_core::Timestamp;
+use pollenlever_core::id::{NodeId, NodeName, WorkspaceName};
+use pollenlever_core::quota::*;
+use pollenlever_core::workspace::QuotaLimit;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::faults::{Faults, Mechanism};
+use crate::process::{Message, Process, Write};
+
+const TICK: Duration = Duration::from_millis(50);
+const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
+pub(crate) const SHARDS: u32 = 3;
+
+enum Event {
+    Tick(usize, u64),
+    Request(usize, WorkspaceName),
+    Arrive {
+        from: NodeId,
+        to: NodeId,
+        message: Message,
+    },
+    NoReply(usize, u64, WorkspaceName, u64),
+    GiveBack(usize, u64, TokenPermit),
+    StoreWrite(usize, u64, Write),
+    Written(usize, u64, Option<TableRevision>, Write),
+    Read {
+        node: usize,
+        incarnation: u64,
+        start: Timestamp,
+        revision: TableRevision,
+    },
+    /// Whether the node starts again.
+    Kill(usize, bool),
+    Start(usize),
+    Freeze(usize, Duration),
+    Partition(Vec<bool>, Duration),
+    Leave(usize),
+}
+
+struct Node {
+    name: NodeName,
+    process: Option<Process>,
+    /// What this node's clock is ahead of that of the history.
+    skew: Duration,
+    frozen_until: Timestamp,
+}
+
+/// Several nodes and a store on a virtual clock.
+pub(crate) struct Cluster {
+    pub(crate) now: Timestamp,
+    /// Times of the requests that ran.
+    pub(crate) uses: HashMap<WorkspaceName, Vec<Timestamp>>,
+    pub(crate) token_requests: HashMap<WorkspaceName, u64>,
+    /// First breach of a rule: a holder's delegated units exceed its entry, the pools of a shard
+    /// exceed the total, or a token is used too late or twice.
+    pub(crate) breach: Option<String>,
+    /// Time of each grant, and its tokens that were not used.
+    grants: HashMap<GrantId, (Timestamp, u32)>,
+    faults: Faults,
+    limits: Vec<(WorkspaceName, QuotaLimit)>,
+    rng: SmallRng,
+    events: BTreeMap<(Timestamp, u64), Event>,
+    next_event: u64,
+    nodes: Vec<Node>,
+    parts: Vec<bool>,
+    parted_until: Timestamp,
+    /// Tables of all revisions; the first has revision 1.
+    tables: Vec<ShareTable>,
+    incarnations: u64,
+}
+
+impl Cluster {
+    pub(crate) fn new(
+        seed: u64,
+        nodes: usize,
+        limits: &[(&str, f64, f64)],
+        faults: Faults,
+    ) -> Cluster {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let nodes: Vec<Node> = (0..nodes)
+            .map(|index| Node {
+                name: format!("n{index}").into(),
+                process: None,
+                skew: Duration::from_millis(rng.random_range(0..100_000)),
+                frozen_until: Duration::ZERO,
+            })
+            .collect();
+        let limit = |it: &(&str, f64, f64)| {
+            (WorkspaceName::from(it.0), QuotaLimit { rate_per_s: it.1, burst: it.2 })
+        };
+        let mut cluster = Cluster {
+            now: Duration::ZERO,
+            uses: HashMap::new(),
+            token_requests: HashMap::new(),
+            breach: None,
+            grants: HashMap::new(),
+            faults,
+            limits: limits.iter().map(limit).collect(),
+            rng,
+            events: BTreeMap::new(),
+            next_event: 0,
+            parts: vec![false; nodes.len()],
+            nodes,
+            parted_until: Duration::ZERO,
+            tables: Vec::new(),
+            incarnations: 0,
+        };
+        (0..cluster.nodes.len()).for_each(|node| cluster.start(node));
+        let names: Vec<NodeName> = cluster.nodes.iter().map(|it| it.name.clone()).collect();
+        cluster.tables.push(ShareTable::create(&names, SHARDS));
+        cluster
+    }
+
+    /// Schedules the faults at random moments before `until`.
+    pub(crate) fn schedule_faults(&mut self, until: Duration) {
+        let faults = self.faults.clone();
+        for _ in 0..faults.kills {
+            let event = Event::Kill(self.any_node(), true);
+            self.at_random(until, event);
+        }
+        for _ in 0..faults.freezes {
+            let event = Event::Freeze(self.any_node(), self.up_to(4000));
+            self.at_random(until, event);
+        }
+        for _ in 0..faults.leaves {
+            let event = Event::Leave(self.any_node());
+            self.at_random(until, event);
+        }
+        for _ in 0..faults.partitions {
+            let parts = self.nodes.iter().map(|_| self.rng.random_bool(0.5)).collect();
+            let event = Event::Partition(parts, self.up_to(6000));
+            self.at_random(until, event);
+        }
+    }
+
+    pub(crate) fn request(&mut self, at: Timestamp, node: usize, workspace: &str) {
+        self.schedule(at, Event::Request(node, workspace.into()));
+    }
+
+    /// Ends a node for good.
+    pub(crate) fn remove(&mut self, at: Timestamp, node: usize) {
+        self.schedule(at, Event::Kill(node, false));
+    }
+
+    /// Node that is the home of a workspace as the first node sees it.
+    pub(crate) fn home_of(&self, workspace: &str) -> usize {
+        let process = self.nodes[0].process.as_ref().unwrap();
+        index_of(process.home_of(shard_of(&workspace.into(), SHARDS)))
+    }
+
+    pub(crate) fn run_until(&mut self, end: Timestamp) {
+        while let Some(entry) = self.events.first_entry().filter(|it| it.key().0 < end) {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(until) = self.frozen_until(&event) {
+            self.schedule(until, event);
+            return;
+        }
+        match event {
+            Event::Tick(node, incarnation) => self.tick(node, incarnation),
+            Event::Request(node, workspace) => {
+                self.take(node, &workspace);
+                self.ask(node, &workspace);
+            }
+            Event::Arrive { from, to, message } => self.arrive(from, to, message),
+            Event::NoReply(node, incarnation, workspace, number) => {
+                let now = self.local(node);
+                let Some(process) = self.process(node, incarnation) else { return };
+                if process.is_last_request(&workspace, number) {
+                    process.store.on_no_reply(now, &workspace);
+                    self.retry_waiting(node, &workspace);
+                }
+            }
+            Event::GiveBack(node, incarnation, permit) => {
+                let now = self.local(node);
+                if let Some(process) = self.process(node, incarnation) {
+                    let grant = permit.grant;
+                    process.store.give_back(now, permit);
+                    self.grants.entry(grant).and_modify(|it| it.1 += 1);
+                }
+            }
+            Event::StoreWrite(node, incarnation, write) => self.write(node, incarnation, write),
+            Event::Written(node, incarnation, revision, write) => {
+                let now = self.local(node);
+                if let Some(process) = self.process(node, incarnation) {
+                    process.on_write_reply(now, revision, &write);
+                }
+            }
+            Event::Read { node, incarnation, start, revision } => {
+                let table = self.tables[revision as usize - 1].clone();
+                if let Some(process) = self.process(node, incarnation) {
+                    process.on_table(start, revision, &table);
+                }
+            }
+            Event::Kill(node, true) => self.kill_now(node),
+            Event::Kill(node, false) => self.nodes[node].process = None,
+            Event::Start(node) => self.start(node),
+            Event::Freeze(node, time) => self.nodes[node].frozen_until = self.now + time,
+            Event::Partition(parts, time) => {
+                self.parts = parts;
+                self.parted_until = self.now + time;
+            }
+            Event::Leave(node) => {
+                if let Some(process) = &mut self.nodes[node].process {
+                    process.is_leaving = true;
+                }
+            }
+        }
+    }
+
+    /// End of the suspension of the node at which the event happens, if it is suspended.
+    fn frozen_until(&self, event: &Event) -> Option<Timestamp> {
+        let node = match event {
+            Event::Tick(node, _)
+            | Event::Request(node, _)
+            | Event::NoReply(node, ..)
+            | Event::GiveBack(node, ..)
+            | Event::Written(node, ..)
+            | Event::Read { node, .. } => *node,
+            Event::Arrive { to, .. } => index_of(*to),
+            _ => return None,
+        };
+        Some(self.nodes[node].frozen_until).filter(|it| *it > self.now)
+    }
+
+    fn tick(&mut self, node: usize, incarnation: u64) {
+        self.check_units();
+        self.refresh_view(node);
+        let now = self.local(node);
+        let Some(process) = self.process(node, incarnation) else { return };
+        let delegations = process.delegations(now);
+        let write = process.next_write(now);
+        let reads = process.starts_read(now);
+        let is_first = process.table.is_none();
+        if process.has_left() {
+            self.kill_now(node);
+            return;
+        }
+        self.send_all(node, delegations);
+        if let Some(write) = write {
+            let delay = self.delay();
+            self.after(delay, Event::StoreWrite(node, incarnation, write));
+        }
+        if reads {
+            self.read(node, incarnation, is_first);
+        }
+        self.after(TICK, Event::Tick(node, incarnation));
+    }
+
+    /// Replies with the table of now, or an older one unless it is the process's first read.
+    fn read(&mut self, node: usize, incarnation: u64, is_first: bool) {
+        let newest = self.tables.len() as TableRevision;
+        let age = if is_first { 0 } else { self.rng.random_range(0..3) };
+        let revision = newest.saturating_sub(age).max(1);
+        let start = self.local(node);
+        let delay = self.delay();
+        if !self.rng.random_bool(self.faults.loss) {
+            self.after(delay, Event::Read { node, incarnation, start, revision });
+        }
+    }
+
+    fn write(&mut self, node: usize, incarnation: u64, write: Write) {
+        let is_newest = write.base == self.tables.len() as TableRevision;
+        if is_newest {
+            assert!(write.table.is_valid(), "{:?}", write.table);
+            self.tables.push(write.table.clone());
+        }
+        let revision = is_newest.then_some(self.tables.len() as TableRevision);
+        let delay = self.delay();
+        if !self.rng.random_bool(self.faults.loss.min(0.9) * 2.0) {
+            self.after(delay, Event::Written(node, incarnation, revision, write));
+        }
+    }
+
+    fn take(&mut self, node: usize, workspace: &WorkspaceName) {
+        let now = self.local(node);
+        let Some(process) = &mut self.nodes[node].process else { return };
+        let incarnation = process.id.incarnation;
+        match process.store.take(now, workspace) {
+            TakeResult::Taken(permit) => {
+                self.record_use(permit.grant);
+                if self.rng.random_bool(self.faults.not_run) {
+                    let delay = self.up_to(200);
+                    self.after(delay, Event::GiveBack(node, incarnation, permit));
+                } else {
+                    self.uses.entry(workspace.clone()).or_default().push(self.now);
+                }
+            }
+            TakeResult::Ask => {
+                process.wait(workspace);
+            }
+            TakeResult::Refused { .. } => {}
+        }
+    }
+
+    fn record_use(&mut self, grant: GrantId) {
+        let Some((at, left)) = self.grants.get_mut(&grant) else { return };
+        if *left == 0 || self.now > *at + GRANT_LIFETIME {
+            let breach = format!("at {:?}: {grant:?} of {at:?} has {left} tokens left", self.now);
+            self.breach.get_or_insert(breach);
+        }
+        *left = left.saturating_sub(1);
+    }
+
+    fn ask(&mut self, node: usize, workspace: &WorkspaceName) {
+        let now = self.local(node);
+        let Some(process) = &mut self.nodes[node].process else { return };
+        let incarnation = process.id.incarnation;
+        let messages = process.ask(now, workspace);
+        for (_, message) in &messages {
+            let Message::Take(requests) = message else { continue };
+            let Some(request) = requests.last() else { continue };
+            *self.token_requests.entry(workspace.clone()).or_default() += 1;
+            let event = Event::NoReply(node, incarnation, workspace.clone(), request.number);
+            self.after(REPLY_TIMEOUT, event);
+        }
+        self.send_all(node, messages);
+    }
+
+    fn retry_waiting(&mut self, node: usize, workspace: &WorkspaceName) {
+        let Some(process) = &mut self.nodes[node].process else { return };
+        for _ in 0..process.stop_waiting(workspace) {
+            self.take(node, workspace);
+        }
+        self.ask(node, workspace);
+    }
+
+    fn arrive(&mut self, from: NodeId, to: NodeId, message: Message) {
+        let node = index_of(to);
+        let now = self.local(node);
+        let without = self.faults.without;
+        self.next_event += 1;
+        let forged = self.next_event;
+        let Some(process) = self.process(node, to.incarnation) else { return };
+        let reply = match message {
+            Message::Delegate(mut it) => {
+                let sequence = it.sequence;
+                if without == Some(Mechanism::Sequences) {
+                    it.sequence = forged;
+                }
+                if without == Some(Mechanism::Tickets) {
+                    let ticket = Ticket { incarnation: to.incarnation, issued: now };
+                    it.shards.iter_mut().for_each(|it| it.ticket = Some(ticket));
+                }
+                let reply = process.home.on_delegation(now, &it);
+                Message::Delegated(ShareDelegationReply { sequence, ..reply })
+            }
+            Message::Take(it) => {
+                let grants = process.home.on_requests(now, &it);
+                let at = self.now;
+                self.grants.extend(grants.iter().map(|it| (it.id, (at, it.tokens))));
+                Message::Tokens(grants)
+            }
+            Message::Delegated(it) => return process.holder.on_reply(now, from, &it),
+            Message::Tokens(grants) => {
+                grants.iter().for_each(|it| process.on_grant(now, it));
+                grants.iter().for_each(|it| self.retry_waiting(node, &it.workspace));
+                return;
+            }
+        };
+        self.send(to, from, reply);
+    }
+
+    fn send_all(&mut self, node: usize, messages: Vec<(NodeId, Message)>) {
+        let Some(from) = self.nodes[node].process.as_ref().map(|it| it.id) else { return };
+        messages.into_iter().for_each(|(to, message)| self.send(from, to, message));
+    }
+
+    fn send(&mut self, from: NodeId, to: NodeId, message: Message) {
+        let is_self = from == to;
+        let is_cut =
+            self.now < self.parted_until && self.parts[index_of(from)] != self.parts[index_of(to)];
+        if is_cut || !is_self && self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        if !is_self && self.rng.random_bool(self.faults.duplicate) {
+            let delay = self.delay();
+            self.after(delay, Event::Arrive { from, to, message: message.clone() });
+        }
+        let delay = if is_self { Duration::ZERO } else { self.delay() };
+        self.after(delay, Event::Arrive { from, to, message });
+    }
+
+    /// The view is that of the members of the same part, or at times a wrong one.
+    fn refresh_view(&mut self, node: usize) {
+        let is_wrong = self.rng.random_bool(self.faults.wrong_view / 10.0);
+        let is_parted = self.now < self.parted_until;
+        let mut view = Vec::new();
+        for (index, other) in self.nodes.iter().enumerate() {
+            let is_seen = !is_parted || self.parts[index] == self.parts[node];
+            let is_seen = is_seen && !(is_wrong && self.rng.random_bool(0.5));
+            let process = other.process.as_ref().filter(|_| is_seen || index == node);
+            view.extend(process.filter(|it| !it.is_leaving).map(|it| (it.name.clone(), it.id)));
+        }
+        // A wrong view lasts until the next draw.
+        let keeps = self.faults.wrong_view > 0.0 && !is_wrong && self.rng.random_bool(0.8);
+        let process = self.nodes[node].process.as_mut().filter(|_| !keeps && !view.is_empty());
+        if let Some(process) = process {
+            process.view = view;
+        }
+    }
+
+    /// Checks the units in the pools of all homes now against the table.
+    fn check_units(&mut self) {
+        let mut by_shard: HashMap<ShardIndex, u64> = HashMap::new();
+        let mut by_holder: HashMap<(ShardIndex, NodeName), u64> = HashMap::new();
+        for node in &mut self.nodes {
+            let now = self.now + node.skew;
+            let shards = node.process.as_mut().map(|it| it.home.shards(now)).unwrap_or_default();
+            for it in shards {
+                *by_shard.entry(it.shard).or_default() += u64::from(it.units);
+                for (holder, units) in it.holders {
+                    *by_holder.entry((it.shard, holder)).or_default() += u64::from(units);
+                }
+            }
+        }
+        let newest = self.tables.last();
+        let entry_of = |name: &NodeName| newest.map_or(0, |it| u64::from(it.units_of(name)));
+        let shard = by_shard.into_iter().find(|it| it.1 > u64::from(TOTAL_UNITS));
+        let holder = by_holder.into_iter().find(|it| it.1 > entry_of(&it.0.1));
+        if shard.is_some() || holder.is_some() {
+            let breach = format!("at {:?}: {shard:?} {holder:?}", self.now);
+            self.breach.get_or_insert(breach);
+        }
+    }
+
+    fn start(&mut self, node: usize) {
+        if self.nodes[node].process.is_some() {
+            return;
+        }
+        self.incarnations += 1;
+        let addr = format!("10.0.0.1:{}", 7000 + node).parse().unwrap();
+        let id = NodeId { addr, incarnation: self.incarnations };
+        let (now, name) = (self.local(node), self.nodes[node].name.clone());
+        let process = Process::new(now, name, id, &self.limits, self.faults.without);
+        self.nodes[node].process = Some(process);
+        self.after(Duration::ZERO, Event::Tick(node, id.incarnation));
+    }
+
+    fn kill_now(&mut self, node: usize) {
+        self.nodes[node].process = None;
+        let delay = self.up_to(3000);
+        self.after(delay, Event::Start(node));
+    }
+
+    fn process(&mut self, node: usize, incarnation: u64) -> Option<&mut Process> {
+        self.nodes[node].process.as_mut().filter(|it| it.id.incarnation == incarnation)
+    }
+
+    fn local(&self, node: usize) -> Timestamp {
+        self.now + self.nodes[node].skew
+    }
+
+    fn delay(&mut self) -> Duration {
+        let is_late = self.rng.random_bool(self.faults.late);
+        let max = if is_late { 4_000_000 } else { 20_000 };
+        Duration::from_micros(self.rng.random_range(200..max))
+    }
+
+    fn up_to(&mut self, millis: u64) -> Duration {
+        Duration::from_millis(self.rng.random_range(0..millis))
+    }
+
+    fn any_node(&mut self) -> usize {
+        self.rng.random_range(0..self.nodes.len())
+    }
+
+    fn at_random(&mut self, until: Duration, event: Event) {
+        let at = Duration::from_secs(3) + self.up_to(until.as_millis() as u64 - 3000);
+        self.schedule(at, event);
+    }
+
+    fn after(&mut self, delay: Duration, event: Event) {
+        self.schedule(self.now + delay, event);
+    }
+
+    fn schedule(&mut self, at: Timestamp, event: Event) {
+        self.next_event += 1;
+        self.events.insert((at, self.next_event), event);
+    }
+}
+
+fn index_of(id: NodeId) -> usize {
+    usize::from(id.addr.port()) - 7000
+}
