--- a/crates/pollenlever/src/quota/delegator.rs
+++ b/crates/pollenlever/src/quota/delegator.rs
@@ -90,7 +90,7 @@
                 "shard={} units={} holders={} workspaces={}",
                 it.shard,
                 it.units,
-                it.holders,
+                it.holders.len(),
                 it.workspaces
             );
         }
--- a/crates/pollenlever/src/quota/quota_status.rs
+++ b/crates/pollenlever/src/quota/quota_status.rs
@@ -34,8 +34,8 @@
     pub shard: u32,
     /// Units that are delegated now, out of 1,000,000.
     pub units: u32,
-    /// Number of holders that delegate them.
-    pub holders: usize,
+    /// Units that each holder delegates.
+    pub holders: BTreeMap<String, u32>,
     /// Number of workspaces with a quota in the shard.
     pub workspaces: usize,
 }
@@ -87,6 +87,7 @@
 impl From<HomeShard> for ShardStatus {
     fn from(it: HomeShard) -> ShardStatus {
         let HomeShard { shard, units, holders, workspaces } = it;
+        let holders = holders.into_iter().map(|(name, units)| (name.to_string(), units)).collect();
         ShardStatus { shard, units, holders, workspaces }
     }
 }
--- a/crates/pollenlever/src/tool/command/quota.rs
+++ b/crates/pollenlever/src/tool/command/quota.rs
@@ -53,7 +53,7 @@
     let mut table = Table::new(["shard", "home", "units", "holders", "workspaces"]);
     for (shard, home) in status.homes.iter().enumerate() {
         let own = status.shards.iter().find(|it| it.shard as usize == shard);
-        let own = own.map(|it| [it.units as usize, it.holders, it.workspaces]);
+        let own = own.map(|it| [it.units as usize, it.holders.len(), it.workspaces]);
         let cells = own
             .map_or_else(|| ["-"; 3].map(str::to_owned), |it| it.map(|number| number.to_string()));
         table.add_row([shard.to_string(), home.clone()].into_iter().chain(cells));
--- a/crates/pollenlever/tests/cli.rs
+++ b/crates/pollenlever/tests/cli.rs
@@ -58,7 +58,8 @@
             "holders": {"10.0.0.1:7100": 500_000, "10.0.0.2:7100": 500_000},
             "units": 500_000,
             "homes": ["10.0.0.1:7100@1f", "10.0.0.2:7100@20"],
-            "shards": [{"shard": 0, "units": 1_000_000, "holders": 2, "workspaces": 1}],
+            "shards": [{"shard": 0, "units": 1_000_000, "workspaces": 1,
+                "holders": {"10.0.0.1:7100": 500_000, "10.0.0.2:7100": 500_000}}],
             "buckets": [
                 {"workspace": "padova", "shard": 0, "tokens": 3.25, "granted": 410, "refused": 7},
             ],
