--- a/crates/pollenlever-core/src/mesh/http_route.rs
+++ b/crates/pollenlever-core/src/mesh/http_route.rs
@@ -42,18 +42,31 @@
     /// assert_eq!(route.importance(), Importance::Critical);
     /// ```
     pub fn importance(&self) -> Importance {
-        match self.shed_order {
-            0 => Importance::Critical,
-            1 => Importance::High,
-            2 => Importance::Normal,
-            _ => Importance::Sheddable,
-        }
+        importance_of(self.shed_order)
     }
 
-    /// The importance of a request of this route that a caller of `workspace` sends.
+    /// The importance of a request of this route that a caller of `workspace` sends. The workspace's
+    /// shed order goes before the route's. Four levels cannot hold all pairs of the two: the route
+    /// decides only within workspaces of shed order 1, which is the usual one.
+    ///
+    /// ```
+    /// use pollenlever_core::config::Importance;
+    /// use pollenlever_core::mesh::HttpRoute;
+    /// use pollenlever_core::workspace::Workspace;
+    /// let route = HttpRoute { shed_order: 0, ..HttpRoute::default() };
+    /// let usual = Workspace { shed_order: Some(1), ..Workspace::default() };
+    /// let first = Workspace { shed_order: Some(0), ..Workspace::default() };
+    /// assert_eq!(route.importance_for(&usual), Importance::High);
+    /// assert_eq!(route.importance_for(&first), Importance::Critical);
+    /// ```
     pub fn importance_for(&self, workspace: &Workspace) -> Importance {
-        let shed_order = workspace.shed_order.unwrap_or(self.shed_order);
-        HttpRoute { shed_order, ..HttpRoute::default() }.importance()
+        let shed_order = match workspace.shed_order {
+            None => self.shed_order,
+            Some(0) => 0,
+            Some(1) => self.shed_order.saturating_add(1),
+            Some(_) => u32::MAX,
+        };
+        importance_of(shed_order)
     }
 
     /// Whether `path`, given without its query, starts with the prefix.
@@ -85,3 +98,12 @@
         }
     }
 }
+
+fn importance_of(shed_order: u32) -> Importance {
+    match shed_order {
+        0 => Importance::Critical,
+        1 => Importance::High,
+        2 => Importance::Normal,
+        _ => Importance::Sheddable,
+    }
+}
--- a/crates/pollenlever/src/mesh/gate_calls.rs
+++ b/crates/pollenlever/src/mesh/gate_calls.rs
@@ -48,9 +48,9 @@
         Some((parent.lineage.child(), parent.workspace.clone()))
     }
 
-    /// Whether a request that expires at `deadline` may be a call of the target.
-    pub(super) fn may_have_made(&self, deadline: Duration) -> bool {
-        self.lock().runs.may_have_made(deadline)
+    /// Whether `id` is that of a call which a run of the target makes.
+    pub(super) fn is_call_of_run(&self, id: &str) -> bool {
+        self.lock().runs.parent_of(id).is_some()
     }
 
     /// Whether services that the target calls are overloaded.
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -282,8 +282,8 @@
     }
 
     /// Position of a request in its call chain, and the workspace on whose behalf the chain runs. A
-    /// call whose id does not identify its run gets the importance of its route; without workspaces,
-    /// it may be recognized by its `deadline`.
+    /// call whose id does not identify its run may be recognized by its `deadline`; it then gets the
+    /// importance of its route.
     pub(super) fn lineage(
         &self,
         id: &str,
@@ -299,13 +299,8 @@
         if let Some(call) = self.gate.lineage_of_call(id) {
             return call;
         }
-        let is_call = match sender {
-            RequestSender::Target => true,
-            _ => {
-                let last_run = self.gate.last_run_deadline();
-                self.lock().call_classifier.is_call(&route.name, deadline, last_run)
-            }
-        };
+        let last_run = self.gate.last_run_deadline();
+        let is_call = self.lock().call_classifier.is_call(&route.name, deadline, last_run);
         let root = Lineage::root(chain, route.importance());
         if is_call {
             (Lineage { repeat: self.gate.mean_repeat_probability(), ..root.child() }, None)
--- a/crates/pollenlever/src/mesh/request_sender.rs
+++ b/crates/pollenlever/src/mesh/request_sender.rs
@@ -1,5 +1,4 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::HeaderMap;
 use pollenlever_core::answer::ErrorKind;
@@ -15,14 +14,13 @@
 pub(super) enum RequestSender {
     /// A caller with an API key of this workspace.
     Caller(Arc<Workspace>),
-    /// The target beside the node, in the course of a request.
-    Target,
     /// Not known, since the request needs no API key.
     Unidentified,
 }
 
 impl RequestSender {
-    /// Identifies the sender of a request of `route` that expires at `deadline` on the node's clock.
+    /// Identifies the sender of the request `id` of `route`. A call of the target carries no key, also
+    /// on a route that is not public; its id shows which run made it.
     ///
     /// # Errors
     ///
@@ -32,7 +30,7 @@
         routes: &RoutesInForce,
         route: &HttpRoute,
         headers: &HeaderMap,
-        deadline: Duration,
+        id: &str,
     ) -> Result<RequestSender, ErrorKind> {
         if routes.workspaces.is_empty() {
             return Ok(RequestSender::Unidentified);
@@ -42,8 +40,8 @@
         match key.and_then(|it| routes.workspaces.find(it)) {
             Some(workspace) => Ok(RequestSender::Caller(Arc::clone(workspace))),
             None if route.is_public => Ok(RequestSender::Unidentified),
-            None if !has_credentials && may_be_call(shared, routes, deadline) => {
-                Ok(RequestSender::Target)
+            None if !has_credentials && shared.gate.is_call_of_run(id) => {
+                Ok(RequestSender::Unidentified)
             }
             None => {
                 record_unknown_key(shared, route, has_credentials);
@@ -56,7 +54,7 @@
     pub(super) fn workspace(&self) -> Option<&Arc<Workspace>> {
         match self {
             RequestSender::Caller(workspace) => Some(workspace),
-            RequestSender::Target | RequestSender::Unidentified => None,
+            RequestSender::Unidentified => None,
         }
     }
 }
@@ -69,12 +67,6 @@
     scheme.eq_ignore_ascii_case(names.key_scheme).then(|| key.trim())
 }
 
-/// Whether a request without a key may be a call of the target. A process that has just started does
-/// not know the runs that an earlier one began.
-fn may_be_call(shared: &MeshShared, routes: &RoutesInForce, deadline: Duration) -> bool {
-    shared.clock.now() < routes.table.longest_timeout() || shared.gate.may_have_made(deadline)
-}
-
 fn record_unknown_key(shared: &MeshShared, route: &HttpRoute, has_credentials: bool) {
     shared.metrics.record_unknown_key();
     if let Some(omitted) = shared.request_log.admit_line(shared.clock.now()) {
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -68,7 +68,7 @@
         check_head_size(table, &parts.headers)?;
         let time_budget = time_budget(shared, &parts.headers);
         let expires = arrived + time_budget;
-        let sender = RequestSender::identify(shared, &routes, &route, &parts.headers, expires)?;
+        let sender = RequestSender::identify(shared, &routes, &route, &parts.headers, &id)?;
         let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
         let (lineage, workspace) = shared.lineage(&id, &route, expires, &sender);
         let deadline = arrived + time_budget.min(route.timeout);
@@ -95,7 +95,7 @@
 
     /// Whether the request is tried at more gates while all gates are overloaded.
     pub(super) fn is_urgent(&self) -> bool {
-        self.lineage.is_call() || self.lineage.importance == Importance::Critical
+        self.lineage.is_call() || self.lineage.importance >= Importance::High
     }
 
     /// Head of an attempt sent at `now`. `repeat` is the probability that the attempt repeats a
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -20,3 +20,4 @@
 mod stated_rate;
 mod stop;
 mod test_mesh;
+mod workspaces;
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -4,6 +4,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::test_mesh::DEADLINE_MS;
+
 /// Longest wait for bytes; a test that reaches it has failed.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -41,20 +43,29 @@
 
     /// Sends a request without a body.
     pub(crate) async fn request(&mut self, method: &str, path: &str, id: &str, deadline_ms: u64) {
+        self.request_with(method, path, id, deadline_ms, "").await;
+    }
+
+    /// Sends a request without a body and with further header `lines`.
+    pub(crate) async fn request_with(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+        lines: &str,
+    ) {
         let head = format!(
             "{method} {path} HTTP/1.1\r\nHost: a.example\r\nPollenlever-Request-Id: {id}\r\n\
-             Pollenlever-Deadline-Ms: {deadline_ms}\r\n\r\n"
+             Pollenlever-Deadline-Ms: {deadline_ms}\r\n{lines}\r\n"
         );
         self.write(&head).await;
     }
 
     /// Sends a `GET` request with an API key and waits for its answer.
     pub(crate) async fn get_with_key(&mut self, path: &str, id: &str, key: &str) -> RawAnswer {
-        let head = format!(
-            "GET {path} HTTP/1.1\r\nHost: a.example\r\nPollenlever-Request-Id: {id}\r\n\
-             Authorization: Bearer {key}\r\n\r\n"
-        );
-        self.write(&head).await;
+        let line = format!("Authorization: Bearer {key}\r\n");
+        self.request_with("GET", path, id, DEADLINE_MS, &line).await;
         self.answer().await.expect("an answer")
     }
 
