Learn the number of shards from other nodes at once

Cause: a node that started while the store was silent asked other nodes only after its first call to the store had failed, 2 s later with the platform's client; until then it refused all such requests. Change: a node asks another one every 500 ms until it knows the number. Calls of targets are tested.

--- a/crates/pollenlever/src/quota/delegator.rs
+++ b/crates/pollenlever/src/quota/delegator.rs
@@ -6,8 +6,9 @@
 use pollenlever_core::id::NodeId;
 use pollenlever_core::mesh::{MeshReply, MeshRequest};
 use pollenlever_core::quota::{ShardIndex, ShareDelegation};
+use rand::seq::IteratorRandom;
 
-use super::{Quota, SharedQuotaHost};
+use super::{Quota, QuotaMember, SharedQuotaHost};
 use crate::mesh::{LogEvent, log_event};
 
 /// Time between two checks for delegations that are due.
@@ -18,6 +19,10 @@
 const MIN_HOMES_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at the shards whose home this node is.
 const HOME_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two requests for the number of shards.
+const SHARDS_REQUEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Timeout of a request for the number of shards.
+const SHARDS_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two removals of workspaces that are not used any more.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -29,6 +34,7 @@
     next_homes: Timestamp,
     next_home_log: Timestamp,
     next_cleanup: Timestamp,
+    next_shards_request: Timestamp,
 }
 
 impl Delegator {
@@ -39,6 +45,7 @@
             next_homes: Timestamp::ZERO,
             next_home_log: Timestamp::ZERO,
             next_cleanup: CLEANUP_INTERVAL,
+            next_shards_request: Timestamp::ZERO,
         }
     }
 
@@ -51,6 +58,10 @@
             for node in quota.take_lost() {
                 Arc::clone(&self.host).record_lost(node);
             }
+            if quota.shards() == 0 && now >= self.next_shards_request {
+                self.next_shards_request = now + SHARDS_REQUEST_INTERVAL;
+                self.request_shards(&quota);
+            }
             let is_choice_due = now >= self.next_homes || quota.lacks_homes();
             if is_choice_due && quota.update_homes(|| self.home_candidates()) {
                 self.next_homes = now + MIN_HOMES_INTERVAL;
@@ -82,6 +93,22 @@
         members.iter().filter(|it| it.is_answering).map(|it| it.node).collect()
     }
 
+    /// Asks another node for the number of shards, so that the requests of this node find their homes
+    /// before it has read the share table, or while the store is silent.
+    fn request_shards(&self, quota: &Arc<Quota>) {
+        let is_asked = |it: &&QuotaMember| it.is_answering && it.node != quota.me;
+        let members = self.host.members();
+        let Some(other) = members.iter().filter(is_asked).choose(&mut rand::rng()) else { return };
+        let (quota, addr) = (Arc::clone(quota), other.node.addr);
+        tokio::spawn(async move {
+            let req = MeshRequest::QuotaShards;
+            let reply = quota.exchange_any(addr, req, SHARDS_REQUEST_TIMEOUT).await;
+            if let Some(MeshReply::QuotaShards(shards)) = reply {
+                quota.set_shards(shards);
+            }
+        });
+    }
+
     fn log_home_changes(&mut self, quota: &Quota) {
         let shards = quota.lock_home().shards(quota.clock.now());
         for it in shards.iter().filter(|it| !self.home_shards.contains(&it.shard)) {
--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -3,9 +3,8 @@
 
 use pollenlever_core::Timestamp;
 use pollenlever_core::id::NodeName;
-use pollenlever_core::mesh::{MeshReply, MeshRequest};
+use pollenlever_core::mesh::MeshRequest;
 use pollenlever_core::quota::{ReclaimTimer, ShareTable};
-use rand::seq::IteratorRandom;
 
 use super::known_table::KnownTable;
 use super::share_table_store::{ShareTableStore, StoredTable};
@@ -91,13 +90,9 @@
         }
     }
 
-    /// Waits after a failed call. Meanwhile the node learns the number of shards from another one,
-    /// so that its requests find their homes while the store is silent.
+    /// Waits after a failed call.
     pub(super) async fn pause_after(&mut self, err: &StoreError) {
         log::debug!("share table not read or written reason={:?}", err.to_string());
-        if self.quota.shards() == 0 {
-            self.learn_shards().await;
-        }
         self.backoff.pause().await;
     }
 
@@ -250,17 +245,6 @@
         }
     }
 
-    async fn learn_shards(&self) {
-        let is_asked = |it: &&QuotaMember| it.is_answering && it.node != self.quota.me;
-        let members = self.host.members();
-        let Some(other) = members.iter().filter(is_asked).choose(&mut rand::rng()) else { return };
-        let req = MeshRequest::QuotaShards;
-        let reply = self.quota.exchange_any(other.node.addr, req, MESSAGE_TIMEOUT).await;
-        if let Some(MeshReply::QuotaShards(shards)) = reply {
-            self.quota.set_shards(shards);
-        }
-    }
-
     /// Members that can be expected to stay.
     pub(super) fn staying_names(&self) -> Vec<NodeName> {
         self.member_names(QuotaMember::is_staying)
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -9,7 +9,7 @@
 use super::log_lines::{error_lines_with, keep_error_lines};
 use super::raw_caller::RawCaller;
 use super::scripted_target::Action;
-use super::test_mesh::{METRICS_PORT, TestMesh, table, wait_until};
+use super::test_mesh::{DEADLINE_MS, METRICS_PORT, TestMesh, table, wait_until};
 
 /// Kind of the store object with the share table.
 const KIND: &str = "pollenlever-quota";
@@ -246,6 +246,36 @@
     wait_until_granted(mesh.nodes[2].callers).await;
 }
 
+/// Calls belong to a request that has paid already.
+#[tokio::test]
+async fn calls_of_a_target_use_no_quota() {
+    let scripts = ([Action::Hold], [Action::Answer(200, "called")]);
+    let mesh = TestMesh::start(&[("read", &scripts.0), ("charge", &scripts.1)]).await;
+    // The second token comes 5 s after the first one.
+    mesh.publish(with_quota(2, Some(QuotaLimit { rate_per_s: 0.2, burst: 1.0 })));
+    let shared = mesh.nodes[0].node.shared();
+    wait_until("version in force", || shared.route_version() == 2).await;
+    let target = mesh.nodes[0].target.clone();
+    let mut parent = mesh.caller().await;
+    for attempt in 0..1000 {
+        let id = format!("r{attempt}");
+        let answer = parent.get_with_key("/read/1", &id, "k1");
+        // The answer of a request that runs is held back.
+        if tokio::time::timeout(Duration::from_millis(500), answer).await.is_err() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    target.wait_for_arrivals(1).await;
+    let run = target.arrivals()[0].header("pollenlever-request-id").unwrap();
+    let mut caller = mesh.caller().await;
+    for call in 1..=5 {
+        caller.request("POST", "/charge/1", &format!("{run}.{call}"), DEADLINE_MS).await;
+        assert_eq!(caller.answer().await.unwrap().body, "called");
+    }
+    assert_eq!(caller.get_with_key("/read/1", "last", "k1").await.status, 429);
+}
+
 /// Operators see the cause of a refusal in the state and the metrics of a node.
 #[tokio::test]
 async fn state_and_metrics_show_quotas() {
