Hand units back only to nodes that stay

Cause: in a trial with 8 of 12 nodes leaving at the same moment, 3 had not handed their units back after 4 s, as a backoff for a failing store followed each conflict; with 32 of 40, units went to nodes that left as well and were not known to, and stayed with them. Ruled out: a pause after each conflict, since the present table that comes with it is outdated after it.

--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Runs until the node leaves, and then hands its units back.
+    /// Keeps the table until the node leaves, and then hands its units back.
     pub(crate) async fn run(mut self) {
         let quota = Arc::clone(&self.quota);
         while !quota.is_leaving() {
@@ -67,10 +67,8 @@
                 () = quota.wait_until_leaving() => {}
             }
         }
-        if quota.is_active() {
-            self.hand_back().await;
-        }
-        quota.mark_handed_back();
+        quota.wait_until_active().await;
+        self.hand_back().await;
     }
 
     async fn keep_up_to_date(&mut self) {
@@ -111,7 +109,7 @@
         Ok(())
     }
 
-    async fn read(&mut self, now: Timestamp) -> Result<(), StoreError> {
+    pub(super) async fn read(&mut self, now: Timestamp) -> Result<(), StoreError> {
         let stored = self.store.read_allowing_stale().await?;
         if self.known.needs_present_table(&stored) {
             let stored = self.store.read().await?;
@@ -185,7 +183,7 @@
         Some((ShareAction::Reclaim, after))
     }
 
-    fn lowers_own_units(&self, write: &ShareWrite) -> bool {
+    pub(super) fn lowers_own_units(&self, write: &ShareWrite) -> bool {
         write.action != ShareAction::Create
             && write.table.units_of(&self.quota.name) < self.known.own_units()
     }
@@ -205,14 +203,17 @@
             self.next_read = Timestamp::ZERO;
             self.write = Some(write).filter(|_| is_lowering);
         }
-        written
+        written.map(drop)
     }
 
-    /// Writes the table. If another process has written it first, its table is used.
-    pub(super) async fn write(&mut self, write: &ShareWrite) -> Result<(), StoreError> {
+    /// Writes the table. Returns whether it was written; if another process has written it first, its
+    /// table is used.
+    pub(super) async fn write(&mut self, write: &ShareWrite) -> Result<bool, StoreError> {
         let now = self.quota.clock.now();
         let ShareWrite { action, expected, table } = write;
-        let stored = match self.store.write(*expected, table).await? {
+        let written = self.store.write(*expected, table).await?;
+        let is_written = written.is_ok();
+        let stored = match written {
             Ok(revision) => {
                 log_event!(
                     LogEvent::ShareTableWritten,
@@ -226,7 +227,7 @@
             Err(current) => current,
         };
         self.known.update_present(now, stored);
-        Ok(())
+        Ok(is_written)
     }
 
     /// Tells the nodes that have more units in `table` than before to read it.
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -172,6 +173,23 @@
     assert_eq!(units(&mesh).len(), 2, "{:?}", units(&mesh));
 }
 
+/// Units that one leaving node gives to another would be missing until they are reclaimed.
+#[tokio::test]
+async fn nodes_that_leave_together_give_their_units_to_those_that_stay() {
+    let mesh = mesh_with(6, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    let [a, b, c, d] = [2, 3, 4, 5].map(|it| mesh.nodes[it].node.leave());
+    let are_idle = tokio::join!(a, b, c, d);
+    assert_eq!(are_idle, (true, true, true, true));
+    let staying: BTreeSet<SocketAddr> =
+        mesh.nodes[..2].iter().map(|it| it.node.shared().member().node.addr).collect();
+    let holders = units(&mesh).into_iter().map(|it| it.0.parse().unwrap()).collect();
+    assert_eq!(staying, holders);
+    assert_eq!(units(&mesh).iter().map(|it| it.1).sum::<u64>(), 1_000_000);
+}
+
 #[tokio::test]
 async fn another_home_takes_over_from_one_that_crashes() {
     let mut mesh = crashable_mesh().await;
