Test what the histories of quotas do not reach

Each mechanism was removed from the code by hand, one at a time, and the tests were run. The histories caught the removal of: the wait at the start of a process, the end of a delegation counted from the ticket's issue, the sequence check at the home, waiting before delegating elsewhere, the expiry of a grant counted from the sending of its token request, staying lowered until a newer table is read, the revision check, grant numbers, the original expiry of a token given back, and confirmation by the reply to the very message.

Not caught by the histories, and now by a case each: the limit on returned tokens, returns while units are new, a second return of one grant, the home's incarnation in a ticket, the number of a reply that ends delegations to earlier processes, refilling before units change, and the announcement (which a history without it also shows).

Caught by nothing, because another rule covers it: the expiry check of a ticket on arrival (a delegation that has ended leaves the pool before the next grant), and lowering buckets at once when units leave (the next refill does). A majority of exactly half is within the one token that the bound allows.

A reply's number no longer has to follow the start of the link to a home: the removal changed no result, because only the reply to an unconfirmed message confirms. QuotaHome::shards does not refill the buckets any more; this hid the missing refill from the histories, and cost work for each bucket.

--- a/crates/pollenlever-core/src/quota/home_link.rs
+++ b/crates/pollenlever-core/src/quota/home_link.rs
@@ -11,8 +11,6 @@
 #[derive(Debug)]
 pub(super) struct HomeLink {
     pub(super) home: NodeId,
-    /// Replies to earlier messages belong to an earlier link and are ignored.
-    first_sequence: u64,
     ticket: Option<HeldTicket>,
     /// Last message that the home has confirmed.
     confirmed: Option<SentUnits>,
@@ -39,10 +37,9 @@
 }
 
 impl HomeLink {
-    pub(super) fn new(home: NodeId, first_sequence: u64) -> HomeLink {
+    pub(super) fn new(home: NodeId) -> HomeLink {
         HomeLink {
             home,
-            first_sequence,
             ticket: None,
             confirmed: None,
             confirmed_at: Timestamp::ZERO,
@@ -97,9 +94,9 @@
         (units, held.map(|it| it.ticket))
     }
 
-    /// Handles a reply. Returns whether it was sent by this home's process to this link.
+    /// Handles a reply. Returns whether it was sent by this home's process.
     pub(super) fn on_reply(&mut self, now: Timestamp, sequence: u64, ticket: Ticket) -> bool {
-        if sequence < self.first_sequence || ticket.incarnation != self.home.incarnation {
+        if ticket.incarnation != self.home.incarnation {
             return false;
         }
         if self.ticket.is_none_or(|it| it.ticket.issued < ticket.issued) {
--- a/crates/pollenlever-core/src/quota/quota_home.rs
+++ b/crates/pollenlever-core/src/quota/quota_home.rs
@@ -89,8 +89,7 @@
     pub fn shards(&mut self, now: Timestamp) -> Vec<HomeShard> {
         let mut shards = Vec::new();
         for (shard, pool) in (0..).zip(&mut self.pools) {
-            pool.refill(now);
-            let units = pool.units();
+            let units = pool.units_at(now);
             if units > 0 {
                 let holders = pool.holders();
                 let workspaces = pool.buckets.len();
@@ -104,8 +103,8 @@
     pub fn buckets(&mut self, now: Timestamp) -> Vec<HomeBucket> {
         let mut buckets = Vec::new();
         for (shard, pool) in (0..).zip(&mut self.pools) {
-            pool.refill(now);
-            if pool.units() > 0 {
+            pool.refill_all(now);
+            if pool.units_at(now) > 0 {
                 buckets.extend(pool.buckets.iter().map(|it| it.to_report(shard)));
             }
         }
@@ -141,7 +140,7 @@
         }
         let mut earlier: HashMap<WorkspaceName, QuotaBucket> = HashMap::new();
         for pool in &mut self.pools {
-            pool.refill(now);
+            pool.refill_all(now);
             earlier.extend(pool.buckets.drain(..).map(|it| (it.workspace.clone(), it)));
         }
         self.places.clear();
@@ -151,7 +150,7 @@
             let mut bucket = earlier
                 .remove(workspace)
                 .unwrap_or_else(|| QuotaBucket::new(now, workspace.clone(), *limit));
-            bucket.set_limit(*limit, pool.units());
+            bucket.set_limit(*limit, pool.units_at(now));
             self.places.insert(workspace.clone(), (shard, pool.buckets.len()));
             pool.buckets.push(bucket);
         }
--- a/crates/pollenlever-core/src/quota/shard_pool.rs
+++ b/crates/pollenlever-core/src/quota/shard_pool.rs
@@ -79,15 +79,16 @@
     }
 
     /// Refills all buckets until now.
-    pub(super) fn refill(&mut self, now: Timestamp) {
+    pub(super) fn refill_all(&mut self, now: Timestamp) {
         self.advance(now);
         for bucket in &mut self.buckets {
             bucket.refill(now, self.units);
         }
     }
 
-    /// Units that are delegated now; refilled and expired until the last call with a time.
-    pub(super) fn units(&self) -> ShareUnits {
+    /// Units that are delegated now.
+    pub(super) fn units_at(&mut self, now: Timestamp) -> ShareUnits {
+        self.advance(now);
         self.units
     }
 
--- a/crates/pollenlever-core/tests/quota/units.rs
+++ b/crates/pollenlever-core/tests/quota/units.rs
@@ -74,13 +74,43 @@
         let refused = &home.on_requests(secs(4), &[wanted(1)])[0];
         assert_eq!((refused.tokens, refused.retry_after), (0, Duration::from_millis(200)));
     };
+    units_that_arrive_bring_no_tokens => {
+        let (mut holder, mut home) = delegated();
+        exchange(secs(9), &mut holder, &mut home);
+        exchange(secs(9), &mut holder, &mut home);
+        assert_eq!(home.shards(secs(9))[0].units, TOTAL_UNITS);
+        assert_eq!(home.on_requests(secs(9), &[wanted(50)])[0].tokens, 0);
+    };
     tokens_are_taken_back_once => {
         let (_, mut home) = delegated();
         let grant = home.on_requests(secs(4), &[wanted(5)]).remove(0);
-        let returned = Some(ReturnedTokens { grant: grant.id, tokens: 5 });
-        let returns = TokenRequest { returned, ..wanted(0) };
-        home.on_requests(secs(4), &[returns.clone(), returns]);
-        assert_eq!(home.on_requests(secs(4), &[wanted(50)])[0].tokens, 10);
+        home.on_requests(secs(4), &[returned(&grant, 2), returned(&grant, 2)]);
+        assert_eq!(home.on_requests(secs(4), &[wanted(50)])[0].tokens, 7);
+    };
+    returned_tokens_do_not_add_up => assert_returns_bounded();
+    returned_tokens_are_lost_while_units_are_new => {
+        let (_, mut home) = delegated();
+        let grant = home.on_requests(millis(3300), &[wanted(3)]).remove(0);
+        home.on_requests(millis(3301), &[returned(&grant, 3)]);
+        assert_eq!(home.on_requests(millis(3302), &[wanted(50)])[0].tokens, 0);
+    };
+    a_ticket_of_an_earlier_process_of_the_home_has_no_value => {
+        let (mut holder, _) = delegated();
+        let delegation = holder.due(secs(4), |_| id(1)).remove(0).1;
+        let next = NodeId { incarnation: 9, ..id(1) };
+        let mut home = QuotaHome::new(next, QuotaSettings::default());
+        home.on_delegation(secs(4), &delegation);
+        assert_eq!(home.shards(secs(4)), []);
+    };
+    a_late_reply_of_an_earlier_process_does_not_end_a_delegation => {
+        let (mut holder, _) = delegated();
+        let earlier = NodeId { incarnation: 9, ..id(1) };
+        holder.due(secs(4), |_| earlier);
+        let ticket = Ticket { incarnation: 9, issued: secs(1) };
+        let reply = ShareDelegationReply { sequence: 1, tickets: vec![(0, ticket)] };
+        holder.on_reply(secs(4), earlier, &reply);
+        holder.withdraw(secs(4));
+        assert!(!holder.is_withdrawn(secs(4)));
     };
     a_token_given_back_keeps_its_expiry => {
         let mut store = TokenStore::new(QuotaSettings::default());
@@ -136,20 +166,44 @@
     assert_eq!((taken.units_of(&name(2)), sum(&taken)), (0, TOTAL_UNITS));
 }
 
+/// Guards against tokens that are returned and granted again in turn, and so outlive their expiry
+/// while the bucket fills.
+fn assert_returns_bounded() {
+    let (_, mut home) = delegated();
+    let mut grants: Vec<TokenGrant> = Vec::new();
+    for at in (3500..4900).step_by(50).map(millis) {
+        for grant in &mut grants {
+            home.on_requests(at, &[returned(grant, grant.tokens)]);
+            *grant = home.on_requests(at, &[wanted(grant.tokens)]).remove(0);
+        }
+        grants.extend(home.on_requests(at, &[wanted(50)]));
+        grants.retain(|it| it.tokens > 0);
+    }
+    let usable: u32 = grants.iter().map(|it| it.tokens).sum();
+    assert!(usable <= 10 + 5, "{usable}");
+}
+
 /// A holder whose units have all been in force at node 1 since 3 s, for one shard.
 fn delegated() -> (ShareHolder, QuotaHome) {
     let mut holder = ShareHolder::new(name(0), 1, secs(0), QuotaSettings::default());
     let mut home = QuotaHome::new(id(1), QuotaSettings::default());
     home.set_limits(secs(0), &[(padova(), QuotaLimit { rate_per_s: 10.0, burst: 10.0 })]);
     holder.on_table(secs(3), 1, &ShareTable::create(&[name(0)], 1));
-    for _ in 0..2 {
-        for (to, delegation) in holder.due(secs(3), |_| id(1)) {
-            holder.on_reply(secs(3), to, &home.on_delegation(secs(3), &delegation));
-        }
-    }
+    exchange(secs(3), &mut holder, &mut home);
+    exchange(secs(3), &mut holder, &mut home);
     (holder, home)
 }
 
+fn exchange(now: Timestamp, holder: &mut ShareHolder, home: &mut QuotaHome) {
+    for (to, delegation) in holder.due(now, |_| id(1)) {
+        holder.on_reply(now, to, &home.on_delegation(now, &delegation));
+    }
+}
+
+fn returned(grant: &TokenGrant, tokens: u32) -> TokenRequest {
+    TokenRequest { returned: Some(ReturnedTokens { grant: grant.id, tokens }), ..wanted(0) }
+}
+
 fn wanted(wanted: u32) -> TokenRequest {
     TokenRequest { number: 1, workspace: padova(), wanted, prefetch: 0, returned: None }
 }
