Take no ticket from a reply to an earlier link

From reading the proof again: a holder that returns to a home could take an old ticket from a late reply. Its next delegation then replaces the record at the home with one that ends earlier than the ticket of an older message that is still under way, and that message would count again. Tickets must not become older as numbers grow.

Ruled out: keeping the record at the home for longer; the holder can tell which replies are its own.

A case now fails without the check.

--- a/crates/pollenlever-core/src/quota/home_link.rs
+++ b/crates/pollenlever-core/src/quota/home_link.rs
@@ -11,6 +11,10 @@
 #[derive(Debug)]
 pub(super) struct HomeLink {
     pub(super) home: NodeId,
+    /// Number of the first message of this link. Replies to earlier ones are ignored: their tickets
+    /// may be older than those of messages under way, and the home recognizes a late message only
+    /// until the newest ticket has expired.
+    first_sequence: u64,
     ticket: Option<HeldTicket>,
     /// Last message that the home has confirmed.
     confirmed: Option<SentUnits>,
@@ -37,9 +41,10 @@
 }
 
 impl HomeLink {
-    pub(super) fn new(home: NodeId) -> HomeLink {
+    pub(super) fn new(home: NodeId, first_sequence: u64) -> HomeLink {
         HomeLink {
             home,
+            first_sequence,
             ticket: None,
             confirmed: None,
             confirmed_at: Timestamp::ZERO,
@@ -94,9 +99,9 @@
         (units, held.map(|it| it.ticket))
     }
 
-    /// Handles a reply. Returns whether it was sent by this home's process.
+    /// Handles a reply. Returns whether it was sent by this home's process to this link.
     pub(super) fn on_reply(&mut self, now: Timestamp, sequence: u64, ticket: Ticket) -> bool {
-        if ticket.incarnation != self.home.incarnation {
+        if sequence < self.first_sequence || ticket.incarnation != self.home.incarnation {
             return false;
         }
         if self.ticket.is_none_or(|it| it.ticket.issued < ticket.issued) {
--- a/crates/pollenlever-core/src/quota/shard_delegations.rs
+++ b/crates/pollenlever-core/src/quota/shard_delegations.rs
@@ -27,7 +27,7 @@
         let earlier = self.ending.iter().position(|it| it.home == home);
         self.current = Some(match earlier {
             Some(at) => self.ending.swap_remove(at),
-            None => HomeLink::new(home),
+            None => HomeLink::new(home, next_sequence),
         });
     }
 
--- a/crates/pollenlever-core/tests/quota/cluster.rs
+++ b/crates/pollenlever-core/tests/quota/cluster.rs
@@ -1,3 +1,7 @@
+mod checks;
+mod event;
+mod traffic;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
@@ -8,39 +12,13 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::faults::{Faults, Mechanism};
-use crate::process::{Message, Process, Write};
+use crate::faults::Faults;
+use crate::process::{Process, Write};
+use event::Event;
 
 const TICK: Duration = Duration::from_millis(50);
-const REPLY_TIMEOUT: Duration = Duration::from_millis(300);
 pub(crate) const SHARDS: u32 = 3;
 
-enum Event {
-    Tick(usize, u64),
-    Request(usize, WorkspaceName),
-    Arrive {
-        from: NodeId,
-        to: NodeId,
-        message: Message,
-    },
-    NoReply(usize, u64, WorkspaceName, u64),
-    GiveBack(usize, u64, TokenPermit),
-    StoreWrite(usize, u64, Write),
-    Written(usize, u64, Option<TableRevision>, Write),
-    Read {
-        node: usize,
-        incarnation: u64,
-        start: Timestamp,
-        revision: TableRevision,
-    },
-    /// Whether the node starts again.
-    Kill(usize, bool),
-    Start(usize),
-    Freeze(usize, Duration),
-    Partition(Vec<bool>, Duration),
-    Leave(usize),
-}
-
 struct Node {
     name: NodeName,
     process: Option<Process>,
@@ -219,16 +197,7 @@
 
     /// End of the suspension of the node at which the event happens, if it is suspended.
     fn frozen_until(&self, event: &Event) -> Option<Timestamp> {
-        let node = match event {
-            Event::Tick(node, _)
-            | Event::Request(node, _)
-            | Event::NoReply(node, ..)
-            | Event::GiveBack(node, ..)
-            | Event::Written(node, ..)
-            | Event::Read { node, .. } => *node,
-            Event::Arrive { to, .. } => index_of(*to),
-            _ => return None,
-        };
+        let node = event.node()?;
         Some(self.nodes[node].frozen_until).filter(|it| *it > self.now)
     }
 
@@ -281,115 +250,6 @@
         }
     }
 
-    fn take(&mut self, node: usize, workspace: &WorkspaceName) {
-        let now = self.local(node);
-        let Some(process) = &mut self.nodes[node].process else { return };
-        let incarnation = process.id.incarnation;
-        match process.store.take(now, workspace) {
-            TakeResult::Taken(permit) => {
-                self.record_use(permit.grant);
-                if self.rng.random_bool(self.faults.not_run) {
-                    let delay = self.up_to(200);
-                    self.after(delay, Event::GiveBack(node, incarnation, permit));
-                } else {
-                    self.uses.entry(workspace.clone()).or_default().push(self.now);
-                }
-            }
-            TakeResult::Ask => {
-                process.wait(workspace);
-            }
-            TakeResult::Refused { .. } => {}
-        }
-    }
-
-    fn record_use(&mut self, grant: GrantId) {
-        let Some((at, left)) = self.grants.get_mut(&grant) else { return };
-        if *left == 0 || self.now > *at + GRANT_LIFETIME {
-            let breach = format!("at {:?}: {grant:?} of {at:?} has {left} tokens left", self.now);
-            self.breach.get_or_insert(breach);
-        }
-        *left = left.saturating_sub(1);
-    }
-
-    fn ask(&mut self, node: usize, workspace: &WorkspaceName) {
-        let now = self.local(node);
-        let Some(process) = &mut self.nodes[node].process else { return };
-        let incarnation = process.id.incarnation;
-        let messages = process.ask(now, workspace);
-        for (_, message) in &messages {
-            let Message::Take(requests) = message else { continue };
-            let Some(request) = requests.last() else { continue };
-            *self.token_requests.entry(workspace.clone()).or_default() += 1;
-            let event = Event::NoReply(node, incarnation, workspace.clone(), request.number);
-            self.after(REPLY_TIMEOUT, event);
-        }
-        self.send_all(node, messages);
-    }
-
-    fn retry_waiting(&mut self, node: usize, workspace: &WorkspaceName) {
-        let Some(process) = &mut self.nodes[node].process else { return };
-        for _ in 0..process.stop_waiting(workspace) {
-            self.take(node, workspace);
-        }
-        self.ask(node, workspace);
-    }
-
-    fn arrive(&mut self, from: NodeId, to: NodeId, message: Message) {
-        let node = index_of(to);
-        let now = self.local(node);
-        let without = self.faults.without;
-        self.next_event += 1;
-        let forged = self.next_event;
-        let Some(process) = self.process(node, to.incarnation) else { return };
-        let reply = match message {
-            Message::Delegate(mut it) => {
-                let sequence = it.sequence;
-                if without == Some(Mechanism::Sequences) {
-                    it.sequence = forged;
-                }
-                if without == Some(Mechanism::Tickets) {
-                    let ticket = Ticket { incarnation: to.incarnation, issued: now };
-                    it.shards.iter_mut().for_each(|it| it.ticket = Some(ticket));
-                }
-                let reply = process.home.on_delegation(now, &it);
-                Message::Delegated(ShareDelegationReply { sequence, ..reply })
-            }
-            Message::Take(it) => {
-                let grants = process.home.on_requests(now, &it);
-                let at = self.now;
-                self.grants.extend(grants.iter().map(|it| (it.id, (at, it.tokens))));
-                Message::Tokens(grants)
-            }
-            Message::Delegated(it) => return process.holder.on_reply(now, from, &it),
-            Message::Tokens(grants) => {
-                grants.iter().for_each(|it| process.on_grant(now, it));
-                grants.iter().for_each(|it| self.retry_waiting(node, &it.workspace));
-                return;
-            }
-        };
-        self.send(to, from, reply);
-    }
-
-    fn send_all(&mut self, node: usize, messages: Vec<(NodeId, Message)>) {
-        let Some(from) = self.nodes[node].process.as_ref().map(|it| it.id) else { return };
-        messages.into_iter().for_each(|(to, message)| self.send(from, to, message));
-    }
-
-    fn send(&mut self, from: NodeId, to: NodeId, message: Message) {
-        let is_self = from == to;
-        let is_cut =
-            self.now < self.parted_until && self.parts[index_of(from)] != self.parts[index_of(to)];
-        if is_cut || !is_self && self.rng.random_bool(self.faults.loss) {
-            return;
-        }
-        if !is_self && self.rng.random_bool(self.faults.duplicate) {
-            let delay = self.delay();
-            self.after(delay, Event::Arrive { from, to, message: message.clone() });
-        }
-        let delay = if is_self { Duration::ZERO } else { self.delay() };
-        self.after(delay, Event::Arrive { from, to, message });
-    }
-
     /// The view is that of the members of the same part, or at times a wrong one.
     fn refresh_view(&mut self, node: usize) {
         let is_wrong = self.rng.random_bool(self.faults.wrong_view / 10.0);
@@ -409,30 +269,6 @@
         }
     }
 
-    /// Checks the units in the pools of all homes now against the table.
-    fn check_units(&mut self) {
-        let mut by_shard: HashMap<ShardIndex, u64> = HashMap::new();
-        let mut by_holder: HashMap<(ShardIndex, NodeName), u64> = HashMap::new();
-        for node in &mut self.nodes {
-            let now = self.now + node.skew;
-            let shards = node.process.as_mut().map(|it| it.home.shards(now)).unwrap_or_default();
-            for it in shards {
-                *by_shard.entry(it.shard).or_default() += u64::from(it.units);
-                for (holder, units) in it.holders {
-                    *by_holder.entry((it.shard, holder)).or_default() += u64::from(units);
-                }
-            }
-        }
-        let newest = self.tables.last();
-        let entry_of = |name: &NodeName| newest.map_or(0, |it| u64::from(it.units_of(name)));
-        let shard = by_shard.into_iter().find(|it| it.1 > u64::from(TOTAL_UNITS));
-        let holder = by_holder.into_iter().find(|it| it.1 > entry_of(&it.0.1));
-        if shard.is_some() || holder.is_some() {
-            let breach = format!("at {:?}: {shard:?} {holder:?}", self.now);
-            self.breach.get_or_insert(breach);
-        }
-    }
-
     fn start(&mut self, node: usize) {
         if self.nodes[node].process.is_some() {
             return;
--- a/crates/pollenlever-core/tests/quota/units.rs
+++ b/crates/pollenlever-core/tests/quota/units.rs
@@ -102,6 +102,20 @@
         home.on_delegation(secs(4), &delegation);
         assert_eq!(home.shards(secs(4)), []);
     };
+    a_reply_to_an_earlier_delegation_brings_no_ticket => {
+        let (mut holder, mut home) = delegated();
+        for (to, delegation) in holder.due(secs(4), |_| id(2)) {
+            if to == id(1) {
+                holder.on_reply(secs(4), to, &home.on_delegation(secs(4), &delegation));
+            }
+        }
+        holder.due(secs(4), |_| id(1));
+        let ticket = Ticket { incarnation: 1, issued: secs(3) };
+        let reply = ShareDelegationReply { sequence: 2, tickets: vec![(0, ticket)] };
+        holder.on_reply(secs(4), id(1), &reply);
+        let next = holder.due(millis(4300), |_| id(1)).remove(0).1;
+        assert_eq!(next.shards[0].ticket, None);
+    };
     a_late_reply_of_an_earlier_process_does_not_end_a_delegation => {
         let (mut holder, _) = delegated();
         let earlier = NodeId { incarnation: 9, ..id(1) };
