--- a/crates/pollenlever-core/src/quota/home_link.rs
+++ b/crates/pollenlever-core/src/quota/home_link.rs
@@ -11,7 +11,9 @@
 #[derive(Debug)]
 pub(super) struct HomeLink {
     pub(super) home: NodeId,
-    /// Replies to earlier messages belong to an earlier link and are ignored.
+    /// Number of the first message of this link. Replies to earlier ones are ignored: their tickets
+    /// may be older than those of messages under way, and the home recognizes a late message only
+    /// until the newest ticket has expired.
     first_sequence: u64,
     ticket: Option<HeldTicket>,
     /// Last message that the home has confirmed.
