--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -173,6 +173,21 @@
     assert_eq!(units(&mesh).len(), 2, "{:?}", units(&mesh));
 }
 
+/// Units that move from one home to another must not yield tokens at both.
+#[tokio::test]
+async fn a_quota_holds_while_a_home_leaves() {
+    let mesh = mesh_with(3, Some(QUOTA)).await;
+    for node in &mesh.nodes {
+        wait_until_granted(node.callers).await;
+    }
+    let home = wait_for_home(&mesh).await;
+    let (started, time) = (Instant::now(), Duration::from_secs(4));
+    let [a, b] = [1, 2].map(|it| send(mesh.nodes[(home + it) % 3].callers, 100.0, time));
+    let (_, a, b) = tokio::join!(mesh.nodes[home].node.leave(), a, b);
+    assert!(a.ran + b.ran <= max_runs(started.elapsed()), "{a:?} {b:?}");
+    assert!(a.ran + b.ran >= QUOTA.rate_per_s * 2.0, "{a:?} {b:?}");
+}
+
 /// Units that one leaving node gives to another would be missing until they are reclaimed.
 #[tokio::test]
 async fn nodes_that_leave_together_give_their_units_to_those_that_stay() {
