--- a/crates/pollenlever-core/src/mesh/http_route.rs
+++ b/crates/pollenlever-core/src/mesh/http_route.rs
@@ -69,12 +69,6 @@
         importance_of(shed_order)
     }
 
-    /// The importance of a request of this route that a caller of `workspace` sends.
-    pub fn importance_for(&self, workspace: &Workspace) -> Importance {
-        let shed_order = workspace.shed_order.unwrap_or(self.shed_order);
-        HttpRoute { shed_order, ..HttpRoute::default() }.importance()
-    }
-
     /// Whether `path`, given without its query, starts with the prefix.
     ///
     /// ```
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -19,6 +19,7 @@
 use crate::gossip::{GossipDriver, SeedPublisher};
 use crate::node::NodeStartError;
 use crate::peer::{PeerClient, PeerOptions, PeerServer};
+use crate::quota::{Delegator, ShareKeeper, SharedQuotaHost};
 use crate::settings::MeshSettings;
 
 /// Kind of the store objects that list nodes through which new nodes join.
@@ -26,6 +27,9 @@
 /// Time for which a leaving node still accepts requests, so that its callers can notice that it is
 /// no longer ready.
 const DRAIN_DELAY: Duration = Duration::from_millis(2600);
+/// Longest time for which a leaving node without requests waits until its units of quotas are handed
+/// back. If they are not, its next process has them.
+const MAX_HAND_BACK_TIME: Duration = Duration::from_secs(4);
 /// Time before the end of the grace period at which a leaving node abandons its last requests.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval between checks whether requests are still open.
@@ -124,7 +128,9 @@
         loop {
             let is_idle = self.shared.is_idle();
             let elapsed = self.shared.clock.now().saturating_sub(started);
-            if is_idle || elapsed + EXIT_MARGIN >= grace {
+            let is_handed_back =
+                self.shared.quota.is_handed_back() || elapsed >= MAX_HAND_BACK_TIME;
+            if (is_idle && is_handed_back) || elapsed + EXIT_MARGIN >= grace {
                 let after_ms = elapsed.as_millis();
                 log_event!(LogEvent::NodeStopped, "idle={is_idle} after_ms={after_ms}");
                 return is_idle;
@@ -155,6 +161,9 @@
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
+    tokio::spawn(Delegator::new(Arc::clone(shared) as SharedQuotaHost).run());
+    let share_keeper = ShareKeeper::new(Arc::clone(shared) as SharedQuotaHost, platform.store());
+    tokio::spawn(share_keeper.run());
     tokio::spawn(RouteWatch { shared: Arc::clone(shared), platform }.run());
 }
 
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -4,6 +4,8 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use super::test_mesh::DEADLINE_MS;
+
 /// Longest wait for bytes; a test that reaches it has failed.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -60,6 +62,13 @@
         self.write(&head).await;
     }
 
+    /// Sends a `GET` request with an API key and waits for its answer.
+    pub(crate) async fn get_with_key(&mut self, path: &str, id: &str, key: &str) -> RawAnswer {
+        let line = format!("Authorization: Bearer {key}\r\n");
+        self.request_with("GET", path, id, DEADLINE_MS, &line).await;
+        self.answer().await.expect("an answer")
+    }
+
     /// Reads one answer; `None` if the connection ends first.
     pub(crate) async fn answer(&mut self) -> Option<RawAnswer> {
         let head_len = loop {
