Pace of a started target: the decision

Cause: a target that has just started gets a share of the choices by clock, whatever its responses. A slow one is overloaded, a warm one idles.

StartPace determines a concurrency limit from the own times of runs, compared by class with those at lower concurrency. PaceHistory keeps what earlier processes have shown, OwnTime measures a run without the calls that it waits for. Nothing uses them yet.

--- a/crates/pollenlever-core/src/lib.rs
+++ b/crates/pollenlever-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod naive;
 pub mod node;
 pub mod once;
+pub mod pace;
 pub mod policy;
 pub mod rollout;
 pub mod routing;
