--- a/crates/pollenlever-core/src/pace/class_times.rs
+++ b/crates/pollenlever-core/src/pace/class_times.rs
@@ -31,6 +31,11 @@
         self.references.get(&class).map(|it| own_time.as_secs_f64().max(MIN_TIME_S) / it.mean_s)
     }
 
+    /// Number of runs from which the reference of a class was learned; 0 if there is none.
+    pub(super) fn runs(&self, class: RequestClass) -> f64 {
+        self.references.get(&class).map_or(0.0, |it| it.runs)
+    }
+
     /// Concurrency to which the references belong; `None` without any.
     pub(super) fn concurrency(&self) -> Option<f64> {
         self.concurrency
--- a/crates/pollenlever-core/src/pace/mod.rs
+++ b/crates/pollenlever-core/src/pace/mod.rs
@@ -4,6 +4,8 @@
 //! The limit doubles per round of responses while they take about as long as at lower concurrency, is
 //! held while they take longer, and is halved when the target rejects requests.
 
+use std::time::Duration;
+
 mod class_times;
 mod ended_run;
 mod own_time;
@@ -16,3 +18,7 @@
 pub use pace_history::PaceHistory;
 pub use round::RoundSummary;
 pub use start_pace::StartPace;
+
+/// Wait at a gate after which a request runs above the pace, up to the slots: its owner would have sent it
+/// to a target with room if there were one.
+pub const OVERFLOW_WAIT: Duration = Duration::from_millis(25);
--- a/crates/pollenlever-core/src/pace/round.rs
+++ b/crates/pollenlever-core/src/pace/round.rs
@@ -107,6 +107,7 @@
     pub(super) fn summary(&self, times: &ClassTimes) -> RoundSummary {
         let ratios = self.samples.iter().filter_map(|it| times.ratio(it.class, it.own_time));
         let (time_ratio, error) = trimmed_mean(ratios.collect()).unwrap_or((1.0, f64::INFINITY));
+        let error = error.hypot(self.reference_error(times));
         let slowdowns = self.samples.iter().filter_map(|it| it.slowdown_percent);
         RoundSummary {
             runs: self.samples.len(),
@@ -119,6 +120,14 @@
         }
     }
 
+    /// Standard error of the mean reference; 0 without any.
+    fn reference_error(&self, times: &ClassTimes) -> f64 {
+        let runs = self.samples.iter().map(|it| times.runs(it.class));
+        let runs: Vec<f64> = runs.filter(|it| *it > 0.0).collect();
+        let mean = runs.iter().sum::<f64>() / runs.len().max(1) as f64;
+        if runs.is_empty() { 0.0 } else { MIN_DEVIATION / mean.sqrt() }
+    }
+
     /// Adapts the references to the times of this round; `rise_time` is the time constant with which
     /// they rise.
     pub(super) fn add_to(&self, now: Timestamp, times: &mut ClassTimes, rise_time: Duration) {
--- a/crates/pollenlever-core/tests/pace/fleet.rs
+++ b/crates/pollenlever-core/tests/pace/fleet.rs
@@ -5,7 +5,7 @@
 use pollenlever_core::admission::RunOutcome;
 use pollenlever_core::config::Importance;
 use pollenlever_core::mesh::RequestClass;
-use pollenlever_core::pace::{EndedRun, PaceHistory, StartPace};
+use pollenlever_core::pace::{EndedRun, OVERFLOW_WAIT, PaceHistory, StartPace};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -21,8 +21,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(50);
 /// Number of gates that refuse a request before its caller is told.
 const MAX_REFUSALS: u32 = 2;
-/// Wait at a gate after which a request runs above the pace, since no other target had room.
-const OVERFLOW_WAIT: Duration = Duration::from_millis(25);
 /// Time between a crash and the start of the next process.
 const RESTART: Duration = Duration::from_millis(500);
 
