Admission and routing follow the pace of a started target

Cause: the gate needs a limit that moves work to other targets without refusing it where there are none, and owners need the share instead of the ramp by clock.

PriorityAdmission::set_start_pace lowers the reported limit. GateLoad::start_share_permille replaces the share by clock; 0 leaves all as before.

Ruled out: a hard limit (it throttles a service whose targets are all new); the share from limit and slots alone, since the learned limit falls for other reasons too.

--- a/crates/pollenlever-core/src/admission/priority_admission.rs
+++ b/crates/pollenlever-core/src/admission/priority_admission.rs
@@ -18,6 +18,7 @@
 use crate::answer::ErrorKind;
 use crate::id::StreamId;
 use crate::message::GateLoad;
+use crate::pace::OVERFLOW_WAIT;
 use crate::policy::TargetNotice;
 
 /// Longest wait for the rate limit of the target for which a request is queued. If it is longer,
@@ -64,6 +65,8 @@
     /// Whether the target calls other services while it runs requests.
     makes_calls: bool,
     rate_limiter: RateLimiter,
+    /// Number of runs of a started target above which requests wait for a moment first.
+    start_pace: Option<u32>,
     queue: Queue,
     running: BTreeMap<StreamId, Running>,
     service_times: ServiceTimes,
@@ -92,6 +95,7 @@
             saturation: Saturation::default(),
             makes_calls: false,
             rate_limiter: RateLimiter::default(),
+            start_pace: None,
             queue: Queue::default(),
             running: BTreeMap::new(),
             service_times: ServiceTimes::default(),
@@ -105,6 +109,31 @@
         }
     }
 
+    /// Sets the number of runs that a started target may be offered; `None` if it is not limited. A
+    /// request that has waited for [`OVERFLOW_WAIT`] runs above it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use pollenlever_core::admission::{Admission, AdmissionSettings, PriorityAdmission};
+    /// let mut admission = PriorityAdmission::new(AdmissionSettings::default());
+    /// admission.set_slots(Duration::ZERO, 36);
+    /// admission.set_start_pace(Some(9));
+    /// assert_eq!(admission.load(Duration::ZERO).limit, 9);
+    /// ```
+    pub fn set_start_pace(&mut self, limit: Option<u32>) {
+        self.start_pace = limit;
+    }
+
+    /// Whether a started target runs as many requests as it may be offered.
+    fn has_reached_pace(&self) -> bool {
+        self.start_pace.is_some_and(|it| self.running.len() >= it as usize)
+    }
+
+    /// Time for which a request has to wait before it may start.
+    fn min_wait(&self) -> Duration {
+        if self.has_reached_pace() { OVERFLOW_WAIT } else { Duration::ZERO }
+    }
+
     /// Upper bound of concurrent runs over all classes. The saturation of a target that makes calls
     /// is not known, since its service times depend on the services that it calls.
     fn max_concurrency(&self) -> u32 {
@@ -218,7 +247,9 @@
         }
         let delay = self.start_interval() * self.queue.len() as u32;
         let is_urgent = |it: &Waiting| self.latest_start(now, it, false) < now + delay;
-        let may_run = |it: &Waiting| self.limits.has_room(it.class());
+        let min_wait = self.min_wait();
+        let may_run =
+            |it: &Waiting| self.limits.has_room(it.class()) && now >= it.arrived + min_wait;
         let deep_call = self.queue.next_deep_call(may_run, is_urgent);
         match deep_call {
             Some(id) => self.queue.remove(id),
@@ -229,7 +260,9 @@
     /// Removes and returns a new chain of the highest waiting importance, if a smaller share of
     /// these runs than of the deeper calls of that importance.
     fn pop_preferred_new_chain(&mut self, now: Timestamp, order: OrderKind) -> Option<Waiting> {
-        let may_run = |it: &Waiting| self.limits.has_room(it.class());
+        let min_wait = self.min_wait();
+        let may_run =
+            |it: &Waiting| self.limits.has_room(it.class()) && now >= it.arrived + min_wait;
         let importance = self.queue.max_importance(may_run)?;
         if !self.depth_shares.prefers_new_chains(now, importance) {
             return None;
@@ -262,7 +295,10 @@
         let late_at = latest_start.map(|it| it.max(now) + Duration::from_millis(1));
         let wait = self.rate_limiter.wait(now);
         let start_at = (!self.queue.is_empty() && !wait.is_zero()).then_some(now + wait);
-        self.next_wakeup = [late_at, standing_at, start_at].into_iter().flatten().min();
+        let overflows = self.queue.iter().map(|it| it.arrived + OVERFLOW_WAIT);
+        let overflow_at = overflows.filter(|it| self.has_reached_pace() && *it > now).min();
+        let wakeups = [late_at, standing_at, start_at, overflow_at];
+        self.next_wakeup = wakeups.into_iter().flatten().min();
     }
 }
 
@@ -346,7 +382,10 @@
         GateLoad {
             in_flight: self.running.len() as u32,
             queued: self.queue.len() as u32,
-            limit: self.limit().min(self.rate_limited_concurrency()),
+            limit: self
+                .limit()
+                .min(self.rate_limited_concurrency())
+                .min(self.start_pace.unwrap_or(u32::MAX).max(1)),
             shed_below: self.shed_level.get(),
             queue_drain_time: self.start_interval() * self.queue.len() as u32,
             rate_limit_wait: self.rate_limiter.wait(now),
--- a/crates/pollenlever-core/src/mesh/running_requests.rs
+++ b/crates/pollenlever-core/src/mesh/running_requests.rs
@@ -106,7 +106,8 @@
         probabilities / self.runs.len().max(1) as f32
     }
 
-    fn stream_of_parent(&self, id: &str) -> Option<StreamId> {
+    /// The run of which `id` is a call, if it is running on the target.
+    pub fn stream_of_parent(&self, id: &str) -> Option<StreamId> {
         let (parent, _) = id.rsplit_once(CALL_SEPARATOR)?;
         self.by_id.get(parent).copied()
     }
--- a/crates/pollenlever-core/src/message/gate_load.rs
+++ b/crates/pollenlever-core/src/message/gate_load.rs
@@ -20,6 +20,9 @@
     /// Time until the rate limit that the target states allows the next request; zero if it allows
     /// one now.
     pub rate_limit_wait: Duration,
+    /// Share of its usual load that a started target takes, in thousandths; 1000 once it has shown its
+    /// full pace, 0 if the gate does not determine one.
+    pub start_share_permille: u16,
     /// Whether the target accepts no new requests, for example because it is shutting down.
     pub leaving: bool,
     /// Number of target crashes that the gate has counted for the request of this reply.
--- a/crates/pollenlever-core/src/routing/peer.rs
+++ b/crates/pollenlever-core/src/routing/peer.rs
@@ -128,13 +128,17 @@
         self.load.queue_drain_time
     }
 
-    /// Fraction of a full load share that the target receives; below 1 while it is cold.
+    /// Fraction of a full load share that the target receives; below 1 while it is cold. If its gate has
+    /// found a pace, that counts.
     pub(super) fn load_share(
         &self,
         now: Timestamp,
         ramp_up: Duration,
         settings: &RoutingSettings,
     ) -> f64 {
+        if self.load.start_share_permille > 0 {
+            return self.paced_share(now, ramp_up);
+        }
         let Some(since) = self.cold_since else { return 1.0 };
         if ramp_up.is_zero() {
             return 1.0;
@@ -143,6 +147,13 @@
         (settings.cold_share + (1.0 - settings.cold_share) * progress).min(1.0)
     }
 
+    /// Share that the gate reported last; the full one if that is older than `ramp_up`.
+    fn paced_share(&self, now: Timestamp, ramp_up: Duration) -> f64 {
+        let is_recent = self.load_received.is_some_and(|at| now.saturating_sub(at) < ramp_up);
+        let share = f64::from(self.load.start_share_permille) / 1000.0;
+        if is_recent { share.min(1.0) } else { 1.0 }
+    }
+
     /// Whether the gate recently reported that it sheds requests of this importance.
     pub(super) fn is_shedding(
         &self,
--- a/crates/pollenlever-core/tests/admission/main.rs
+++ b/crates/pollenlever-core/tests/admission/main.rs
@@ -8,6 +8,7 @@
 mod order;
 mod rate_limit;
 mod saturation;
+mod start_pace;
 
 use std::time::Duration;
 
--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -223,6 +223,30 @@
     assert!(late > 2 * early, "{late} after {early}");
 }
 
+/// Guards against a ramp by clock beside the pace that a gate has found: the share is the reported one,
+/// also of a target that is called cold, and the full one once the report is old.
+fn share_of_a_paced_target(permille: u16, now: u64, expected: std::ops::RangeInclusive<u32>) {
+    let mut routing = routing();
+    routing.remove_members(ms(0), &[0, 1, 4, 5].map(node));
+    routing.update_members(ms(0), &[Member { state: TargetState::Cold, ..member(2) }]);
+    let service = "charging".into();
+    let cfg = ServiceConfig { service, ramp_up: ms(1000), ..ServiceConfig::default() };
+    routing.configure(Arc::new(cfg));
+    let load = GateLoad { start_share_permille: permille, limit: 10, ..GateLoad::default() };
+    report(&mut routing, ms(0), 2, &load);
+    report(&mut routing, ms(0), 3, &GateLoad { limit: 10, ..GateLoad::default() });
+    let mut choices = |_| choose(&mut routing, ms(now), Importance::Normal, &[]).unwrap();
+    let count = (0..400).map(&mut choices).filter(|it| number_of(*it) == 2).count() as u32;
+    assert!(expected.contains(&count), "{count}");
+}
+
+cases! {
+    share_of_a_paced_target:
+    a_fresh_report_replaces_the_ramp_by_clock(250, 900, 1..=130);
+    a_full_pace_ends_the_ramp_by_clock(1000, 10, 160..=400);
+    an_old_report_counts_as_full(250, 1001, 160..=400);
+}
+
 #[test]
 fn the_same_seed_gives_the_same_choices() {
     let series = || {
