Gate: a started target gets work at its pace, if the settings ask for it

With [target] start_pace = on, the gate begins a pace when a process of the target starts or comes back, feeds it each run with its own time, and applies the limit to admission. A target that had been running for 10 s when the node met it has none, so a restart of the node throttles no warm target. Log events pace-began, pace-changed and pace-ended; gauge target_start_share. A call counts as waiting of the run that its id names; while a target makes calls that name no run, its own times are unknown and only rejections count.

Ruled out: rejections as failures for the learned limit, since targets reject at random too; the gate's own times without the calls' ids, since they follow services downstream.

Off, the default, changes nothing.

--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -33,8 +33,8 @@
     pub(super) crash_recorded: Notify,
     /// Signalled when the target stated that it leaves, and the other nodes have to be told.
     pub(super) target_left: Notify,
-    /// Signalled when a request waits for the rate limit of the target.
-    pub(super) waits_for_rate_limit: Notify,
+    /// Signalled when a request waits for the rate limit or the pace of the target.
+    pub(super) queue_changed: Notify,
     pub(super) downstream: Arc<Downstream>,
     state: Mutex<GateState>,
 }
@@ -54,7 +54,7 @@
             metrics,
             crash_recorded: Notify::new(),
             target_left: Notify::new(),
-            waits_for_rate_limit: Notify::new(),
+            queue_changed: Notify::new(),
             downstream,
             state: Mutex::default(),
         }
@@ -65,6 +65,14 @@
         self.client.set_max_connections(max);
     }
 
+    /// Sets whether a pace of started targets is determined.
+    pub(super) fn set_start_pace(&self, is_on: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.pace.set_on(is_on);
+        state.apply_pace(now);
+    }
+
     /// Seals an attempt: it can never start from now on. Returns `false` if it has started already.
     pub(super) fn seal(&self, attempt: AttemptId) -> bool {
         self.lock().ledger.seal(attempt) == AttemptStage::Sealed
@@ -96,7 +104,11 @@
             digest,
             calls: BTreeMap::new(),
         };
-        self.lock().runs.insert(slot.id(), run);
+        {
+            let mut state = self.lock();
+            state.runs.insert(slot.id(), run);
+            state.pace.record_start(self.clock.now(), slot.id(), head.lineage.class());
+        }
         if head.is_idempotent {
             return self.run(slot, start, head, body).await;
         }
@@ -137,12 +149,16 @@
     /// Current load of the gate, without what depends on the class of a request.
     pub(super) fn load(&self) -> GateLoad {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.apply_pace(now);
+        let start_share_permille =
+            state.pace.share().map_or(0, |it| (it * 1000.0).ceil().max(1.0) as u16);
         let leaving = state.is_leaving || state.registry.serving().is_none();
         let failing_permille = state.failures.permille(now);
         let overload_failure_permille = state.call_stats.overload_failure_permille(now);
         let calls_per_100_runs = state.call_stats.calls_per_100_runs(now);
         GateLoad {
+            start_share_permille,
             leaving,
             failing_permille,
             overload_failure_permille,
--- a/crates/pollenlever/src/mesh/gate_admission.rs
+++ b/crates/pollenlever/src/mesh/gate_admission.rs
@@ -13,7 +13,7 @@
 
 /// Workspace of requests whose workspace is not known.
 const ANY_WORKSPACE: &str = "any";
-/// Shortest time between two checks of the requests that wait for the rate limit of the target.
+/// Shortest time between two checks of the requests that wait for the rate limit or the pace of the target.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Admission of attempts: the checks before them, the queue, and slots.
@@ -88,8 +88,8 @@
         let mut verdicts = Vec::new();
         state.admission.offer(now, ticket, &mut verdicts);
         state.deliver_verdicts(verdicts);
-        if state.rate_limit_wakeup().is_some() {
-            self.waits_for_rate_limit.notify_one();
+        if state.queue_wakeup().is_some() {
+            self.queue_changed.notify_one();
         }
         Ok((id, rx))
     }
@@ -124,6 +124,8 @@
         if state.admission.remove(now, id) {
             return;
         }
+        state.pace.record_end(now, id, outcome);
+        state.apply_pace(now);
         let service_time = started.map_or(Duration::ZERO, |it| now.saturating_sub(it));
         let mut verdicts = Vec::new();
         let makes_calls = state.call_stats.makes_calls(now);
@@ -133,19 +135,19 @@
         state.log_limit(now);
     }
 
-    /// Starts or sheds requests that wait for the rate limit of the target when it is time, for as
-    /// long as the node runs.
-    pub(super) async fn serve_rate_limit(self: Arc<Gate>) {
+    /// Starts or sheds requests that wait for the rate limit or the pace of the target when it is time,
+    /// for as long as the node runs.
+    pub(super) async fn serve_queue(self: Arc<Gate>) {
         loop {
-            let wakeup = self.lock().rate_limit_wakeup();
+            let wakeup = self.lock().queue_wakeup();
             let Some(wakeup) = wakeup else {
-                self.waits_for_rate_limit.notified().await;
+                self.queue_changed.notified().await;
                 continue;
             };
             let wait = wakeup.saturating_sub(self.clock.now()).max(MIN_TICK_INTERVAL);
             tokio::select! {
                 () = tokio::time::sleep(wait) => self.lock().tick(self.clock.now()),
-                () = self.waits_for_rate_limit.notified() => {}
+                () = self.queue_changed.notified() => {}
             }
         }
     }
--- a/crates/pollenlever/src/mesh/gate_calls.rs
+++ b/crates/pollenlever/src/mesh/gate_calls.rs
@@ -1,6 +1,7 @@
+use std::sync::Arc;
 use std::time::Duration;
 
-use pollenlever_core::id::{ServiceName, WorkspaceName};
+use pollenlever_core::id::{ServiceName, StreamId, WorkspaceName};
 use pollenlever_core::mesh::Lineage;
 
 use super::gate::Gate;
@@ -21,8 +22,32 @@
     pub(super) is_overload_failure: bool,
 }
 
+/// A call of the target that has not ended. Dropping it records the end.
+pub(super) struct OpenCall {
+    gate: Arc<Gate>,
+    /// Run that makes the call; `None` if that is unknown.
+    run: Option<StreamId>,
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        let now = self.gate.clock.now();
+        self.gate.lock().pace.record_call_end(now, self.run);
+    }
+}
+
 /// Calls that the target makes to other services while it runs requests.
 impl Gate {
+    /// Records that the target makes a call, until the returned guard is dropped.
+    pub(super) fn open_call(self: &Arc<Gate>, id: &str) -> OpenCall {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let run = state.runs.stream_of_parent(id);
+        state.pace.record_call_start(now, run);
+        drop(state);
+        OpenCall { gate: Arc::clone(self), run }
+    }
+
     /// Records a call of the target that has ended.
     pub(super) fn record_call(&self, call: &EndedCall<'_>) {
         let now = self.clock.now();
--- a/crates/pollenlever/src/mesh/gate_run.rs
+++ b/crates/pollenlever/src/mesh/gate_run.rs
@@ -66,6 +66,9 @@
         if let Some(statement) = statement {
             self.record_statement(&start, statement);
         }
+        if matches!(result, TargetResult::Rejected) {
+            self.lock().pace.record_rejection(slot.id());
+        }
         slot.record_end(self.run_outcome(&result));
         drop(slot);
         self.record_result(&head, start.digest, &result);
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -14,6 +14,7 @@
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
 
+use super::gate_pace::GatePace;
 use super::gate_target::log_statement;
 use super::log_event::{LogEvent, log_event};
 
@@ -29,6 +30,8 @@
     pub(super) statement: LatestStatement,
     is_rate_limited: bool,
     pub(super) admission: PriorityAdmission,
+    /// Pace of a started target.
+    pub(super) pace: GatePace,
     pub(super) chain_admission: ChainAdmission,
     pub(super) waiting: HashMap<StreamId, oneshot::Sender<Verdict>>,
     pub(super) ledger: AttemptLedger,
@@ -54,6 +57,7 @@
                 limit: LimitKind::Failures,
                 ..AdmissionSettings::default()
             }),
+            pace: GatePace::default(),
             chain_admission: ChainAdmission::default(),
             waiting: HashMap::new(),
             ledger: AttemptLedger::default(),
@@ -97,8 +101,24 @@
         self.admission.set_slots(now, slots.max(1));
     }
 
+    /// Begins the pace of the target if it has just started; `unix_time_ms` is the time by the clock from
+    /// which targets take their start time.
+    pub(super) fn open_pace(&mut self, now: Duration, unix_time_ms: StartTime) {
+        let Some(report) = self.registry.current().cloned() else { return };
+        let age = Duration::from_millis(unix_time_ms.saturating_sub(report.started));
+        self.pace.open(now, &report, age);
+        self.apply_pace(now);
+    }
+
+    /// Applies the pace of a started target to admission.
+    pub(super) fn apply_pace(&mut self, now: Duration) {
+        self.pace.advance(now);
+        self.admission.set_start_pace(self.pace.limit());
+    }
+
     /// Records a crash of the target and marks the requests that were in flight as suspects.
     pub(super) fn record_crash(&mut self, now: Duration, started: StartTime, reason: &str) {
+        self.pace.close(now, true);
         let in_flight: Vec<ContentDigest> = self.runs.digests().collect();
         let suspicions = self.suspects.record_target_crash(now, started, in_flight);
         if !suspicions.is_empty() {
@@ -162,14 +182,17 @@
         }
         let change = self.registry.close_current();
         if change == RegistryChange::Closed {
+            self.pace.close(now, false);
             self.refuse_waiting();
         }
         change
     }
 
-    /// When a request that waits for the rate limit has to be started or shed; `None` if none waits.
-    pub(super) fn rate_limit_wakeup(&self) -> Option<Duration> {
-        self.is_rate_limited.then(|| self.admission.next_wakeup()).flatten()
+    /// When a request that waits for the rate limit or above the pace has to be started or shed; `None` if
+    /// none waits.
+    pub(super) fn queue_wakeup(&self) -> Option<Duration> {
+        let is_timed = self.is_rate_limited || self.pace.limit().is_some();
+        is_timed.then(|| self.admission.next_wakeup()).flatten()
     }
 
     /// Starts or sheds waiting requests whose time has come.
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -30,12 +30,16 @@
         match change {
             RegistryChange::Opened => {
                 state.set_slots(now, slots);
+                state.open_pace(now, unix_time_ms());
                 if before != state.registry.serving().map(|it| it.instance.clone()) {
                     self.close_idle_connections();
                 }
                 state.apply_statement(now);
             }
-            RegistryChange::Closed => state.refuse_waiting(),
+            RegistryChange::Closed => {
+                state.pace.close(now, false);
+                state.refuse_waiting();
+            }
             RegistryChange::Refreshed | RegistryChange::Stale => {}
         }
         change
@@ -47,9 +51,11 @@
         instance: &InstanceId,
         started: Option<StartTime>,
     ) -> RegistryChange {
+        let now = self.clock.now();
         let mut state = self.lock();
         let change = state.registry.handle_departure(instance, started, unix_time_ms());
         if change == RegistryChange::Closed {
+            state.pace.close(now, false);
             state.refuse_waiting();
         }
         change
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -31,11 +31,14 @@
     RunRefused,
     RunEnded,
     LimitChanged,
+    PaceBegan,
+    PaceChanged,
+    PaceEnded,
 }
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 27] = [
+    pub const ALL: [LogEvent; 30] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -63,6 +66,9 @@
         LogEvent::RunRefused,
         LogEvent::RunEnded,
         LogEvent::LimitChanged,
+        LogEvent::PaceBegan,
+        LogEvent::PaceChanged,
+        LogEvent::PaceEnded,
     ];
 
     /// Name of the event in log lines.
@@ -100,6 +106,9 @@
             LogEvent::RunRefused => "run-refused",
             LogEvent::RunEnded => "run-ended",
             LogEvent::LimitChanged => "limit-changed",
+            LogEvent::PaceBegan => "pace-began",
+            LogEvent::PaceChanged => "pace-changed",
+            LogEvent::PaceEnded => "pace-ended",
         }
     }
 
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -62,6 +62,7 @@
     in_flight: IntGauge,
     queued: IntGauge,
     limit: IntGauge,
+    start_share: FloatGauge,
     rate_limit: FloatGauge,
     failing: FloatGauge,
     overload_failure_ratio: FloatGauge,
@@ -81,6 +82,8 @@
         registry.register("gate_in_flight", "Requests that the target runs", it.in_flight);
         registry.register("gate_queued", "Requests that wait at the gate", it.queued);
         registry.register("gate_limit", "Requests that may run at once", it.limit);
+        let help = "Share of its slots that a started target may be offered; 1 without a pace";
+        registry.register("target_start_share", help, it.start_share);
         let help = "Requests a second that the target states it takes";
         registry.register("target_rate_limit", help, it.rate_limit);
         registry.register("target_failing_ratio", "Runs lately rejected or failed", it.failing);
@@ -202,6 +205,9 @@
         it.in_flight.set(i64::from(load.in_flight));
         it.queued.set(i64::from(load.queued));
         it.limit.set(i64::from(load.limit));
+        let has_pace = load.start_share_permille > 0;
+        let start_share = f64::from(load.start_share_permille) / 1000.0;
+        it.start_share.set(if has_pace { start_share } else { 1.0 });
         it.rate_limit.set(shared.gate.stated_rate_limit().unwrap_or_default());
         it.failing.set(f64::from(load.failing_permille) / 1000.0);
         it.overload_failure_ratio.set(f64::from(load.overload_failure_permille) / 1000.0);
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -151,7 +151,7 @@
     tokio::spawn(seeds.run());
     tokio::spawn(departures.run());
     tokio::spawn(delete_orphaned_departures(Arc::clone(shared), platform.store()));
-    tokio::spawn(Arc::clone(&shared.gate).serve_rate_limit());
+    tokio::spawn(Arc::clone(&shared.gate).serve_queue());
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -124,6 +124,7 @@
         let membership = Membership::new(membership, own, me.incarnation);
         let gate =
             Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
+        gate.set_start_pace(cfg.has_start_pace);
         MeshShared {
             me,
             gate: Arc::new(gate),
@@ -191,6 +192,7 @@
     /// Applies changed settings, as far as a running node can.
     pub(super) fn apply_settings(&self, cfg: MeshSettings) {
         self.downstream.configure(cfg.retry_budget);
+        self.gate.set_start_pace(cfg.has_start_pace);
         self.lock().settings = cfg;
     }
 
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -17,6 +17,7 @@
 mod gate_admission;
 mod gate_calls;
 mod gate_log;
+mod gate_pace;
 mod gate_run;
 mod gate_state;
 mod gate_suspects;
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -79,6 +79,7 @@
         let mut delivery =
             Delivery::new(req.route.is_idempotent, req.route.max_attempts, req.is_urgent());
         let pending = PendingRequest::new(&self.shared, &req);
+        let _call = req.lineage.is_call().then(|| self.shared.gate.open_call(&req.id));
         let result = tokio::time::timeout(left, self.run_attempts(&req, &mut delivery)).await;
         let result = result.unwrap_or(RequestResult::Error(ErrorKind::DeadlinePassed, None));
         match result {
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -8,6 +8,8 @@
 use super::ini::{Document, Expected, Faults, SectionReader, values};
 
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
+/// Values of a setting that is on or off.
+const SWITCH: &[&str] = &["on", "off"];
 const RETRY_SLACK_RANGE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
 
@@ -43,6 +45,8 @@
     pub target: SocketAddr,
     /// `[target] service`: service of the target.
     pub service: String,
+    /// `[target] start_pace`: `on` if a started target gets work at a pace that its responses show.
+    pub has_start_pace: bool,
     /// `[store] address`: HTTP address of the platform's store.
     pub store: SocketAddr,
     /// `[bounds] retry_ratio`, `retry_window_s` and `retry_slack`: the retry budget.
@@ -105,6 +109,8 @@
         let mut reader = SectionReader::new(doc, "target", faults);
         set(&mut self.target, reader.required("address", values::connect_address));
         set(&mut self.service, reader.required("service", values::unicode_name));
+        let start_pace = reader.optional("start_pace", values::one_of(SWITCH));
+        set(&mut self.has_start_pace, start_pace.map(|it| it == SWITCH[0]));
         let mut reader = SectionReader::new(doc, "store", faults);
         set(&mut self.store, reader.required("address", values::connect_address));
         let mut reader = SectionReader::new(doc, "log", faults);
@@ -142,6 +148,7 @@
             zone: String::new(),
             target: loopback(7200),
             service: String::new(),
+            has_start_pace: false,
             store: loopback(7300),
             retry_budget: RetryBudgetSettings::default(),
             stop_grace_period: Duration::from_secs(6),
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -15,6 +15,7 @@
 mod pipeline;
 mod raw_caller;
 mod scripted_target;
+mod start_pace;
 mod stated_rate;
 mod stop;
 mod test_mesh;
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -21,6 +21,8 @@
 
 /// Timeout of the conditions that a test waits for.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
+/// Port of each node's metrics.
+pub(crate) const METRICS_PORT: u16 = 7400;
 /// Deadline of requests that should not reach it, in milliseconds.
 pub(crate) const DEADLINE_MS: u64 = 15_000;
 
@@ -76,6 +78,8 @@
     pub(crate) store: MemoryStore,
     pub(crate) nodes: Vec<TestNode>,
     tables: Arc<Mutex<Vec<RouteTable>>>,
+    /// Whether nodes determine the pace of started targets.
+    pub(crate) has_start_pace: bool,
 }
 
 impl TestMesh {
@@ -98,7 +102,12 @@
 
     /// A mesh without nodes and routes.
     pub(crate) fn new() -> TestMesh {
-        TestMesh { store: MemoryStore::default(), nodes: Vec::new(), tables: Arc::default() }
+        TestMesh {
+            store: MemoryStore::default(),
+            nodes: Vec::new(),
+            tables: Arc::default(),
+            has_start_pace: false,
+        }
     }
 
     /// Starts a node whose target has not reported yet.
@@ -131,6 +140,8 @@
             peer: at(7100),
             readiness_address: at(7200),
             control_address: at(7300),
+            metrics_address: Some(at(METRICS_PORT)),
+            has_start_pace: self.has_start_pace,
             region: "lombardia".to_owned(),
             zone: format!("zone-{index}"),
             target: target.addr,
