--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -128,6 +128,7 @@
         let gate =
             Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
         let quota = Quota::new(me, clock, peers.clone(), metrics.quota.clone());
+        gate.set_start_pace(cfg.has_start_pace);
         MeshShared {
             me,
             quota: Arc::new(quota),
@@ -196,6 +197,7 @@
     /// Applies changed settings, as far as a running node can.
     pub(super) fn apply_settings(&self, cfg: MeshSettings) {
         self.downstream.configure(cfg.retry_budget);
+        self.gate.set_start_pace(cfg.has_start_pace);
         self.lock().settings = cfg;
     }
 
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -17,6 +17,7 @@
 mod quota;
 mod raw_caller;
 mod scripted_target;
+mod start_pace;
 mod stated_rate;
 mod stop;
 mod test_mesh;
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -82,6 +82,8 @@
     pub(crate) store: MemoryStore,
     pub(crate) nodes: Vec<TestNode>,
     tables: Arc<Mutex<Vec<RouteTable>>>,
+    /// Whether nodes determine the pace of started targets.
+    pub(crate) has_start_pace: bool,
 }
 
 impl TestMesh {
@@ -104,7 +106,12 @@
 
     /// A mesh without nodes and routes.
     pub(crate) fn new() -> TestMesh {
-        TestMesh { store: MemoryStore::default(), nodes: Vec::new(), tables: Arc::default() }
+        TestMesh {
+            store: MemoryStore::default(),
+            nodes: Vec::new(),
+            tables: Arc::default(),
+            has_start_pace: false,
+        }
     }
 
     /// Starts a node whose target has not reported yet.
@@ -161,6 +168,7 @@
             readiness_address: at(7200),
             control_address: at(7300),
             metrics_address: Some(at(METRICS_PORT)),
+            has_start_pace: self.has_start_pace,
             region: "lombardia".to_owned(),
             zone: format!("zone-{index}"),
             target: target.addr,
