Hold the gate's shared state, not the gate, in its guards

gate.rs, gate_run.rs, gate_state.rs, gate_target.rs and slot_guard.rs used each other in a circle: the state logged through gate_target, gate_target took RunStart from gate_run, and the guard of a slot held the gate.

Ruled out: moving the body of Gate::attempt and the replies to files of their own as well.

GateShared holds the state with what the end of a run needs, and the guards hold it. RunStart and log_statement have files of their own below the gate. No behaviour changes.

--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 
 use super::HeaderNames;
 use super::downstream::Downstream;
+use super::gate_shared::GateShared;
 use super::gate_state::GateState;
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
@@ -36,7 +37,7 @@
     /// Signalled when a request waits for the rate limit of the target.
     pub(super) waits_for_rate_limit: Notify,
     pub(super) downstream: Arc<Downstream>,
-    state: Mutex<GateState>,
+    pub(super) shared: Arc<GateShared>,
 }
 
 impl Gate {
@@ -47,6 +48,7 @@
         metrics: MeshMetrics,
         downstream: Arc<Downstream>,
     ) -> Gate {
+        let shared = Arc::new(GateShared::new(clock, Arc::clone(&downstream)));
         Gate {
             clock,
             client: TargetClient::new(target, names),
@@ -56,7 +58,7 @@
             target_left: Notify::new(),
             waits_for_rate_limit: Notify::new(),
             downstream,
-            state: Mutex::default(),
+            shared,
         }
     }
 
@@ -152,7 +154,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, GateState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.shared.lock()
     }
 }
 
--- a/crates/pollenlever/src/mesh/gate_admission.rs
+++ b/crates/pollenlever/src/mesh/gate_admission.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pollenlever_core::admission::{Admission, RunOutcome, Ticket, Verdict};
+use pollenlever_core::admission::{Admission, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{AttemptOutcome, Lineage, MeshAttempt, RegistryChange};
@@ -26,7 +26,7 @@
         deadline: Duration,
     ) -> Result<SlotGuard, AttemptOutcome> {
         let (id, mut verdict) = self.offer(head, digest, deadline)?;
-        let guard = SlotGuard::new(Arc::clone(self), id);
+        let guard = SlotGuard::new(Arc::clone(&self.shared), id);
         let verdict = match tokio::time::timeout(head.max_wait, &mut verdict).await {
             Ok(verdict) => verdict.ok(),
             Err(_) => verdict.try_recv().ok(),
@@ -110,29 +110,6 @@
         state.chain_admission.refusal(now, importance, chain, completion_ratio)
     }
 
-    /// Removes a request from the queue or frees its slot.
-    pub(super) fn release(&self, id: StreamId, started: Option<Duration>, outcome: RunOutcome) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        state.waiting.remove(&id);
-        if let Some(run) = state.runs.remove(id) {
-            state.call_stats.record_run(now);
-            if outcome == RunOutcome::Answered {
-                self.downstream.record_run(run.lineage.class(), &run.calls);
-            }
-        }
-        if state.admission.remove(now, id) {
-            return;
-        }
-        let service_time = started.map_or(Duration::ZERO, |it| now.saturating_sub(it));
-        let mut verdicts = Vec::new();
-        let makes_calls = state.call_stats.makes_calls(now);
-        state.admission.set_makes_calls(makes_calls);
-        state.admission.record_finished(now, id, service_time, outcome, &mut verdicts);
-        state.deliver_verdicts(verdicts);
-        state.log_limit(now);
-    }
-
     /// Starts or sheds requests that wait for the rate limit of the target when it is time, for as
     /// long as the node runs.
     pub(super) async fn serve_rate_limit(self: Arc<Gate>) {
--- a/crates/pollenlever/src/mesh/gate_log.rs
+++ b/crates/pollenlever/src/mesh/gate_log.rs
@@ -1,9 +1,9 @@
 use pollenlever_core::mesh::{AttemptOutcome, MeshAttempt};
 
 use super::gate::Gate;
-use super::gate_run::RunStart;
 use super::log_event::{LogEvent, log_event};
 use super::request_log::RequestLog;
+use super::run_start::RunStart;
 use super::target_result::TargetResult;
 
 /// Log lines and counters of single attempts.
--- a/crates/pollenlever/src/mesh/gate_run.rs
+++ b/crates/pollenlever/src/mesh/gate_run.rs
@@ -4,10 +4,11 @@
 use pollenlever_core::admission::RunOutcome;
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::ContentDigest;
-use pollenlever_core::mesh::{AttemptOutcome, AttemptReply, InstanceId, MeshAttempt, StartTime};
+use pollenlever_core::mesh::{AttemptOutcome, AttemptReply, MeshAttempt};
 
 use super::gate::{Gate, refused};
 use super::log_event::{LogEvent, log_event};
+use super::run_start::RunStart;
 use super::slot_guard::SlotGuard;
 use super::target_result::TargetResult;
 use super::target_run::TargetRun;
@@ -15,18 +16,6 @@
 /// Statuses with which a target reports that a request ran and failed.
 const FAILED_STATUSES: std::ops::RangeInclusive<u16> = 500..=599;
 
-/// A run of an attempt that got a slot.
-pub(super) struct RunStart {
-    pub(super) instance: InstanceId,
-    /// Start time of the target's process.
-    pub(super) process_started: StartTime,
-    pub(super) digest: ContentDigest,
-    /// Start of the run on the node's clock.
-    pub(super) at: Duration,
-    /// Time from the start until the request's deadline.
-    pub(super) time_left: Duration,
-}
-
 /// Runs of admitted attempts on the target.
 impl Gate {
     /// Repeats the checks before the run: while the request waited, the target may have left or the
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -14,8 +14,8 @@
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
 
-use super::gate_target::log_statement;
 use super::log_event::{LogEvent, log_event};
+use super::statement_log::log_statement;
 
 /// Shortest time between two log lines about the concurrency limit.
 const LIMIT_LOG_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -7,9 +7,9 @@
 
 use super::answer_statement::AnswerStatement;
 use super::gate::Gate;
-use super::gate_run::RunStart;
-use super::log_event::{LogEvent, log_event};
+use super::run_start::RunStart;
 use super::stated_rate::StatedRate;
+use super::statement_log::log_statement;
 
 /// The target beside the node: what it reports about itself, and when it leaves.
 impl Gate {
@@ -137,21 +137,6 @@
     }
 }
 
-/// Logs that the target states something else than `before`. `source` is where it was read.
-pub(super) fn log_statement(stated: &ProcessStatement, before: TargetStatement, source: &str) {
-    let text = |limit: Option<RequestsPerSecond>| {
-        limit.map_or_else(|| "none".to_owned(), |it| it.to_string())
-    };
-    log_event!(
-        LogEvent::TargetStatement,
-        "instance={} rate_limit={} before={} leaving={} source={source}",
-        stated.instance,
-        text(stated.statement.rate_limit),
-        text(before.rate_limit),
-        stated.statement.is_leaving
-    );
-}
-
 fn unix_time_ms() -> StartTime {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since_epoch.as_millis() as StartTime
--- a/crates/pollenlever/src/mesh/slot_guard.rs
+++ b/crates/pollenlever/src/mesh/slot_guard.rs
@@ -4,12 +4,12 @@
 use pollenlever_core::admission::RunOutcome;
 use pollenlever_core::id::StreamId;
 
-use super::gate::Gate;
+use super::gate_shared::GateShared;
 
 /// A request's place in the queue of the gate or, once it runs, its slot (one concurrent run).
 /// Dropping the guard frees it.
 pub(super) struct SlotGuard {
-    gate: Arc<Gate>,
+    shared: Arc<GateShared>,
     id: StreamId,
     /// Start of the run on the node's clock; `None` while the request waits.
     started: Option<Duration>,
@@ -18,8 +18,8 @@
 }
 
 impl SlotGuard {
-    pub(super) fn new(gate: Arc<Gate>, id: StreamId) -> SlotGuard {
-        SlotGuard { gate, id, started: None, outcome: RunOutcome::Cancelled }
+    pub(super) fn new(shared: Arc<GateShared>, id: StreamId) -> SlotGuard {
+        SlotGuard { shared, id, started: None, outcome: RunOutcome::Cancelled }
     }
 
     /// Id of the request at the gate.
@@ -40,6 +40,6 @@
 
 impl Drop for SlotGuard {
     fn drop(&mut self) {
-        self.gate.release(self.id, self.started, self.outcome);
+        self.shared.release(self.id, self.started, self.outcome);
     }
 }
