Read the slowdown that targets report, and pass it on in replies

Targets share their VMs with other work that slows them for some 600 ms, and report it as the fourth figure of their load header. Nothing read this header.

Ruled out: reading it from the health path as well, which would add requests; and taking the time of a report when the body has been read, which for large responses is much later than the report.

Malformed headers count as missing and are logged once per process (target-load-malformed). Gauge target_slowdown_ratio. HeaderNames has load.

--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -145,6 +145,7 @@
         let overload_failure_permille = state.call_stats.overload_failure_permille(now);
         let calls_per_100_runs = state.call_stats.calls_per_100_runs(now);
         GateLoad {
+            slowdown_percent: state.slowdown_percent(now),
             leaving,
             failing_permille,
             overload_failure_permille,
--- a/crates/pollenlever/src/mesh/gate_run.rs
+++ b/crates/pollenlever/src/mesh/gate_run.rs
@@ -53,6 +53,7 @@
         let run = tokio::time::timeout(start.time_left, run).await;
         let TargetRun { result, statement } = run.unwrap_or_else(|_| TargetResult::TimedOut.into());
         if let Some(statement) = statement {
+            self.record_reported_load(&start, &statement);
             self.record_statement(&start, statement);
         }
         slot.record_end(self.run_outcome(&result));
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -7,14 +7,15 @@
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{ContentDigest, StreamId};
 use pollenlever_core::mesh::{
-    AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, LatestStatement,
-    MeshAttempt, ProcessStatement, RegistryChange, RunningRequests, StartTime, TargetRegistry,
-    TargetStatement,
+    AttemptLedger, CallStats, ChainAdmission, CrashSuspects, FailureRate, LatestSlowdown,
+    LatestStatement, MeshAttempt, ProcessStatement, RegistryChange, RunningRequests, StartTime,
+    TargetRegistry, TargetReport, TargetStatement,
 };
 use pollenlever_core::message::Suspicion;
 use tokio::sync::oneshot;
 
 use super::log_event::{LogEvent, log_event};
+use super::run_start::RunStart;
 use super::statement_log::log_statement;
 
 /// Shortest time between two log lines about the concurrency limit.
@@ -27,6 +28,8 @@
     pub(super) registry: TargetRegistry,
     /// What the target states about itself in its answers.
     pub(super) statement: LatestStatement,
+    /// Slowdown that the target reports in its answers.
+    pub(super) slowdown: LatestSlowdown,
     is_rate_limited: bool,
     pub(super) admission: PriorityAdmission,
     pub(super) chain_admission: ChainAdmission,
@@ -49,6 +52,7 @@
         GateState {
             registry: TargetRegistry::default(),
             statement: LatestStatement::default(),
+            slowdown: LatestSlowdown::default(),
             is_rate_limited: false,
             admission: PriorityAdmission::new(AdmissionSettings {
                 limit: LimitKind::Failures,
@@ -124,6 +128,20 @@
         );
     }
 
+    /// Whether a run is on the present process of the target.
+    pub(super) fn is_on_present_process(&self, start: &RunStart) -> bool {
+        let is_of_start = |it: &TargetReport| {
+            (&it.instance, it.started) == (&start.instance, start.process_started)
+        };
+        self.registry.current().is_some_and(is_of_start)
+    }
+
+    /// Slowdown that the target reports, in percent; 0 if it has reported none recently.
+    pub(super) fn slowdown_percent(&self, now: Duration) -> u16 {
+        let target = self.registry.current();
+        target.map_or(0, |it| self.slowdown.percent(now, &it.instance, it.started))
+    }
+
     /// What the target stated about itself last.
     pub(super) fn stated(&self) -> TargetStatement {
         let target = self.registry.current();
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -7,6 +7,7 @@
 
 use super::answer_statement::AnswerStatement;
 use super::gate::Gate;
+use super::log_event::{LogEvent, log_event};
 use super::run_start::RunStart;
 use super::stated_rate::StatedRate;
 use super::statement_log::log_statement;
@@ -71,10 +72,7 @@
             return;
         }
         let mut state = self.lock();
-        let is_of_start = |it: &TargetReport| {
-            (&it.instance, it.started) == (&start.instance, start.process_started)
-        };
-        if !state.registry.current().is_some_and(is_of_start) {
+        if !state.is_on_present_process(start) {
             return;
         }
         let known = state.statement.get(&start.instance, start.process_started);
@@ -99,6 +97,21 @@
         }
     }
 
+    /// Records the load that the target reports in the answer to a run.
+    pub(super) fn record_reported_load(&self, start: &RunStart, read: &AnswerStatement) {
+        let Some(load) = read.load else { return };
+        let received = self.clock.now().saturating_sub(read.read_at.elapsed());
+        let mut state = self.lock();
+        if !state.is_on_present_process(start) {
+            return;
+        }
+        let (instance, started) = (&start.instance, start.process_started);
+        if let Some(err) = state.slowdown.record(received, instance, started, load) {
+            let reason = err.to_string();
+            log_event!(LogEvent::TargetLoadMalformed, "instance={instance} reason={reason:?}");
+        }
+    }
+
     /// What the owner of an attempt has to remember of the target's statements; `None` if it
     /// remembers the same.
     pub(super) fn statement_for_owner(&self, head: &MeshAttempt) -> Option<ProcessStatement> {
--- a/crates/pollenlever/src/mesh/header_names.rs
+++ b/crates/pollenlever/src/mesh/header_names.rs
@@ -31,6 +31,9 @@
     /// Set by a target to state how many requests a second it takes from all nodes together, as a
     /// decimal number.
     pub rate_limit: HeaderName,
+    /// Load that a target reports: running and waiting requests and slots, then, if it knows it, how
+    /// long work takes at present in percent of the usual time, separated by commas.
+    pub load: HeaderName,
     /// Present in an answer if the target is shutting down.
     pub leaving: HeaderName,
 }
@@ -48,6 +51,7 @@
             proof_header: HeaderName::from_static("pollenlever-proof"),
             not_run: HeaderName::from_static("pollenlever-not-run"),
             rate_limit: HeaderName::from_static("pollenlever-rate-limit"),
+            load: HeaderName::from_static("pollenlever-load"),
             leaving: HeaderName::from_static("pollenlever-leaving"),
         }
     }
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -23,6 +23,7 @@
     TargetCrashed,
     TargetReportIgnored,
     TargetStatement,
+    TargetLoadMalformed,
     ApiKeyRefused,
     RequestEnded,
     CallerHungUp,
@@ -35,7 +36,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 27] = [
+    pub const ALL: [LogEvent; 28] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -55,6 +56,7 @@
         LogEvent::TargetCrashed,
         LogEvent::TargetReportIgnored,
         LogEvent::TargetStatement,
+        LogEvent::TargetLoadMalformed,
         LogEvent::ApiKeyRefused,
         LogEvent::RequestEnded,
         LogEvent::CallerHungUp,
@@ -92,6 +94,7 @@
             LogEvent::TargetCrashed => "target-crashed",
             LogEvent::TargetReportIgnored => "target-report-ignored",
             LogEvent::TargetStatement => "target-statement",
+            LogEvent::TargetLoadMalformed => "target-load-malformed",
             LogEvent::ApiKeyRefused => "api-key-refused",
             LogEvent::RequestEnded => "request-ended",
             LogEvent::CallerHungUp => "caller-hung-up",
@@ -111,7 +114,8 @@
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
             | LogEvent::TargetClosed
-            | LogEvent::TargetCrashed => Level::Warn,
+            | LogEvent::TargetCrashed
+            | LogEvent::TargetLoadMalformed => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -63,6 +63,7 @@
     queued: IntGauge,
     limit: IntGauge,
     rate_limit: FloatGauge,
+    slowdown: FloatGauge,
     failing: FloatGauge,
     overload_failure_ratio: FloatGauge,
     report_age: FloatGauge,
@@ -83,6 +84,8 @@
         registry.register("gate_limit", "Requests that may run at once", it.limit);
         let help = "Requests a second that the target states it takes";
         registry.register("target_rate_limit", help, it.rate_limit);
+        let help = "How long work takes on the target's VM, as a ratio to the usual time";
+        registry.register("target_slowdown_ratio", help, it.slowdown);
         registry.register("target_failing_ratio", "Runs lately rejected or failed", it.failing);
         registry.register(
             "calls_strained_ratio",
@@ -203,6 +206,7 @@
         it.queued.set(i64::from(load.queued));
         it.limit.set(i64::from(load.limit));
         it.rate_limit.set(shared.gate.stated_rate_limit().unwrap_or_default());
+        it.slowdown.set(f64::from(load.slowdown_percent) / 100.0);
         it.failing.set(f64::from(load.failing_permille) / 1000.0);
         it.overload_failure_ratio.set(f64::from(load.overload_failure_permille) / 1000.0);
         it.report_age.set(shared.gate.report_age().as_secs_f64());
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -14,6 +14,7 @@
 mod once;
 mod pipeline;
 mod raw_caller;
+mod reported_load;
 mod scripted_target;
 mod stated_rate;
 mod stop;
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -67,6 +67,7 @@
 pub(crate) struct TestNode {
     pub(crate) node: MeshNode,
     pub(crate) callers: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) target: ScriptedTarget,
     service: &'static str,
 }
@@ -131,6 +132,7 @@
             peer: at(7100),
             readiness_address: at(7200),
             control_address: at(7300),
+            metrics_address: Some(at(7400)),
             region: "lombardia".to_owned(),
             zone: format!("zone-{index}"),
             target: target.addr,
@@ -143,7 +145,7 @@
         };
         let platform = TestPlatform { store: self.store.clone(), tables: Arc::clone(&self.tables) };
         let node = MeshNode::start(&cfg, Arc::new(platform)).await.unwrap();
-        TestNode { node, callers: cfg.callers_address, target, service }
+        TestNode { node, callers: cfg.callers_address, metrics: at(7400), target, service }
     }
 
     async fn wait_until_members_known(&self) {
