Send fewer requests to targets that report a slowdown

Owners chose targets by latency and utilisation alone and learned of noise on a VM only when it was over.

Ruled out: the reported figure itself as factor. More random targets for every request change choices without reports.

Cost and utilisation are multiplied by the report in relation to the mean of the reports that the mean latency contains, at least 1 and at most 3, with a weight that falls to 0 in 500 ms. A third target is drawn if the better of two is slowed. Reports alone send nothing to another region.

The guard on other regions fails if the lowest utilisation of the nearer tiers is not kept.

--- a/crates/pollenlever-core/src/routing/choice.rs
+++ b/crates/pollenlever-core/src/routing/choice.rs
@@ -21,6 +21,15 @@
 /// Base of the retry delay sent to a caller for which no target was found.
 const BASE_RETRY_AFTER: Duration = Duration::from_millis(200);
 
+/// Target picked in a tier, and how full it is.
+struct PickedTarget {
+    node: NodeId,
+    /// Utilisation without reported slowdowns; the lowest one of this and nearer tiers.
+    utilisation: f64,
+    /// Utilisation times the reported slowdown.
+    slowed_utilisation: f64,
+}
+
 /// Choice of a node among those of a service, for a single request.
 pub(super) struct Choice<'a> {
     pub(super) now: Timestamp,
@@ -41,28 +50,46 @@
         }
         let prefers_own_region =
             !req.is_urgent() && self.peers.nodes.values().any(|it| it.tier != Tier::OtherRegion);
-        let mut fallback: Option<(NodeId, f64)> = None;
+        let mut fallback: Option<PickedTarget> = None;
         for tier in Tier::ALL {
             let in_tier: Vec<_> =
                 accepting.iter().copied().filter(|it| self.peer(it).tier == tier).collect();
             let Some(node) = self.pick(&in_tier) else { continue };
-            let utilisation = self.peer(&node).utilisation(self.now, self.settings);
-            let has_room = utilisation < self.settings.spill_utilisation;
+            let target = self.picked_target(node);
+            let has_room = target.slowed_utilisation < self.settings.spill_utilisation;
             if tier == Tier::OtherRegion && prefers_own_region && !has_room {
                 break;
             }
             if has_room && (tier != Tier::OtherRegion || fallback.is_none()) {
                 return Ok(node);
             }
-            let factor =
-                if tier == Tier::OtherRegion { OTHER_REGION_FACTOR } else { FARTHER_TIER_FACTOR };
-            if fallback
-                .is_none_or(|(_, nearer_utilisation)| utilisation * factor < nearer_utilisation)
-            {
-                fallback = Some((node, utilisation));
-            }
+            fallback = match fallback {
+                None => Some(target),
+                Some(nearer) if self.is_less_full(&target, tier, &nearer) => {
+                    let utilisation = target.utilisation.min(nearer.utilisation);
+                    Some(PickedTarget { utilisation, ..target })
+                }
+                kept => kept,
+            };
         }
-        fallback.map(|(node, _)| node).ok_or_else(|| self.overloaded(req, &candidates))
+        fallback.map(|it| it.node).ok_or_else(|| self.overloaded(req, &candidates))
+    }
+
+    fn picked_target(&self, node: NodeId) -> PickedTarget {
+        let peer = self.peer(&node);
+        let utilisation = peer.utilisation(self.now, self.settings);
+        let slowed_utilisation = peer.slowed_utilisation(self.now, self.settings);
+        PickedTarget { node, utilisation, slowed_utilisation }
+    }
+
+    /// Whether a target of `tier` is preferred to the full one of a nearer tier. A reported slowdown
+    /// alone sends no request to another region, since false reports could use up the byte budget.
+    fn is_less_full(&self, target: &PickedTarget, tier: Tier, nearer: &PickedTarget) -> bool {
+        if tier != Tier::OtherRegion {
+            return target.slowed_utilisation * FARTHER_TIER_FACTOR < nearer.slowed_utilisation;
+        }
+        nearer.utilisation >= self.settings.spill_utilisation
+            && target.slowed_utilisation * OTHER_REGION_FACTOR < nearer.utilisation
     }
 
     fn peer(&self, node: &NodeId) -> &Peer {
@@ -126,6 +153,7 @@
         }
     }
 
+    /// The better one of two random targets; of three if that one reports a slowdown.
     fn pick_better_of_two(&mut self, nodes: &[NodeId]) -> Option<NodeId> {
         let warm: Vec<_> = nodes.iter().copied().filter(|it| self.takes_part(it)).collect();
         let nodes = if warm.is_empty() { nodes } else { &warm };
@@ -134,9 +162,17 @@
         }
         let first = self.rng.random_range(0..nodes.len());
         let second = (first + self.rng.random_range(1..nodes.len())) % nodes.len();
+        let better = self.better(nodes[first], nodes[second]);
+        if self.peer(&better).slowdown(self.now) <= 1.0 {
+            return Some(better);
+        }
+        let third = self.rng.random_range(0..nodes.len());
+        Some(self.better(better, nodes[third]))
+    }
+
+    fn better(&self, a: NodeId, b: NodeId) -> NodeId {
         let cost = |it: &NodeId| self.peer(it).cost(self.now, self.settings);
-        let (a, b) = (nodes[first], nodes[second]);
-        Some(if cost(&b) < cost(&a) { b } else { a })
+        if cost(&b) < cost(&a) { b } else { a }
     }
 
     /// Decides at random whether a target takes part in a choice. A cold one does with a probability
--- a/crates/pollenlever-core/src/routing/peer.rs
+++ b/crates/pollenlever-core/src/routing/peer.rs
@@ -7,8 +7,9 @@
 use crate::membership::{Member, TargetState};
 use crate::message::GateLoad;
 
-/// Weight of a new sample in the moving average of the latency.
-const LATENCY_WEIGHT: f64 = 0.1;
+/// Weight of a new sample in the moving averages of the latency and of the reported slowdown. It is
+/// the same for both, so that the latency contains the slowdown that the second one tells.
+const SAMPLE_WEIGHT: f64 = 0.1;
 /// Latency in seconds assumed for a node that has not replied yet.
 const INITIAL_LATENCY_S: f64 = 0.001;
 
@@ -16,6 +17,10 @@
 const MIN_FAILING_PERMILLE: u16 = 200;
 /// Time after which a gate whose target was reported to accept no requests is tried again.
 const MAX_LEAVING_AGE: Duration = Duration::from_secs(2);
+/// Age from which a reported slowdown is ignored; other work slows a VM for some 600 ms at a time.
+const MAX_SLOWDOWN_AGE: Duration = Duration::from_millis(500);
+/// Largest slowdown that is used, as a factor, so that a false report has a bounded effect.
+const MAX_SLOWDOWN: f64 = 3.0;
 /// Time after which a failing target is tried again.
 const MAX_FAILING_AGE: Duration = Duration::from_secs(1);
 
@@ -27,6 +32,8 @@
     cold_since: Option<Timestamp>,
     in_flight: u32,
     latency_s: Option<f64>,
+    /// Mean of the slowdowns reported with the replies that `latency_s` is the mean of.
+    mean_slowdown: Option<f64>,
     load: GateLoad,
     load_received: Option<Timestamp>,
     /// Requests sent since `load` was received, which `load` does not include.
@@ -45,6 +52,7 @@
             cold_since: is_cold.then_some(now),
             in_flight: 0,
             latency_s: None,
+            mean_slowdown: None,
             load: GateLoad::default(),
             load_received: None,
             unreported: 0,
@@ -74,8 +82,12 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         let sample_s = latency.as_secs_f64();
         let mean = self.latency_s.get_or_insert(sample_s);
-        *mean += LATENCY_WEIGHT * (sample_s - *mean);
+        *mean += SAMPLE_WEIGHT * (sample_s - *mean);
         self.load = *load;
+        if let Some(sample) = self.reported_slowdown() {
+            let mean = self.mean_slowdown.get_or_insert(sample);
+            *mean += SAMPLE_WEIGHT * (sample - *mean);
+        }
         self.load_received = Some(now);
         self.unreported = 0;
         self.leaving = load.leaving;
@@ -161,6 +173,31 @@
         if self.is_rate_limited(now) { utilisation.max(1.0) } else { utilisation }
     }
 
+    /// Utilisation times the reported slowdown: the utilisation at which an undisturbed target
+    /// would take as long for the requests that it has.
+    pub(super) fn slowed_utilisation(&self, now: Timestamp, settings: &RoutingSettings) -> f64 {
+        self.utilisation(now, settings) * self.slowdown(now)
+    }
+
+    /// Factor by which work takes longer than what the latency contains, by the last report. It is
+    /// never below 1, and falls to 1 as the report gets older or is repeated.
+    pub(super) fn slowdown(&self, now: Timestamp) -> f64 {
+        let (Some(at), Some(reported), Some(mean)) =
+            (self.load_received, self.reported_slowdown(), self.mean_slowdown)
+        else {
+            return 1.0;
+        };
+        let age = now.saturating_sub(at).as_secs_f64();
+        let weight = (1.0 - age / MAX_SLOWDOWN_AGE.as_secs_f64()).max(0.0);
+        1.0 + (reported / mean - 1.0).max(0.0) * weight
+    }
+
+    /// Slowdown in the last reply as a factor, from 1 to [`MAX_SLOWDOWN`].
+    fn reported_slowdown(&self) -> Option<f64> {
+        let percent = Some(self.load.slowdown_percent).filter(|it| *it > 0)?;
+        Some((f64::from(percent) / 100.0).clamp(1.0, MAX_SLOWDOWN))
+    }
+
     /// Whether the target takes no request at present, by the rate limit that it states.
     fn is_rate_limited(&self, now: Timestamp) -> bool {
         self.load_received.is_some_and(|at| now < at + self.load.rate_limit_wait)
@@ -174,7 +211,8 @@
     /// Expected cost of one more request, in seconds; lower is better.
     pub(super) fn cost(&self, now: Timestamp, settings: &RoutingSettings) -> f64 {
         let latency_s = self.latency_s.unwrap_or(INITIAL_LATENCY_S);
-        latency_s * (1.0 / f64::from(self.limit()) + self.utilisation(now, settings))
+        let utilisation = 1.0 / f64::from(self.limit()) + self.utilisation(now, settings);
+        latency_s * utilisation * self.slowdown(now)
     }
 
     /// Weight of the last reported load: falls from 1 to 0 as it gets older; 0 if there is none.
--- a/crates/pollenlever-core/tests/routing.rs
+++ b/crates/pollenlever-core/tests/routing.rs
@@ -265,3 +265,33 @@
     report_crash(&mut routing);
     assert_eq!(choose(&mut routing, ms(3000), Importance::Normal, &[]), Ok(node(0)));
 }
+
+/// Load of a gate of 10 slots whose target reports how much its VM is slowed.
+fn slowed(in_flight: u32, slowdown_percent: u16) -> GateLoad {
+    GateLoad { in_flight, limit: 10, slowdown_percent, ..GateLoad::default() }
+}
+
+/// Checks where a request goes after the target of the zone and the other one of the region have
+/// reported as usual and then these loads. Guards against reports that do not move requests, and
+/// against those that move them to other regions, which would spend the byte budget.
+fn slowed_targets_are_avoided(zone: GateLoad, region: GateLoad, age_ms: u64, expected: u64) {
+    let mut routing = routing();
+    for (number, load) in [(0, zone), (1, region)] {
+        report(&mut routing, ms(0), number, &slowed(1, 100));
+        report(&mut routing, ms(1), number, &load);
+    }
+    let chosen = choose(&mut routing, ms(1 + age_ms), Importance::Normal, &[]).unwrap();
+    assert_eq!(number_of(chosen), expected);
+}
+
+cases! {
+    slowed_targets_are_avoided:
+    a_slowed_target_of_the_zone_is_passed_over(slowed(5, 250), slowed(5, 100), 10, 1);
+    a_slowed_target_with_room_is_chosen(slowed(2, 250), slowed(2, 100), 10, 0);
+    an_old_report_is_ignored(slowed(8, 250), slowed(1, 100), 500, 0);
+    slowed_targets_alone_send_nothing_to_other_regions(slowed(6, 250), slowed(6, 250), 10, 0);
+    a_slowed_zone_and_a_full_region_send_nothing_to_other_regions(
+        slowed(6, 300), slowed(10, 100), 10, 1
+    );
+    a_figure_below_100_does_not_attract(slowed(10, 10), slowed(1, 100), 10, 1);
+}
