--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 
 use super::HeaderNames;
 use super::downstream::Downstream;
+use super::gate_shared::GateShared;
 use super::gate_state::GateState;
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
@@ -36,7 +37,7 @@
     /// Signalled when a request waits for the rate limit or the pace of the target.
     pub(super) queue_changed: Notify,
     pub(super) downstream: Arc<Downstream>,
-    state: Mutex<GateState>,
+    pub(super) shared: Arc<GateShared>,
 }
 
 impl Gate {
@@ -47,6 +48,7 @@
         metrics: MeshMetrics,
         downstream: Arc<Downstream>,
     ) -> Gate {
+        let shared = Arc::new(GateShared::new(clock, Arc::clone(&downstream)));
         Gate {
             clock,
             client: TargetClient::new(target, names),
@@ -56,7 +58,7 @@
             target_left: Notify::new(),
             queue_changed: Notify::new(),
             downstream,
-            state: Mutex::default(),
+            shared,
         }
     }
 
@@ -159,6 +161,7 @@
         let calls_per_100_runs = state.call_stats.calls_per_100_runs(now);
         GateLoad {
             start_share_permille,
+            slowdown_percent: state.slowdown_percent(now),
             leaving,
             failing_permille,
             overload_failure_permille,
@@ -168,7 +171,7 @@
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, GateState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.shared.lock()
     }
 }
 
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -7,9 +7,10 @@
 
 use super::answer_statement::AnswerStatement;
 use super::gate::Gate;
-use super::gate_run::RunStart;
 use super::log_event::{LogEvent, log_event};
+use super::run_start::RunStart;
 use super::stated_rate::StatedRate;
+use super::statement_log::log_statement;
 
 /// The target beside the node: what it reports about itself, and when it leaves.
 impl Gate {
@@ -77,10 +78,7 @@
             return;
         }
         let mut state = self.lock();
-        let is_of_start = |it: &TargetReport| {
-            (&it.instance, it.started) == (&start.instance, start.process_started)
-        };
-        if !state.registry.current().is_some_and(is_of_start) {
+        if !state.is_on_present_process(start) {
             return;
         }
         let known = state.statement.get(&start.instance, start.process_started);
@@ -105,6 +103,21 @@
         }
     }
 
+    /// Records the load that the target reports in the answer to a run.
+    pub(super) fn record_reported_load(&self, start: &RunStart, read: &AnswerStatement) {
+        let Some(load) = read.load else { return };
+        let received = self.clock.now().saturating_sub(read.read_at.elapsed());
+        let mut state = self.lock();
+        if !state.is_on_present_process(start) {
+            return;
+        }
+        let (instance, started) = (&start.instance, start.process_started);
+        if let Some(err) = state.slowdown.record(received, instance, started, load) {
+            let reason = err.to_string();
+            log_event!(LogEvent::TargetLoadMalformed, "instance={instance} reason={reason:?}");
+        }
+    }
+
     /// What the owner of an attempt has to remember of the target's statements; `None` if it
     /// remembers the same.
     pub(super) fn statement_for_owner(&self, head: &MeshAttempt) -> Option<ProcessStatement> {
@@ -143,21 +156,6 @@
     }
 }
 
-/// Logs that the target states something else than `before`. `source` is where it was read.
-pub(super) fn log_statement(stated: &ProcessStatement, before: TargetStatement, source: &str) {
-    let text = |limit: Option<RequestsPerSecond>| {
-        limit.map_or_else(|| "none".to_owned(), |it| it.to_string())
-    };
-    log_event!(
-        LogEvent::TargetStatement,
-        "instance={} rate_limit={} before={} leaving={} source={source}",
-        stated.instance,
-        text(stated.statement.rate_limit),
-        text(before.rate_limit),
-        stated.statement.is_leaving
-    );
-}
-
 fn unix_time_ms() -> StartTime {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     since_epoch.as_millis() as StartTime
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -23,6 +23,7 @@
     TargetCrashed,
     TargetReportIgnored,
     TargetStatement,
+    TargetLoadMalformed,
     ApiKeyRefused,
     QuotaRefused,
     SharesHeld,
@@ -44,7 +45,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 36] = [
+    pub const ALL: [LogEvent; 37] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -64,6 +65,7 @@
         LogEvent::TargetCrashed,
         LogEvent::TargetReportIgnored,
         LogEvent::TargetStatement,
+        LogEvent::TargetLoadMalformed,
         LogEvent::ApiKeyRefused,
         LogEvent::QuotaRefused,
         LogEvent::SharesHeld,
@@ -110,6 +112,7 @@
             LogEvent::TargetCrashed => "target-crashed",
             LogEvent::TargetReportIgnored => "target-report-ignored",
             LogEvent::TargetStatement => "target-statement",
+            LogEvent::TargetLoadMalformed => "target-load-malformed",
             LogEvent::ApiKeyRefused => "api-key-refused",
             LogEvent::QuotaRefused => "quota-refused",
             LogEvent::SharesHeld => "shares-held",
@@ -140,7 +143,8 @@
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
             | LogEvent::TargetClosed
-            | LogEvent::TargetCrashed => Level::Warn,
+            | LogEvent::TargetCrashed
+            | LogEvent::TargetLoadMalformed => Level::Warn,
             _ => Level::Info,
         }
     }
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -69,6 +69,7 @@
     limit: IntGauge,
     start_share: FloatGauge,
     rate_limit: FloatGauge,
+    slowdown: FloatGauge,
     failing: FloatGauge,
     overload_failure_ratio: FloatGauge,
     report_age: FloatGauge,
@@ -91,6 +92,8 @@
         registry.register("target_start_share", help, it.start_share);
         let help = "Requests a second that the target states it takes";
         registry.register("target_rate_limit", help, it.rate_limit);
+        let help = "How long work takes on the target's VM, as a ratio to the usual time";
+        registry.register("target_slowdown_ratio", help, it.slowdown);
         registry.register("target_failing_ratio", "Runs lately rejected or failed", it.failing);
         registry.register(
             "calls_strained_ratio",
@@ -216,6 +219,7 @@
         let start_share = f64::from(load.start_share_permille) / 1000.0;
         it.start_share.set(if has_pace { start_share } else { 1.0 });
         it.rate_limit.set(shared.gate.stated_rate_limit().unwrap_or_default());
+        it.slowdown.set(f64::from(load.slowdown_percent) / 100.0);
         it.failing.set(f64::from(load.failing_permille) / 1000.0);
         it.overload_failure_ratio.set(f64::from(load.overload_failure_permille) / 1000.0);
         it.report_age.set(shared.gate.report_age().as_secs_f64());
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -16,6 +16,7 @@
 mod pipeline;
 mod quota;
 mod raw_caller;
+mod reported_load;
 mod scripted_target;
 mod start_pace;
 mod stated_rate;
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -71,6 +71,7 @@
 pub(crate) struct TestNode {
     pub(crate) node: MeshNode,
     pub(crate) callers: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) target: ScriptedTarget,
     service: &'static str,
     /// Runtime of a node that can crash; `None` if it shares that of the test.
@@ -186,7 +187,8 @@
             Some(runtime) => runtime.spawn(start).await.unwrap(),
             None => start.await,
         };
-        TestNode { node, callers, target, service, runtime }
+        let metrics = SocketAddr::from((ip, METRICS_PORT));
+        TestNode { node, callers, metrics, target, service, runtime }
     }
 
     pub(crate) async fn wait_until_members_known(&self) {
