Reclaim units within the histories of quotas

A stale read now shows the table of at most 1 s before, and not of two writes before, since the proof assumes a limit in time.

--- a/crates/pollenlever-core/src/quota/quota_settings.rs
+++ b/crates/pollenlever-core/src/quota/quota_settings.rs
@@ -9,6 +9,12 @@
     pub resend_interval: Duration,
     /// Time since the last read of the share table after which a holder stops using its units.
     pub table_lifetime: Duration,
+    /// Time of absence from the members after which the lowering of a holder's entry is announced.
+    pub announce_after: Duration,
+    /// Time after the announcement until the units are taken. Must be longer than
+    /// [`QuotaSettings::table_lifetime`], the life of a ticket, and the age of a stale read of the
+    /// table together.
+    pub take_after: Duration,
     /// Recent use of a workspace on this node that is prefetched with a token request.
     pub prefetch_time: Duration,
     /// Remaining lifetime of a token from which it is returned unless it is expected to be used.
@@ -31,6 +37,8 @@
             renewal_interval: Duration::from_millis(700),
             resend_interval: Duration::from_millis(200),
             table_lifetime: Duration::from_secs(25 * 60),
+            announce_after: Duration::from_secs(60),
+            take_after: Duration::from_secs(30 * 60),
             prefetch_time: Duration::from_millis(250),
             return_margin: Duration::from_millis(150),
             min_retry_spacing: Duration::from_millis(20),
--- a/crates/pollenlever-core/src/quota/reclaim_timer.rs
+++ b/crates/pollenlever-core/src/quota/reclaim_timer.rs
@@ -1,17 +1,9 @@
 use std::collections::HashMap;
-use std::time::Duration;
 
-use super::ShareTable;
+use super::{QuotaSettings, ShareTable};
 use crate::Timestamp;
 use crate::id::{Incarnation, NodeName};
 
-/// Time of absence from the members after which the lowering of a holder's entry is announced.
-const ANNOUNCE_AFTER: Duration = Duration::from_secs(60);
-/// Time after the announcement until the units are taken. Longer than the time for which a holder
-/// uses its units after its last read of the table ([`super::QuotaSettings::table_lifetime`]), its
-/// delegations, and the age of a stale read together.
-const TAKE_AFTER: Duration = Duration::from_secs(30 * 60);
-
 /// Decides when units of nodes that are gone for good are taken over.
 ///
 /// Absence from the members does not prove that a node has ended. The announcement in the table
@@ -19,6 +11,7 @@
 /// it stops after [`super::QuotaSettings::table_lifetime`].
 #[derive(Debug, Default)]
 pub struct ReclaimTimer {
+    settings: QuotaSettings,
     absent: HashMap<NodeName, Absence>,
 }
 
@@ -30,6 +23,11 @@
 }
 
 impl ReclaimTimer {
+    /// Creates a timer that has seen no absence.
+    pub fn new(settings: QuotaSettings) -> ReclaimTimer {
+        ReclaimTimer { settings, absent: HashMap::new() }
+    }
+
     /// The next table to write for `taker` to take over units of a node that is gone; `None` if
     /// there is nothing to do. To be called after each read of the table. Only the live holder
     /// with the most units takes units over.
@@ -45,8 +43,12 @@
         if table.main_holder(live) != Some(taker) {
             return None;
         }
-        let due =
-            self.absent.iter().filter(|(_, it)| it.is_due(now)).map(|(name, _)| name).min()?;
+        let due = self
+            .absent
+            .iter()
+            .filter(|(_, it)| it.is_due(now, &self.settings))
+            .map(|(name, _)| name)
+            .min()?;
         table.reclaim(taker, incarnation, due)
     }
 
@@ -72,10 +74,10 @@
 
 impl Absence {
     /// Whether the next of the two writes is due.
-    fn is_due(&self, now: Timestamp) -> bool {
+    fn is_due(&self, now: Timestamp, settings: &QuotaSettings) -> bool {
         match self.announced {
-            None => now.saturating_sub(self.since) >= ANNOUNCE_AFTER,
-            Some(announced) => now.saturating_sub(announced) >= TAKE_AFTER,
+            None => now.saturating_sub(self.since) >= settings.announce_after,
+            Some(announced) => now.saturating_sub(announced) >= settings.take_after,
         }
     }
 }
--- a/crates/pollenlever-core/tests/quota/cluster.rs
+++ b/crates/pollenlever-core/tests/quota/cluster.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::faults::Faults;
-use crate::process::{Process, Write};
+use crate::process::{MAX_STALENESS, Process, Write};
 use event::Event;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -46,8 +46,10 @@
     nodes: Vec<Node>,
     parts: Vec<bool>,
     parted_until: Timestamp,
-    /// Tables of all revisions; the first has revision 1.
-    tables: Vec<ShareTable>,
+    /// Whether the nodes of one part do not reach the store during the partition.
+    is_store_cut: bool,
+    /// Tables of all revisions with the times of their writes; the first has revision 1.
+    tables: Vec<(Timestamp, ShareTable)>,
     incarnations: u64,
 }
 
@@ -84,12 +86,13 @@
             parts: vec![false; nodes.len()],
             nodes,
             parted_until: Duration::ZERO,
+            is_store_cut: false,
             tables: Vec::new(),
             incarnations: 0,
         };
         (0..cluster.nodes.len()).for_each(|node| cluster.start(node));
         let names: Vec<NodeName> = cluster.nodes.iter().map(|it| it.name.clone()).collect();
-        cluster.tables.push(ShareTable::create(&names, SHARDS));
+        cluster.tables.push((Duration::ZERO, ShareTable::create(&names, SHARDS)));
         cluster
     }
 
@@ -110,7 +113,7 @@
         }
         for _ in 0..faults.partitions {
             let parts = self.nodes.iter().map(|_| self.rng.random_bool(0.5)).collect();
-            let event = Event::Partition(parts, self.up_to(6000));
+            let event = Event::Partition(parts, self.up_to(20_000), self.rng.random_bool(0.5));
             self.at_random(until, event);
         }
     }
@@ -174,7 +177,7 @@
                 }
             }
             Event::Read { node, incarnation, start, revision } => {
-                let table = self.tables[revision as usize - 1].clone();
+                let table = self.tables[revision as usize - 1].1.clone();
                 if let Some(process) = self.process(node, incarnation) {
                     process.on_table(start, revision, &table);
                 }
@@ -183,7 +186,8 @@
             Event::Kill(node, false) => self.nodes[node].process = None,
             Event::Start(node) => self.start(node),
             Event::Freeze(node, time) => self.nodes[node].frozen_until = self.now + time,
-            Event::Partition(parts, time) => {
+            Event::Partition(parts, time, is_store_cut) => {
+                self.is_store_cut = is_store_cut;
                 self.parts = parts;
                 self.parted_until = self.now + time;
             }
@@ -227,21 +231,28 @@
 
     /// Replies with the table of now, or an older one unless it is the process's first read.
     fn read(&mut self, node: usize, incarnation: u64, is_first: bool) {
-        let newest = self.tables.len() as TableRevision;
-        let age = if is_first { 0 } else { self.rng.random_range(0..3) };
-        let revision = newest.saturating_sub(age).max(1);
+        let age = self.up_to(if is_first { 1 } else { MAX_STALENESS.as_millis() as u64 });
+        let newest = self.tables.partition_point(|it| it.0 + age <= self.now);
+        let revision = newest.max(1) as TableRevision;
         let start = self.local(node);
         let delay = self.delay();
-        if !self.rng.random_bool(self.faults.loss) {
+        if !self.rng.random_bool(self.faults.loss) && !self.is_cut_from_store(node) {
             self.after(delay, Event::Read { node, incarnation, start, revision });
         }
     }
 
+    fn is_cut_from_store(&self, node: usize) -> bool {
+        self.now < self.parted_until && self.is_store_cut && self.parts[node]
+    }
+
     fn write(&mut self, node: usize, incarnation: u64, write: Write) {
+        if self.is_cut_from_store(node) {
+            return;
+        }
         let is_newest = write.base == self.tables.len() as TableRevision;
         if is_newest {
             assert!(write.table.is_valid(), "{:?}", write.table);
-            self.tables.push(write.table.clone());
+            self.tables.push((self.now, write.table.clone()));
         }
         let revision = is_newest.then_some(self.tables.len() as TableRevision);
         let delay = self.delay();
@@ -282,9 +293,11 @@
         self.after(Duration::ZERO, Event::Tick(node, id.incarnation));
     }
 
+    /// Ends a process. The node starts again soon, or late enough for its units to be taken.
     fn kill_now(&mut self, node: usize) {
         self.nodes[node].process = None;
-        let delay = self.up_to(3000);
+        let max = if self.rng.random_bool(0.2) { 25_000 } else { 3000 };
+        let delay = self.up_to(max);
         self.after(delay, Event::Start(node));
     }
 
--- a/crates/pollenlever-core/tests/quota/cluster/checks.rs
+++ b/crates/pollenlever-core/tests/quota/cluster/checks.rs
@@ -21,7 +21,7 @@
             }
         }
         let newest = self.tables.last();
-        let entry_of = |name: &NodeName| newest.map_or(0, |it| u64::from(it.units_of(name)));
+        let entry_of = |name: &NodeName| newest.map_or(0, |it| u64::from(it.1.units_of(name)));
         let shard = by_shard.into_iter().find(|it| it.1 > u64::from(TOTAL_UNITS));
         let holder = by_holder.into_iter().find(|it| it.1 > entry_of(&it.0.1));
         if shard.is_some() || holder.is_some() {
--- a/crates/pollenlever-core/tests/quota/cluster/event.rs
+++ b/crates/pollenlever-core/tests/quota/cluster/event.rs
@@ -30,7 +30,7 @@
     Kill(usize, bool),
     Start(usize),
     Freeze(usize, Duration),
-    Partition(Vec<bool>, Duration),
+    Partition(Vec<bool>, Duration, bool),
     Leave(usize),
 }
 
--- a/crates/pollenlever-core/tests/quota/faults.rs
+++ b/crates/pollenlever-core/tests/quota/faults.rs
@@ -15,11 +15,11 @@
     pub(crate) wrong_view: f64,
     /// Probability that a request gives its token back.
     pub(crate) not_run: f64,
-    /// Number of processes that are killed and started again after up to 3 s.
+    /// Number of processes that are killed and started again, most after up to 3 s.
     pub(crate) kills: u32,
     /// Number of suspensions of up to 4 s.
     pub(crate) freezes: u32,
-    /// Number of partitions of up to 6 s into two parts.
+    /// Number of partitions of up to 20 s into two parts, of which one may not reach the store.
     pub(crate) partitions: u32,
     /// Number of nodes that hand their units back, end, and start again.
     pub(crate) leaves: u32,
@@ -71,6 +71,7 @@
     match mechanism {
         Mechanism::GrantNumbers => Faults { nodes: 2, late: 0.3, ..late },
         Mechanism::Sequences => Faults { wrong_view: 0.3, ..late },
+        Mechanism::Revisions => Faults { nodes: 5, late: 0.05, leaves: 30, ..late },
         Mechanism::Announcements => Faults { kills: 20, leaves: 20, ..late },
         _ => Faults { duplicate: 0.1, wrong_view: 0.2, kills: 3, leaves: 6, ..late },
     }
--- a/crates/pollenlever-core/tests/quota/process.rs
+++ b/crates/pollenlever-core/tests/quota/process.rs
@@ -14,6 +14,10 @@
 /// history has many.
 const READ_INTERVAL: Duration = Duration::from_secs(2);
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Age of a stale read of the table.
+pub(crate) const MAX_STALENESS: Duration = Duration::from_secs(1);
+/// Times of minutes are shortened to seconds, so that units are reclaimed within a history.
+const TABLE_LIFETIME: Duration = Duration::from_secs(5);
 
 #[derive(Debug, Clone)]
 pub(crate) enum Message {
@@ -42,6 +46,9 @@
     pub(crate) table: Option<(TableRevision, ShareTable)>,
     pub(crate) is_leaving: bool,
     without: Option<Mechanism>,
+    reclaim: ReclaimTimer,
+    /// Last revision that the holder was told.
+    told: TableRevision,
     read_due: Timestamp,
     write: Option<(Write, Option<Timestamp>)>,
     waiting: HashMap<WorkspaceName, u32>,
@@ -56,12 +63,19 @@
         limits: &[(WorkspaceName, QuotaLimit)],
         without: Option<Mechanism>,
     ) -> Process {
-        let settings = QuotaSettings::default();
+        let settings = QuotaSettings {
+            table_lifetime: TABLE_LIFETIME,
+            announce_after: Duration::from_secs(2),
+            take_after: TABLE_LIFETIME + MAX_STALENESS + Duration::from_millis(2100),
+            ..QuotaSettings::default()
+        };
         let mut home = QuotaHome::new(id, settings);
         home.set_limits(now, limits);
         Process {
             holder: ShareHolder::new(name.clone(), id.incarnation, now, settings),
             store: TokenStore::new(settings),
+            reclaim: ReclaimTimer::new(settings),
+            told: 0,
             view: vec![(name.clone(), id)],
             id,
             name,
@@ -126,15 +140,13 @@
         read: &ShareTable,
     ) {
         let mut table = read.clone();
-        let mut revision = revision;
-        let newest = self.table.as_ref().map_or(0, |it| it.0);
-        match self.without {
-            Some(Mechanism::Announcements) => table.lowering.clear(),
-            Some(Mechanism::Revisions) => revision = revision.max(newest + 1),
-            _ => {}
+        if self.without == Some(Mechanism::Announcements) {
+            table.lowering.clear();
         }
-        self.holder.on_table(start, revision, &table);
-        if revision > newest {
+        let is_forged = self.without == Some(Mechanism::Revisions);
+        self.told = if is_forged { self.told + 1 } else { revision };
+        self.holder.on_table(start, self.told, &table);
+        if revision > self.table.as_ref().map_or(0, |it| it.0) {
             self.home.set_shards(start, table.shards);
             self.table = Some((revision, read.clone()));
             self.write = self.write.take().filter(|it| it.0.base >= revision);
@@ -151,7 +163,8 @@
                 table.hand_back(&self.name, incarnation, &live)
             } else {
                 let confirmed = table.confirm(&self.name, incarnation);
-                confirmed.or_else(|| table.give(&self.name, incarnation, &live))
+                let taken = self.reclaim.next_table(now, table, &self.name, incarnation, &live);
+                confirmed.or_else(|| table.give(&self.name, incarnation, &live)).or(taken)
             }?;
             self.holder.lower_to(*base, next.units_of(&self.name));
             self.write = Some((Write { base: *base, table: next }, None));
--- a/crates/pollenlever-core/tests/quota/units.rs
+++ b/crates/pollenlever-core/tests/quota/units.rs
@@ -162,7 +162,7 @@
 }
 
 fn assert_reclaimed() {
-    let mut timer = ReclaimTimer::default();
+    let mut timer = ReclaimTimer::new(QuotaSettings::default());
     let mut table = ShareTable::create(&names(3), 8);
     let mut next = |at, table: &ShareTable| {
         names(2).iter().find_map(|it| timer.next_table(at, table, it, 7, &names(2)))
