--- a/crates/pollenlever-core/src/mesh/running_requests.rs
+++ b/crates/pollenlever-core/src/mesh/running_requests.rs
@@ -78,6 +78,17 @@
         self.runs.get(&self.stream_of_parent(id)?)
     }
 
+    /// Whether `id` has the form of the id of a call.
+    ///
+    /// ```
+    /// use pollenlever_core::mesh::RunningRequests;
+    /// assert!(RunningRequests::is_call_id("9c41.07be"));
+    /// assert!(!RunningRequests::is_call_id("9c41"));
+    /// ```
+    pub fn is_call_id(id: &str) -> bool {
+        id.contains(CALL_SEPARATOR)
+    }
+
     /// Content digests of the running requests.
     pub fn digests(&self) -> impl Iterator<Item = ContentDigest> {
         self.runs.values().map(|it| it.digest)
--- a/crates/pollenlever/src/mesh/request_sender.rs
+++ b/crates/pollenlever/src/mesh/request_sender.rs
@@ -2,7 +2,7 @@
 
 use http::HeaderMap;
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::mesh::HttpRoute;
+use pollenlever_core::mesh::{HttpRoute, RunningRequests};
 use pollenlever_core::workspace::Workspace;
 
 use super::log_event::{LogEvent, log_event};
@@ -24,7 +24,8 @@
     ///
     /// # Errors
     ///
-    /// [`ErrorKind::UnknownApiKey`] if the request needs a key and has none that is known.
+    /// [`ErrorKind::UnknownApiKey`] if the request needs a key and has none that is known;
+    /// [`ErrorKind::WrongIncarnation`] if it has none and looks like a call of an unknown run.
     pub(super) fn identify(
         shared: &MeshShared,
         routes: &RoutesInForce,
@@ -43,6 +44,10 @@
             None if !has_credentials && shared.gate.is_call_of_run(id) => {
                 Ok(RequestSender::Unidentified)
             }
+            // The run may be one that an earlier process of this node started.
+            None if !has_credentials && RunningRequests::is_call_id(id) => {
+                Err(ErrorKind::WrongIncarnation)
+            }
             None => {
                 record_unknown_key(shared, route, has_credentials);
                 Err(ErrorKind::UnknownApiKey)
