--- a/crates/pollenlever-core/src/quota/quota_settings.rs
+++ b/crates/pollenlever-core/src/quota/quota_settings.rs
@@ -27,15 +27,16 @@
     /// Time for which a node refuses a workspace without asking after its home was unavailable or
     /// has not replied.
     pub unavailable_pause: Duration,
-    /// Time after which callers may come back while the home is unavailable.
+    /// Shortest time after which callers may come back while the home is unavailable; the longest is
+    /// twice this, so that they do not all come at once.
     pub unavailable_retry_after: Duration,
 }
 
 impl Default for QuotaSettings {
     fn default() -> QuotaSettings {
         QuotaSettings {
-            renewal_interval: Duration::from_millis(700),
-            resend_interval: Duration::from_millis(200),
+            renewal_interval: Duration::from_millis(400),
+            resend_interval: Duration::from_millis(150),
             table_lifetime: Duration::from_secs(25 * 60),
             announce_after: Duration::from_secs(60),
             take_after: Duration::from_secs(30 * 60),
@@ -44,7 +45,7 @@
             min_retry_spacing: Duration::from_millis(20),
             max_retry_after: Duration::from_secs(5),
             unavailable_pause: Duration::from_millis(100),
-            unavailable_retry_after: Duration::from_secs(1),
+            unavailable_retry_after: Duration::from_millis(600),
         }
     }
 }
--- a/crates/pollenlever-core/src/quota/workspace_tokens.rs
+++ b/crates/pollenlever-core/src/quota/workspace_tokens.rs
@@ -13,6 +13,8 @@
 const MIN_PREFETCH_RATE: f64 = 4.0;
 /// Highest number of refused requests that count for the time to come back.
 const MAX_REFUSED: u32 = 1 << 16;
+/// Number of different times at which callers come back while the home is unavailable.
+const RETRY_SLOTS: u32 = 16;
 
 /// Tokens of one workspace on this node.
 #[derive(Debug, Default)]
@@ -79,7 +81,10 @@
         };
         let error = refusal.error;
         let retry_after = match error {
-            ErrorKind::QuotaUnavailable => settings.unavailable_retry_after,
+            ErrorKind::QuotaUnavailable => {
+                let spread = f64::from(refusal.refused % RETRY_SLOTS) / f64::from(RETRY_SLOTS);
+                settings.unavailable_retry_after.mul_f64(1.0 + spread)
+            }
             _ => refusal.until - now + refusal.refill * refusal.refused,
         };
         refusal.refused = refusal.refused.saturating_add(1).min(MAX_REFUSED);
