--- a/crates/pollenlever-standins/src/measure/catalog.rs
+++ b/crates/pollenlever-standins/src/measure/catalog.rs
@@ -11,6 +11,7 @@
 use super::regions::Regions;
 use super::slow_service::SlowService;
 use super::wasted_work::WastedWork;
+use super::workspaces::Workspaces;
 use super::zone_loss::ZoneLoss;
 
 /// All measurements, in the order of `scripts/measure list`.
@@ -28,4 +29,5 @@
     &ZoneLoss,
     &Regions,
     &Fairness,
+    &Workspaces,
 ];
--- a/crates/pollenlever-standins/src/measure/mod.rs
+++ b/crates/pollenlever-standins/src/measure/mod.rs
@@ -18,6 +18,7 @@
 mod slow_service;
 mod verdict;
 mod wasted_work;
+mod workspaces;
 mod zone_loss;
 
 pub use catalog::MEASUREMENTS;
