Mend what a review of the quotas, the pace and their pages found

Cause: a missing reply was not told from that of a later token request, a hand-back kept the pauses of earlier failures, runs whose own time is unknown counted as very fast, and pages named times and signatures of earlier states.

--- a/crates/pollenlever-core/src/pace/mod.rs
+++ b/crates/pollenlever-core/src/pace/mod.rs
@@ -2,7 +2,8 @@
 //! be offered until its responses show that it can do its full work.
 //!
 //! The limit doubles per round of responses while they take about as long as at lower concurrency, is
-//! held while they take longer, and is halved when the target rejects requests.
+//! lowered while they take clearly longer, held in between, and halved when the target rejects
+//! requests.
 
 use std::time::Duration;
 
--- a/crates/pollenlever-core/src/quota/mod.rs
+++ b/crates/pollenlever-core/src/quota/mod.rs
@@ -64,7 +64,7 @@
 /// fleet.
 pub const MAX_HOLDERS: usize = 96;
 /// Time after the issue of a ticket for which a delegation with it is in force. The same on all nodes.
-/// Quotas rest for as long after the loss of a home and after a restart of all nodes; a shorter time
+/// Tokens are refused for as long after the loss of a home and after a restart of all nodes; a shorter time
 /// needs more messages.
 pub const TICKET_LIFETIME: Duration = Duration::from_millis(1200);
 /// Time after the sending of a token request until which its grant may be used. The same on all
--- a/crates/pollenlever-core/src/quota/quota_bucket.rs
+++ b/crates/pollenlever-core/src/quota/quota_bucket.rs
@@ -28,7 +28,7 @@
     /// Tokens of these grants that were not returned, used or not.
     recent_tokens: f64,
     /// Last moment for which a node was sent back.
-    last_slot: Timestamp,
+    last_retry_at: Timestamp,
     pub(super) granted: u64,
     pub(super) refused: u64,
 }
@@ -50,7 +50,7 @@
             updated: now,
             recent: VecDeque::new(),
             recent_tokens: 0.0,
-            last_slot: Timestamp::ZERO,
+            last_retry_at: Timestamp::ZERO,
             granted: 0,
             refused: 0,
         }
@@ -110,7 +110,7 @@
     ) -> TokenGrant {
         let available = (self.tokens + ROUNDING).max(0.0) as u32;
         let wanted = req.wanted.min(available);
-        let is_contended = now < self.last_slot + CONTENTION_TIME;
+        let is_contended = now < self.last_retry_at + CONTENTION_TIME;
         // Without contention, half of the rest stays for other nodes; with it, each has its moment.
         let rest = if is_contended { available - wanted } else { (available - wanted) / 2 };
         let tokens = wanted + req.prefetch.min(rest);
@@ -123,7 +123,7 @@
         let retry_after = if is_unavailable {
             settings.unavailable_pause
         } else if is_short || is_contended && wanted > 0 && self.tokens < 1.0 - ROUNDING {
-            self.next_slot(now, units, settings)
+            self.next_retry_at(now, units, settings)
         } else {
             Duration::ZERO
         };
@@ -140,17 +140,22 @@
 
     /// Time until the moment at which the next node may come back. Each node that is sent back gets a
     /// moment of its own, at which tokens for it have been gained.
-    fn next_slot(&mut self, now: Timestamp, units: ShareUnits, cfg: &QuotaSettings) -> Duration {
+    fn next_retry_at(
+        &mut self,
+        now: Timestamp,
+        units: ShareUnits,
+        cfg: &QuotaSettings,
+    ) -> Duration {
         let rate = self.rate(units);
         // Tokens gained between two slots must fit into the bucket.
         let time_to_half = self.capacity(units) / 2.0 / rate;
         let spacing = cfg.min_retry_spacing.as_secs_f64().min(time_to_half).max(1.0 / rate);
         let next = ((1.0 - self.tokens).max(0.0) / rate).max(spacing.min(time_to_half));
         let max = cfg.max_retry_after.as_secs_f64();
-        let after_last = self.last_slot + Duration::from_secs_f64(spacing.min(max));
+        let after_last = self.last_retry_at + Duration::from_secs_f64(spacing.min(max));
         let slot = after_last.max(now + Duration::from_secs_f64(next.min(max)));
-        self.last_slot = slot.min(now + cfg.max_retry_after);
-        self.last_slot - now
+        self.last_retry_at = slot.min(now + cfg.max_retry_after);
+        self.last_retry_at - now
     }
 
     fn record_grant(&mut self, now: Timestamp, id: GrantId, tokens: u32) {
--- a/crates/pollenlever-core/src/quota/token_store.rs
+++ b/crates/pollenlever-core/src/quota/token_store.rs
@@ -98,11 +98,11 @@
         }
     }
 
-    /// Handles the missing reply to the workspace's token request; waiting requests then call
+    /// Handles the missing reply to a token request; waiting requests then call
     /// [`TokenStore::take`] again, and are refused.
-    pub fn on_no_reply(&mut self, now: Timestamp, workspace: &WorkspaceName) {
-        if let Some(tokens) = self.workspaces.get_mut(workspace) {
-            tokens.on_no_reply(now, &self.settings);
+    pub fn on_no_reply(&mut self, now: Timestamp, req: &TokenRequest) {
+        if let Some(tokens) = self.workspaces.get_mut(&req.workspace) {
+            tokens.on_no_reply(now, req.number, &self.settings);
         }
     }
 
--- a/crates/pollenlever-core/src/quota/workspace_tokens.rs
+++ b/crates/pollenlever-core/src/quota/workspace_tokens.rs
@@ -14,7 +14,7 @@
 /// Highest number of refused requests that count for the time to come back.
 const MAX_REFUSED: u32 = 1 << 16;
 /// Number of different times at which callers come back while the home is unavailable.
-const RETRY_SLOTS: u32 = 16;
+const RETRY_STEPS: u32 = 16;
 
 /// Tokens of one workspace on this node.
 #[derive(Debug, Default)]
@@ -82,7 +82,7 @@
         let error = refusal.error;
         let retry_after = match error {
             ErrorKind::QuotaUnavailable => {
-                let spread = f64::from(refusal.refused % RETRY_SLOTS) / f64::from(RETRY_SLOTS);
+                let spread = f64::from(refusal.refused % RETRY_STEPS) / f64::from(RETRY_STEPS);
                 settings.unavailable_retry_after.mul_f64(1.0 + spread)
             }
             _ => refusal.until - now + refusal.refill * refusal.refused,
@@ -128,8 +128,12 @@
         Some(expires)
     }
 
-    pub(super) fn on_no_reply(&mut self, now: Timestamp, settings: &QuotaSettings) {
-        self.in_flight = None;
+    /// Handles the missing reply to the token request `number`; that to an earlier one is ignored, as
+    /// after a suspension of the VM.
+    pub(super) fn on_no_reply(&mut self, now: Timestamp, number: u64, settings: &QuotaSettings) {
+        if self.in_flight.take_if(|it| it.number == number).is_none() {
+            return;
+        }
         let until = now + settings.unavailable_pause;
         let error = ErrorKind::QuotaUnavailable;
         self.refusal = Some(Refusal { until, error, refused: 0, refill: Duration::ZERO });
--- a/crates/pollenlever-core/src/routing/route_request.rs
+++ b/crates/pollenlever-core/src/routing/route_request.rs
@@ -23,7 +23,7 @@
 
 impl RouteRequest<'_> {
     /// Whether refusing the request is worse than sending it to a busy target in another region: it
-    /// is of the highest importance, or the work already done for its chain would be wasted.
+    /// is of high or critical importance, or the work already done for its chain would be wasted.
     pub fn is_urgent(&self) -> bool {
         self.depth > 0 || self.importance >= Importance::High
     }
--- a/crates/pollenlever-core/tests/quota/cluster.rs
+++ b/crates/pollenlever-core/tests/quota/cluster.rs
@@ -157,8 +157,10 @@
                 let now = self.local(node);
                 let Some(process) = self.process(node, incarnation) else { return };
                 if process.is_last_request(&workspace, number) {
-                    process.store.on_no_reply(now, &workspace);
-                    self.retry_waiting(node, &workspace);
+                    let (wanted, prefetch, returned) = (1, 0, None);
+                    let req = TokenRequest { number, workspace, wanted, prefetch, returned };
+                    process.store.on_no_reply(now, &req);
+                    self.retry_waiting(node, &req.workspace);
                 }
             }
             Event::GiveBack(node, incarnation, permit) => {
--- a/crates/pollenlever/src/mesh/gate_pace.rs
+++ b/crates/pollenlever/src/mesh/gate_pace.rs
@@ -158,9 +158,12 @@
     ) {
         let Some(run) = self.runs.remove(&id) else { return };
         let remaining = self.runs.len() as u32;
-        // Without own times the limit only follows rejections.
         let is_unknown =
             self.unattributed_at.is_some_and(|it| now.saturating_sub(it) < UNATTRIBUTED_TIME);
+        // Without own times the limit only follows rejections.
+        if is_unknown && !run.is_rejected {
+            return;
+        }
         let own_time = if is_unknown { Duration::ZERO } else { run.own.get(now) };
         let outcome = if run.is_rejected { RunOutcome::ShedByTarget } else { outcome };
         let ended = EndedRun {
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -19,7 +19,7 @@
 use crate::gossip::{GossipDriver, SeedPublisher};
 use crate::node::NodeStartError;
 use crate::peer::{PeerClient, PeerOptions, PeerServer};
-use crate::quota::{Delegator, ShareKeeper, SharedQuotaHost};
+use crate::quota::{Delegator, ShareKeeper, SharedQuotaNode};
 use crate::settings::MeshSettings;
 
 /// Kind of the store objects that list nodes through which new nodes join.
@@ -161,8 +161,8 @@
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
-    tokio::spawn(Delegator::new(Arc::clone(shared) as SharedQuotaHost).run());
-    let share_keeper = ShareKeeper::new(Arc::clone(shared) as SharedQuotaHost, platform.store());
+    tokio::spawn(Delegator::new(Arc::clone(shared) as SharedQuotaNode).run());
+    let share_keeper = ShareKeeper::new(Arc::clone(shared) as SharedQuotaNode, platform.store());
     tokio::spawn(share_keeper.run());
     tokio::spawn(RouteWatch { shared: Arc::clone(shared), platform }.run());
 }
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -36,7 +36,7 @@
 mod pending_request;
 mod pipeline;
 mod pipelined_answer;
-mod quota_host;
+mod quota_node;
 mod request_dispatcher;
 mod request_frame;
 mod request_log;
--- a/crates/pollenlever/src/mesh/quota_host.rs
+++ b/crates/pollenlever/src/mesh/quota_node.rs
@@ -4,9 +4,9 @@
 use pollenlever_core::membership::{Member, TargetState};
 
 use super::MeshShared;
-use crate::quota::{Quota, QuotaHost, QuotaMember, QuotaStatus};
+use crate::quota::{Quota, QuotaMember, QuotaNode, QuotaStatus};
 
-impl QuotaHost for MeshShared {
+impl QuotaNode for MeshShared {
     fn quota(&self) -> &Arc<Quota> {
         &self.quota
     }
--- a/crates/pollenlever/src/quota/delegator.rs
+++ b/crates/pollenlever/src/quota/delegator.rs
@@ -8,7 +8,7 @@
 use pollenlever_core::quota::{ShardIndex, ShareDelegation};
 use rand::seq::IteratorRandom;
 
-use super::{Quota, QuotaMember, SharedQuotaHost};
+use super::{Quota, QuotaMember, SharedQuotaNode};
 use crate::mesh::{LogEvent, log_event};
 
 /// Time between two checks for delegations that are due.
@@ -28,7 +28,7 @@
 
 /// Chooses the homes of the shards and delegates the units of this node to them.
 pub(crate) struct Delegator {
-    host: SharedQuotaHost,
+    host: SharedQuotaNode,
     /// Shards for which this node had units at the last look.
     home_shards: BTreeSet<ShardIndex>,
     next_homes: Timestamp,
@@ -38,7 +38,7 @@
 }
 
 impl Delegator {
-    pub(crate) fn new(host: SharedQuotaHost) -> Delegator {
+    pub(crate) fn new(host: SharedQuotaNode) -> Delegator {
         Delegator {
             host,
             home_shards: BTreeSet::new(),
--- a/crates/pollenlever/src/quota/hand_back.rs
+++ b/crates/pollenlever/src/quota/hand_back.rs
@@ -42,7 +42,10 @@
                 continue;
             }
             match self.write(&write).await {
-                Ok(true) => conflicts = 0,
+                Ok(true) => {
+                    self.backoff.reset();
+                    conflicts = 0;
+                }
                 Ok(false) => conflicts += 1,
                 Err(err) => self.pause_after(&err).await,
             }
--- a/crates/pollenlever/src/quota/quota_host.rs
+++ b/crates/pollenlever/src/quota/quota_node.rs
@@ -5,7 +5,7 @@
 use super::Quota;
 
 /// The node of which quotas are a part.
-pub(crate) trait QuotaHost: Send + Sync {
+pub(crate) trait QuotaNode: Send + Sync {
     /// The state of quotas on this node.
     fn quota(&self) -> &Arc<Quota>;
 
@@ -25,8 +25,8 @@
     fn record_store_call(&self, is_success: bool);
 }
 
-/// Shared [`QuotaHost`].
-pub(crate) type SharedQuotaHost = Arc<dyn QuotaHost>;
+/// Shared [`QuotaNode`].
+pub(crate) type SharedQuotaNode = Arc<dyn QuotaNode>;
 
 /// A member as a possible home and holder of units.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -9,7 +9,7 @@
 use super::known_table::KnownTable;
 use super::share_table_store::{ShareTableStore, StoredTable};
 use super::share_write::{ShareAction, ShareWrite};
-use super::{Quota, QuotaMember, SharedQuotaHost, node_name};
+use super::{Quota, QuotaMember, SharedQuotaNode, node_name};
 use crate::mesh::{LogEvent, StoreBackoff, log_event};
 use crate::store::{ABSENT_VERSION, Revision, SharedObjectApi, StoreError};
 
@@ -28,7 +28,7 @@
 
 /// Reads the share table from the store, and writes it to create it and to pass units on.
 pub(crate) struct ShareKeeper {
-    pub(super) host: SharedQuotaHost,
+    pub(super) host: SharedQuotaNode,
     pub(super) quota: Arc<Quota>,
     pub(super) known: KnownTable,
     store: ShareTableStore,
@@ -39,11 +39,11 @@
     next_read: Timestamp,
     /// Versions of the members and of the table for which no write was due.
     decided_for: Option<(u64, Revision)>,
-    backoff: StoreBackoff,
+    pub(super) backoff: StoreBackoff,
 }
 
 impl ShareKeeper {
-    pub(crate) fn new(host: SharedQuotaHost, api: SharedObjectApi) -> ShareKeeper {
+    pub(crate) fn new(host: SharedQuotaNode, api: SharedObjectApi) -> ShareKeeper {
         let quota = Arc::clone(host.quota());
         ShareKeeper {
             store: ShareTableStore::new(Arc::clone(&host), api),
--- a/crates/pollenlever/src/quota/share_table_store.rs
+++ b/crates/pollenlever/src/quota/share_table_store.rs
@@ -1,6 +1,6 @@
 use pollenlever_core::quota::ShareTable;
 
-use super::SharedQuotaHost;
+use super::SharedQuotaNode;
 use super::share_table_object::ShareTableObject;
 use crate::mesh::{LogEvent, log_event};
 use crate::store::{ABSENT_VERSION, Revision, SharedObjectApi, StoreError};
@@ -24,7 +24,7 @@
 
 /// Reads and writes the share table in the platform's store.
 pub(super) struct ShareTableStore {
-    host: SharedQuotaHost,
+    host: SharedQuotaNode,
     api: SharedObjectApi,
     /// Revision of the last object that was logged as not being a table.
     refused: Revision,
@@ -32,7 +32,7 @@
 }
 
 impl ShareTableStore {
-    pub(super) fn new(host: SharedQuotaHost, api: SharedObjectApi) -> ShareTableStore {
+    pub(super) fn new(host: SharedQuotaNode, api: SharedObjectApi) -> ShareTableStore {
         ShareTableStore { host, api, refused: ABSENT_VERSION, is_lost: false }
     }
 
--- a/crates/pollenlever/src/quota/token_queue.rs
+++ b/crates/pollenlever/src/quota/token_queue.rs
@@ -106,7 +106,7 @@
         for req in requests.iter().filter(|it| it.wanted > 0) {
             match grants.iter().find(|it| it.number == req.number) {
                 Some(grant) => self.store.on_grant(now, grant),
-                None => self.store.on_no_reply(now, &req.workspace),
+                None => self.store.on_no_reply(now, req),
             }
             self.serve(now, &req.workspace, &mut served);
         }
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -232,11 +232,13 @@
     for node in &mut mesh.nodes {
         node.crash().await;
     }
+    let restarted = Instant::now();
     for index in 0..3 {
         mesh.restart(index, &[Action::Answer(200, "ran")]).await;
         mesh.nodes[index].report_restart(2);
     }
-    let sent = send(mesh.nodes[0].callers, 20.0, TICKET_LIFETIME / 2).await;
+    let rest = (TICKET_LIFETIME * 9 / 10).saturating_sub(restarted.elapsed());
+    let sent = send(mesh.nodes[0].callers, 20.0, rest).await;
     assert_eq!(sent.ran, 0.0, "delegations of the earlier processes may be in force: {sent:?}");
     wait_until_granted(mesh.nodes[0].callers).await;
     assert_eq!(units(&mesh), before);
