--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -13,9 +13,9 @@
 use crate::mesh::{LogEvent, StoreBackoff, log_event};
 use crate::store::{ABSENT_VERSION, Revision, SharedObjectApi, StoreError};
 
-/// Time between two reads of the table by a node without units, which may be given some.
-const READ_INTERVAL_WITHOUT_UNITS: Duration = Duration::from_secs(1);
-/// Time between two reads of the table by a node with units.
+/// Time between two reads by a node that does not know the table.
+const READ_INTERVAL_WITHOUT_TABLE: Duration = Duration::from_secs(1);
+/// Time between two reads by a node that knows the table. Nodes that are given units are told.
 const READ_INTERVAL: Duration = Duration::from_secs(10);
 /// Time between two decisions about writes.
 const DECISION_INTERVAL: Duration = Duration::from_millis(500);
@@ -117,8 +117,8 @@
         } else {
             self.known.update(now, stored);
         }
-        let has_units = self.known.own_units() > 0;
-        let interval = if has_units { READ_INTERVAL } else { READ_INTERVAL_WITHOUT_UNITS };
+        let is_known = self.known.table().is_some();
+        let interval = if is_known { READ_INTERVAL } else { READ_INTERVAL_WITHOUT_TABLE };
         self.next_read = now + interval.mul_f64(rand::random_range(0.75..1.0));
         Ok(())
     }
