--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -151,7 +151,7 @@
         registry.register_with_unit("run", help, Unit::Seconds, it.run_seconds.clone());
         registry.register("hangups", "Callers that hung up early", it.hangups.clone());
         let help = "Requests without an API key that a workspace has";
-        registry.register("unknown_api_keys", help, it.unknown_keys.clone());
+        registry.register("unknown_keys", help, it.unknown_keys.clone());
         registry.register("store_calls", "Calls to the store by result", it.store_calls.clone());
         it.quota.register(&mut registry);
         it.gauges.register(&mut registry);
