--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -1,50 +1,43 @@
-//! Three clients send request bodies within `max_body_bytes` at the same time. The platform kills a
-//! process that exceeds the memory of its machine, and every request that the node had is lost.
+//! The store comes back from a copy that is some seconds old, and the operator writes a new version of
+//! the configuration. The nodes must handle requests by it.
 
 #[path = "../standins/common.rs"]
 mod common;
 
-use std::collections::BTreeMap;
-use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
 use common::*;
 
-/// `memory_mb` of the machines of the small deployments, in bytes of 10^6.
-const MEMORY_MB: u64 = 260;
-/// `max_body_bytes` of the configuration that the pages show is 67,108,864.
-const BODY_BYTES: usize = 60_000_000;
-const UPLOADS: usize = 3;
-/// Clients with small requests on kept connections, and the work of such a request.
-const CLIENTS: usize = 8;
-const WORK_MS: u64 = 300;
-const TRAFFIC_S: f64 = 20.0;
-/// LOST: `more than three times`.
-const MOST_LOST: usize = 3;
+/// `config_s`, `max_skew_s` and `stability_window_s` of the small deployments.
+const CONFIG_S: f64 = 2.5;
+const MAX_SKEW_S: f64 = 5.0;
+const STABILITY_S: f64 = 3.0;
+/// Age of the copy, and time for which the store is away.
+const COPY_AGE_S: f64 = 5.0;
+const AWAY_S: f64 = 3.0;
+/// Time for which requests are sent after the last version.
+const TRAFFIC_S: f64 = 16.0;
+const WORK_MS: u64 = 60;
 
-/// Status of a request's complete answer; `None` if its kept connection closed before.
-type Ends = Arc<Mutex<BTreeMap<String, Option<u16>>>>;
+/// The configuration that sends `/crew/` to a service.
+fn version(number: u32, service: &'static str) -> String {
+    let kind = "non_idempotent";
+    let routes = [Route { host: "crew.example", prefix: "/crew/", kind, service, timeout_s: 1.2 }];
+    config(number, &routes, &["jobsheets", "dispatch", "purchasing"])
+}
 
 fn main() {
     let trouble = trouble();
     let record = Record::create();
     let folder = new_folder("3");
     let store = Store::new(&record);
-    let routes = [Route {
-        host: "crew.example",
-        prefix: "/crew/",
-        kind: "non_idempotent",
-        service: "dispatch",
-        timeout_s: 5.0,
-    }];
-    store.put("config", "main", &config(7, &routes, &["jobsheets", "dispatch"]));
+    store.put("config", "main", &version(7, "dispatch"));
     let places = [
         ("n1", "hafnarfj", "jobsheets"),
-        ("n2", "keflav", "jobsheets"),
-        ("n3", "hafnarfj", "dispatch"),
+        ("n2", "hafnarfj", "dispatch"),
+        ("n3", "keflav", "purchasing"),
         ("n4", "keflav", "dispatch"),
     ];
     let nodes: Vec<Arc<Node>> = places
@@ -52,7 +45,7 @@
         .map(|it| Node::start(&record, &folder, it.0, it.1, it.2, &store.door(it.0)))
         .collect();
     let runs = Runs::default();
-    let _backends: Vec<_> = nodes
+    let backends: Vec<_> = nodes
         .iter()
         .map(|it| {
             let instance = format!("i-{}", it.name);
@@ -62,136 +55,90 @@
     if !wait_for("all nodes ready", 20, || nodes.iter().all(|it| it.is_ready())) {
         finish(NOT_RUN);
     }
-    thread::sleep(ms(3000));
-    let (peak, kills) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU32::new(0)));
-    let is_over = Arc::new(AtomicBool::new(false));
-    let watches: Vec<_> = nodes
-        .iter()
-        .map(|node| {
-            let (node, record) = (Arc::clone(node), record.clone());
-            let (peak, kills, is_over) =
-                (Arc::clone(&peak), Arc::clone(&kills), Arc::clone(&is_over));
-            thread::spawn(move || watch_memory(&node, &record, &peak, &kills, &is_over))
-        })
-        .collect();
-    let began = record.now();
-    record.say("traffic begins");
-    let (ends, stop) = (Ends::default(), Arc::new(AtomicBool::new(false)));
-    let mut clients: Vec<_> = (0..CLIENTS)
+    thread::sleep(ms(6000));
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..4)
         .map(|client| {
-            let (record, ends, stop) = (record.clone(), Arc::clone(&ends), Arc::clone(&stop));
-            let addr = nodes[0].outbound;
-            thread::spawn(move || run_client(client, addr, &record, &ends, &stop))
+            let (record, stop, addr) = (record.clone(), Arc::clone(&stop), nodes[0].outbound);
+            thread::spawn(move || {
+                let mut sent = Vec::new();
+                while !stop.load(Ordering::SeqCst) {
+                    let id = format!("c{client}n{:04}", sent.len());
+                    let headers = [
+                        ("Host", "crew.example"),
+                        ("Request-Id", &*id),
+                        ("Deadline-Ms", "6000"),
+                        ("Connection", "close"),
+                    ];
+                    let at = record.now();
+                    record.line(&format!("client: {id} sent"));
+                    let path = format!("/crew/{id}");
+                    let answer = call(addr, "POST", &path, &headers, b"x", ms(6000));
+                    let status = answer.map(|it| it.status());
+                    record.line(&format!("client: {id} answered {status:?}"));
+                    sent.push((id.clone(), at));
+                    thread::sleep(ms(60));
+                }
+                sent
+            })
         })
         .collect();
-    let body = Arc::new(vec![b'x'; BODY_BYTES]);
-    for upload in 0..UPLOADS {
-        let (body, addr, record) = (Arc::clone(&body), nodes[0].outbound, record.clone());
-        // Without the disruption, the same bodies come one after the other.
-        let pause = if trouble { 0.0 } else { 4.0 * upload as f64 };
-        clients.push(thread::spawn(move || {
-            record.sleep_until(began + 3.0 + pause);
-            let id = format!("up{upload}");
-            record.say(&format!("client: {id} sent, {BODY_BYTES} bytes"));
-            let headers = [("Host", "crew.example"), ("Request-Id", &*id), ("Deadline-Ms", "6000")];
-            let answer = call(addr, "POST", &format!("/crew/{id}"), &headers, &body, ms(6000));
-            record.say(&format!("client: {id} answered {:?}", answer.map(|it| it.status())));
-        }));
-    }
-    record.sleep_until(began + TRAFFIC_S);
-    stop.store(true, Ordering::SeqCst);
-    for client in clients {
-        let _ = client.join();
-    }
-    is_over.store(true, Ordering::SeqCst);
-    for watch in watches {
-        let _ = watch.join();
+    record.say("traffic begins");
+    thread::sleep(ms(1000));
+    // The copy from which the store comes back. After it a backend leaves, which the node beside it
+    // stores.
+    let copied = record.now();
+    let copy = store.copy();
+    record.say(&format!("store: a copy is made at revision {}", store.revision()));
+    thread::sleep(ms(1000));
+    backends[3].beats.store(false, Ordering::SeqCst);
+    let draining = backends[3].beat_body("draining");
+    if !backends[3].send_beat(&draining) {
+        give_up("the leaving was not confirmed");
     }
-    // LOST as written: passed on to a sound backend, and the kept connection closed without an answer.
-    let run_ids: Vec<String> = runs.all().into_iter().map(|it| it.id).collect();
-    let ends = ends.lock().unwrap();
-    let lost: Vec<_> = ends.iter().filter(|it| it.1.is_none() && run_ids.contains(it.0)).collect();
-    for (id, _) in &lost {
-        record.say(&format!("LOST: {id} was run and its connection closed without an answer"));
+    record.say("backend i-n4: its leaving is confirmed");
+    record.sleep_until(copied + COPY_AGE_S);
+    let lost = store.revision();
+    if trouble {
+        store.go_away();
+        record.say(&format!("store: away, at revision {lost}"));
+        record.sleep_until(copied + COPY_AGE_S + AWAY_S);
+        store.come_back(copy);
+        let revision = store.revision();
+        record.say(&format!("store: back from the copy, revision {revision}, era {}", store.era()));
     }
-    let served = ends.values().filter(|it| **it == Some(200)).count();
+    // The write of the operator has waited for the store and is the first one.
+    store.put("config", "main", &version(8, "purchasing"));
+    let confirmed = record.now();
+    record.say(&format!("operator: version 8, revision {}", store.revision()));
+    record.sleep_until(confirmed + TRAFFIC_S);
+    stop.store(true, Ordering::SeqCst);
+    let sent: Vec<(String, f64)> =
+        clients.into_iter().filter_map(|it| it.join().ok()).flatten().collect();
+    // CONFIG as written: sent later than `config_s` after the confirmation, stretched by `max_skew_s`, and
+    // with a core that has been stable for `stability_window_s`.
+    let from = confirmed + (CONFIG_S + MAX_SKEW_S).max(STABILITY_S);
+    let runs = runs.all();
+    let service_of = |id: &str| {
+        let run = runs.iter().find(|it| it.id == id)?;
+        Some(if run.backend == "i-n3" { "purchasing" } else { "dispatch" })
+    };
+    let late: Vec<_> = sent.iter().filter(|it| it.1 > from).collect();
+    let by = |service| late.iter().filter(|it| service_of(&it.0) == Some(service)).count();
     record.say(&format!(
-        "{} small requests, {served} served, {} lost; most memory of a node {} MB of {MEMORY_MB}, \
-         {} processes ended for it",
-        ends.len(),
-        lost.len(),
-        peak.load(Ordering::SeqCst) / 1000,
-        kills.load(Ordering::SeqCst)
+        "{} requests sent later than {:.1} s after version 8: {} run by dispatch, as only version 7 \
+         allows, {} by purchasing",
+        late.len(),
+        from - confirmed,
+        by("dispatch"),
+        by("purchasing")
     ));
+    let code = match (by("dispatch"), by("purchasing")) {
+        (0, 0) => NOT_RUN,
+        (0, _) => HELD,
+        _ => BROKEN,
+    };
     nodes.iter().for_each(|it| it.kill());
     let _ = std::fs::remove_dir_all(&folder);
-    if served == 0 {
-        finish(NOT_RUN);
-    }
-    finish(if lost.len() > MOST_LOST { BROKEN } else { HELD });
-}
-
-/// Kills a process that exceeds the memory of its machine, and starts it again, as the platform does.
-fn watch_memory(
-    node: &Node,
-    record: &Record,
-    peak: &AtomicU64,
-    kills: &AtomicU32,
-    is_over: &AtomicBool,
-) {
-    while !is_over.load(Ordering::SeqCst) {
-        let kb = resident_kb(node.pid());
-        peak.fetch_max(kb, Ordering::SeqCst);
-        if kb > MEMORY_MB * 1000 {
-            record.say(&format!(
-                "platform: {} uses {} MB of {MEMORY_MB} and is killed",
-                node.name,
-                kb / 1000
-            ));
-            kills.fetch_add(1, Ordering::SeqCst);
-            node.kill();
-            thread::sleep(ms(500));
-            node.launch();
-        }
-        thread::sleep(ms(5));
-    }
-}
-
-/// Resident memory of a process, in kilobytes.
-fn resident_kb(pid: u32) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
-    line.and_then(|it| it.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-}
-
-/// Sends one small request after another on a kept connection.
-fn run_client(client: usize, addr: SocketAddr, record: &Record, ends: &Ends, stop: &AtomicBool) {
-    let mut io: Option<(TcpStream, Vec<u8>)> = None;
-    let mut number = 0;
-    while !stop.load(Ordering::SeqCst) {
-        let (mut socket, mut buf) = match io.take() {
-            Some(it) => it,
-            None => match TcpStream::connect_timeout(&addr, ms(1000)) {
-                Ok(it) => (it, Vec::new()),
-                Err(_) => {
-                    thread::sleep(ms(100));
-                    continue;
-                }
-            },
-        };
-        number += 1;
-        let id = format!("c{client}n{number:03}");
-        let headers = [("Host", "crew.example"), ("Request-Id", &*id), ("Deadline-Ms", "6000")];
-        let _ = socket.set_nodelay(true);
-        let _ = socket.set_read_timeout(Some(ms(6000)));
-        record.line(&format!("client: {id} sent"));
-        let sent = socket.write_all(&request_bytes("POST", &format!("/crew/{id}"), &headers, b"x"));
-        let answer = sent.ok().and_then(|()| read_msg(&mut socket, &mut buf));
-        record.line(&format!("client: {id} answered {:?}", answer.as_ref().map(Msg::status)));
-        ends.lock().unwrap().insert(id, answer.as_ref().map(Msg::status));
-        if answer.is_some_and(|it| !it.closes()) {
-            io = Some((socket, buf));
-        }
-        thread::sleep(ms(10));
-    }
+    finish(code);
 }
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -275,20 +275,28 @@
 
 // ---------------------------------------------------------------- store
 
+#[derive(Clone)]
 struct Object {
     revision: u64,
     created: u64,
     spec: String,
 }
 
-#[derive(Default)]
+#[derive(Default, Clone)]
 struct StoreState {
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     /// Revision, kind, object as JSON, and whether it was deleted.
     events: Vec<(u64, String, String, bool)>,
+    /// Number of times that the store has come back from a copy; the header `Store-Era`.
+    era: u64,
+    /// Whether the store is away: connections are closed without an answer.
+    is_away: bool,
 }
 
+/// A copy of the store's content.
+pub struct Copy(StoreState);
+
 /// The platform's metadata store. Each node has a door (an address) of its own, so that the store
 /// can turn away single machines.
 #[derive(Clone)]
@@ -321,16 +329,22 @@
             let mut buf = Vec::new();
             while let Some(req) = read_msg(&mut io, &mut buf) {
                 thread::sleep(ms(4));
-                let (status, body) = if busy.load(Ordering::SeqCst) {
+                let (status, body) = if store.is_away() {
+                    (0, String::new())
+                } else if busy.load(Ordering::SeqCst) {
                     (503, "{}".to_owned())
                 } else {
                     store.handle(&req)
                 };
+                if status == 0 {
+                    return;
+                }
+                let era = store.era().to_string();
                 let is_read = req.word(0) == "GET";
                 if !is_read || status == 503 {
                     store.record.line(&format!("store: {name} {} -> {status}", req.start));
                 }
-                let headers = [("Content-Type", "application/json")];
+                let headers = [("Content-Type", "application/json"), ("Store-Era", &*era)];
                 if io.write_all(&answer_bytes(status, &headers, body.as_bytes())).is_err() {
                     return;
                 }
@@ -339,6 +353,39 @@
         door
     }
 
+    /// Number of times that the store has come back from a copy.
+    pub fn era(&self) -> u64 {
+        self.state.0.lock().unwrap().era
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.state.0.lock().unwrap().revision
+    }
+
+    fn is_away(&self) -> bool {
+        self.state.0.lock().unwrap().is_away
+    }
+
+    /// A copy of the present content.
+    pub fn copy(&self) -> Copy {
+        Copy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Goes away: cuts waiting watches, and closes connections without an answer from now on.
+    pub fn go_away(&self) {
+        self.state.0.lock().unwrap().is_away = true;
+        self.state.1.notify_all();
+    }
+
+    /// Comes back with the content of a copy, and as the next era. What was written since the copy is
+    /// gone, and its revisions are given out again.
+    pub fn come_back(&self, copy: Copy) {
+        let mut state = self.state.0.lock().unwrap();
+        let era = state.era + 1;
+        *state = StoreState { era, is_away: false, ..copy.0 };
+    }
+
     /// Writes an object as the operator does.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
         let mut state = self.state.0.lock().unwrap();
@@ -378,6 +425,13 @@
         let since = number("watch");
         let mut state = self.state.0.lock().unwrap();
         loop {
+            if state.is_away {
+                return (0, String::new());
+            }
+            // A revision that the store doesn't have.
+            if since > state.revision {
+                return (410, "{}".to_owned());
+            }
             let events: Vec<String> = state
                 .events
                 .iter()
@@ -579,7 +633,7 @@
     pub fn signal(&self, name: &str) {
         let pid = self.pid();
         if pid > 0 {
-            let _ = Command::new("kill").arg(format!("-{name}")).arg(pid.to_string()).status();
+            send_signal(pid, name);
         }
     }
 
@@ -605,10 +659,15 @@
 /// Processes that this case has started and not yet reaped.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Sends a signal with the shell's own `kill`.
+fn send_signal(pid: u32, name: &str) {
+    let _ = Command::new("sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+}
+
 /// Ends all processes that the case has started, and then the case itself.
 pub fn finish(code: i32) -> ! {
     for pid in STARTED.lock().unwrap().drain(..) {
-        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        send_signal(pid, "KILL");
     }
     std::process::exit(code);
 }
