--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -1,4 +1,4 @@
-//! Two of the three nodes of a zone are stopped with SIGTERM while clients
+//! The three nodes of a zone are stopped with SIGTERM and started again, one after the other, while clients
 //! pipeline idempotent requests. A request that was passed on to a backend must get its answer.
 
 #[path = "../standins/common.rs"]
@@ -13,11 +13,12 @@
 
 use common::*;
 
-/// `roll_term` with x = 2: both at a time, as `fault_tolerance` `machines = 2` allows.
-const GAP_S: f64 = 0.0;
+/// `roll_term` of the site file: share 1, x = 1 at a time, each second.
+const GAP_S: f64 = 1.0;
+const STOPPED: usize = 3;
 const GRACE_S: f64 = 6.0;
 const FIRST_TERM_S: f64 = 4.0;
-const TRAFFIC_S: f64 = 16.0;
+const TRAFFIC_S: f64 = 18.0;
 /// Work of a request; `paint-stock` of the site.
 const WORK_MS: u64 = 400;
 const ROUTE_TIMEOUT_S: f64 = 2.5;
@@ -88,7 +89,7 @@
     });
     let seen = SeenById::default();
     let mut clients = Vec::new();
-    for node in 0..2 {
+    for node in 0..STOPPED {
         for connection in 0..CONNECTIONS {
             let (record, seen, stop) = (record.clone(), Arc::clone(&seen), Arc::clone(&stop));
             let (addr, gets_work) = (nodes[node].outbound, Arc::clone(&gets_work[node]));
@@ -99,8 +100,8 @@
             }));
         }
     }
-    let mut terms = [f64::MAX; 2];
-    for node in 0..2 {
+    let mut terms = [f64::MAX; STOPPED];
+    for node in 0..STOPPED {
         record.sleep_until(began + FIRST_TERM_S + GAP_S * node as f64);
         if trouble {
             terms[node] = record.now();
@@ -246,7 +247,12 @@
 }
 
 /// Checks LOST around planned work as written.
-fn judge(record: &Record, runs: &Runs, seen: &BTreeMap<String, Seen>, terms: [f64; 2]) -> i32 {
+fn judge(
+    record: &Record,
+    runs: &Runs,
+    seen: &BTreeMap<String, Seen>,
+    terms: [f64; STOPPED],
+) -> i32 {
     let mut first_run = BTreeMap::new();
     for run in runs.all() {
         first_run.entry(run.id.clone()).or_insert(run);
