Log who watches the routes, and how old a node's knowledge of them is

Which nodes watch the store, for how long a node has not known whether its routes are the newest, and 404s were in no line and no figure.

Change: events routes-watch-began, routes-watch-ended and route-not-found (bounded like other lines about requests), gauges routes_confirmed_age_seconds and routes_watched. RouteFreshness keeps the latest time at which the store held no newer routes; a list that may be stale confirms nothing, a watch that returned without a change confirms the time for which the store waited. No decision depends on it yet.

Tests: the mesh tests (133) and the list of events pass.

--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -14,6 +14,9 @@
     OwnObjectNotStored,
     RoutesInForce,
     RoutesRefused,
+    RoutesWatchBegan,
+    RoutesWatchEnded,
+    RouteNotFound,
     MemberUp,
     MemberLost,
     MemberGone,
@@ -47,7 +50,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 39] = [
+    pub const ALL: [LogEvent; 42] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -58,6 +61,9 @@
         LogEvent::OwnObjectNotStored,
         LogEvent::RoutesInForce,
         LogEvent::RoutesRefused,
+        LogEvent::RoutesWatchBegan,
+        LogEvent::RoutesWatchEnded,
+        LogEvent::RouteNotFound,
         LogEvent::MemberUp,
         LogEvent::MemberLost,
         LogEvent::MemberGone,
@@ -107,6 +113,9 @@
             LogEvent::OwnObjectNotStored => "own-object-not-stored",
             LogEvent::RoutesInForce => "routes-in-force",
             LogEvent::RoutesRefused => "routes-refused",
+            LogEvent::RoutesWatchBegan => "routes-watch-began",
+            LogEvent::RoutesWatchEnded => "routes-watch-ended",
+            LogEvent::RouteNotFound => "route-not-found",
             LogEvent::MemberUp => "member-up",
             LogEvent::MemberLost => "member-lost",
             LogEvent::MemberGone => "member-gone",
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -1,5 +1,5 @@
 use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, AtomicU64};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -83,6 +83,8 @@
     report_age: FloatGauge,
     routes_version: IntGauge,
     routes_age: FloatGauge,
+    routes_confirmed_age: FloatGauge,
+    routes_watched: IntGauge,
     members: IntGauge,
     members_lost: IntGauge,
     members_by_version: Family<VersionLabels, IntGauge>,
@@ -119,6 +121,10 @@
             Unit::Seconds,
             it.routes_age,
         );
+        let name = "routes_confirmed_age";
+        let help = "Since they were known to be the newest in the store";
+        registry.register_with_unit(name, help, Unit::Seconds, it.routes_confirmed_age);
+        registry.register("routes_watched", "1 if this node watches them", it.routes_watched);
         registry.register("members", "Other nodes", it.members);
         registry.register("members_lost", "Other nodes that do not answer", it.members_lost);
         let help = "Nodes by protocol version and build, this one included";
@@ -253,6 +259,8 @@
         it.report_age.set(shared.gate.report_age().as_secs_f64());
         it.routes_version.set(shared.route_version() as i64);
         it.routes_age.set(shared.routes_age().as_secs_f64());
+        it.routes_confirmed_age.set(shared.routes_confirmed_age().as_secs_f64());
+        it.routes_watched.set(i64::from(shared.watches_routes.load(Ordering::Relaxed)));
         let (members, lost) = shared.member_counts();
         it.members.set(members as i64);
         it.members_lost.set(lost as i64);
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -8,8 +8,8 @@
 use pollenlever_core::id::{ChainId, NodeId, ServiceName, WorkspaceName};
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteTable,
-    RouteVersion, WeightedSplit,
+    CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteFreshness,
+    RouteTable, RouteVersion, WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
@@ -78,6 +78,8 @@
     pub(super) is_fetching_routes: AtomicBool,
     /// Whether routes of a newer version are in the store, and no node can send them to this one.
     pub(super) is_routes_read_due: AtomicBool,
+    /// Whether this node watches the routes in the store.
+    pub(super) watches_routes: AtomicBool,
     stopped: watch::Sender<bool>,
 }
 
@@ -86,6 +88,8 @@
     pub(super) routes: Option<RoutesInForce>,
     /// When the routes came into force, on the node's clock.
     pub(super) routes_since: Duration,
+    /// When the routes were last known to be the newest ones.
+    pub(super) route_freshness: RouteFreshness,
     pub(super) splits: HashMap<Arc<str>, WeightedSplit>,
     pub(super) routing: TwoChoices,
     /// Members that do not answer and are probed.
@@ -116,6 +120,7 @@
             settings: cfg.clone(),
             routes: None,
             routes_since: Duration::ZERO,
+            route_freshness: RouteFreshness::default(),
             splits: HashMap::new(),
             routing,
             lost: BTreeMap::new(),
@@ -153,6 +158,7 @@
             target_state_restored: AtomicBool::new(false),
             is_fetching_routes: AtomicBool::new(false),
             is_routes_read_due: AtomicBool::new(false),
+            watches_routes: AtomicBool::new(false),
             stopped: watch::channel(false).0,
         }
     }
@@ -224,6 +230,16 @@
         self.clock.now().saturating_sub(self.lock().routes_since)
     }
 
+    /// Records that the store held no newer routes at `at`, on the node's clock.
+    pub(super) fn confirm_routes(&self, at: Duration) {
+        self.lock().route_freshness.confirm(at);
+    }
+
+    /// Time since the routes in force were last known to be the newest ones in the store.
+    pub(super) fn routes_confirmed_age(&self) -> Duration {
+        self.lock().route_freshness.age(self.clock.now())
+    }
+
     /// Applies routes, unless the ones in force have the same or a later version.
     pub(super) fn apply_routes(&self, table: RouteTable, source: &str) {
         let mut state = self.lock();
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -46,14 +46,19 @@
             let watches = self.shared.is_store_watcher() || self.shared.is_out_of_contact();
             let has_routes = self.shared.routes().is_some();
             let is_read_due = self.shared.is_routes_read_due.swap(false, Ordering::Relaxed);
+            self.record_duty(watches);
             if has_routes && !watches && !is_read_due {
                 position = WatchPosition::default();
                 tokio::time::sleep(DUTY_CHECK_INTERVAL).await;
                 continue;
             }
             position.needs_present_list |= is_read_due;
+            let sent_at = self.shared.clock.now();
             match self.read(&store, &position).await {
                 Ok(list) => {
+                    if let Some(at) = self.confirmed_at(&position, &list, sent_at) {
+                        self.shared.confirm_routes(at);
+                    }
                     self.shared.metrics.record_store_call(true);
                     if backoff.reset() {
                         let (kind, _) = self.platform.routes_object();
@@ -95,6 +100,35 @@
         }
     }
 
+    /// Logs when this node begins or ends to watch the store.
+    fn record_duty(&self, watches: bool) {
+        if self.shared.watches_routes.swap(watches, Ordering::Relaxed) == watches {
+            return;
+        }
+        let version = self.shared.route_version();
+        let event = if watches { LogEvent::RoutesWatchBegan } else { LogEvent::RoutesWatchEnded };
+        log_event!(event, "version={version}");
+    }
+
+    /// Time at which the store held nothing newer than what a call sent at `sent_at` has returned;
+    /// `None` if it may have returned something older.
+    fn confirmed_at(
+        &self,
+        position: &WatchPosition,
+        list: &ObjectList,
+        sent_at: Duration,
+    ) -> Option<Duration> {
+        let took = self.shared.clock.now().saturating_sub(sent_at);
+        match position {
+            WatchPosition { since: Some(_), .. } => {
+                let is_unchanged = list.objects.is_empty() && took >= WATCH_TIMEOUT;
+                Some(if is_unchanged { sent_at + WATCH_TIMEOUT } else { sent_at })
+            }
+            WatchPosition { needs_present_list: true, .. } => Some(sent_at),
+            WatchPosition { .. } => None,
+        }
+    }
+
     fn record_failure(&self, backoff: &StoreBackoff, err: &StoreError) {
         self.shared.metrics.record_store_call(false);
         if !backoff.is_failing() {
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -11,6 +11,7 @@
     HttpRoute, Lineage, MeshAttempt, RequestId, RouteTable, RouteVersion,
 };
 
+use super::log_event::{LogEvent, log_event};
 use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
 use super::{MeshShared, forwarded_headers};
@@ -63,7 +64,8 @@
         let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
         let host = host.or(parts.uri.host()).ok_or(ErrorKind::MalformedRequest)?;
         let path = parts.uri.path_and_query().map_or("/", |it| it.as_str()).to_owned();
-        let route = table.find(host, &path).ok_or(ErrorKind::UnknownRequestKind)?.clone();
+        let found = table.find(host, &path).cloned();
+        let route = found.ok_or_else(|| refuse_unknown_route(shared, host, &parts.headers))?;
         let id = request_id(shared, &parts.headers)?;
         check_head_size(table, &parts.headers)?;
         let time_budget = time_budget(shared, &parts.headers);
@@ -131,6 +133,20 @@
     }
 }
 
+/// Logs that no route matches a request, with how far the routes may lag behind the store.
+fn refuse_unknown_route(shared: &MeshShared, host: &str, headers: &HeaderMap) -> ErrorKind {
+    if let Some(omitted) = shared.request_log.admit_line(shared.clock.now()) {
+        log_event!(
+            LogEvent::RouteNotFound,
+            "request={} host={host:?} routes={} confirmed_age_ms={} omitted={omitted}",
+            request_id(shared, headers).as_deref().unwrap_or("none"),
+            shared.route_version(),
+            shared.routes_confirmed_age().as_millis()
+        );
+    }
+    ErrorKind::UnknownRequestKind
+}
+
 fn request_id(shared: &MeshShared, headers: &HeaderMap) -> Result<RequestId, ErrorKind> {
     let id = headers.get(&shared.names.request_id).and_then(|it| it.to_str().ok());
     id.map(RequestId::from).ok_or(ErrorKind::MalformedRequest)
