Failing tests: a confirmed version is unknown while all watchers are refused

Cause shown: three nodes of a region watch the routes for all. While the store refuses these three, by errors or by silence, the other five, which it serves, never hear of a version: both tests wait 20 s for it in vain.

StoreView gives each test node its own access to the store, which can be refused.

--- a/crates/pollenlever/tests/mesh/config.rs
+++ b/crates/pollenlever/tests/mesh/config.rs
@@ -1,10 +1,11 @@
 use pollenlever_core::id::NodeId;
-use pollenlever_core::mesh::{RouteTable, WeightedService};
+use pollenlever_core::mesh::{HttpRoute, RouteTable, WeightedService};
 use serde_json::json;
 
 use super::gossip_peer::GossipPeer;
 use super::scripted_target::Action;
-use super::test_mesh::{TestMesh, table, wait_until};
+use super::store_view::Refusal;
+use super::test_mesh::{TestMesh, TestNode, table, wait_until};
 
 /// Kind of the store objects that list nodes through which others join.
 const SEEDS: &str = "pollenlever-seeds";
@@ -138,3 +139,40 @@
     peer.send_heartbeat(predecessor).await;
     wait_until("contacted", || peer.contacts().contains(&node)).await;
 }
+
+/// Watchers that cannot reach the store must not keep a version from nodes that can.
+async fn a_version_reaches_nodes_that_the_store_serves(refusal: Refusal) {
+    let script = [Action::Answer(200, "read")];
+    let targets: Vec<_> = (0..8).map(|_| ("read", &script[..])).collect();
+    let mesh = TestMesh::start(&targets).await;
+    let watching = || mesh.nodes.iter().filter(|it| it.store.is_watching()).count();
+    wait_until("three watch", || watching() == 3).await;
+    let (watchers, served): (Vec<&TestNode>, Vec<&TestNode>) =
+        mesh.nodes.iter().partition(|it| it.store.is_watching());
+    watchers.iter().for_each(|it| it.store.set_refusal(Some(refusal)));
+    mesh.publish(with_added_route(2));
+    for node in served {
+        let shared = node.node.shared();
+        wait_until("version in force", || shared.route_version() == 2).await;
+        assert_eq!(node.call("GET", "/added/1", "r1").await.status, 200);
+    }
+}
+
+/// The test routes with one more.
+fn with_added_route(version: u64) -> RouteTable {
+    let mut table = table(version);
+    let added =
+        HttpRoute { prefix: "/added/".into(), name: "added".into(), ..table.routes[0].clone() };
+    table.routes.push(added);
+    table
+}
+
+#[tokio::test]
+async fn a_confirmed_version_is_unknown_while_all_watchers_get_errors() {
+    a_version_reaches_nodes_that_the_store_serves(Refusal::Error).await;
+}
+
+#[tokio::test]
+async fn a_confirmed_version_is_unknown_while_all_watchers_get_no_answer() {
+    a_version_reaches_nodes_that_the_store_serves(Refusal::Silence).await;
+}
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -21,5 +21,6 @@
 mod start_pace;
 mod stated_rate;
 mod stop;
+mod store_view;
 mod test_mesh;
 mod workspaces;
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -20,6 +20,7 @@
 use super::memory_store::MemoryStore;
 use super::raw_caller::{RawAnswer, RawCaller};
 use super::scripted_target::{Action, ScriptedTarget};
+use super::store_view::StoreView;
 
 /// Timeout of the conditions that a test waits for.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
@@ -30,7 +31,7 @@
 
 /// A platform whose route object holds only the version of a table; the tables are kept in memory.
 struct TestPlatform {
-    store: MemoryStore,
+    store: StoreView,
     tables: Arc<Mutex<Vec<RouteTable>>>,
 }
 
@@ -73,6 +74,8 @@
     pub(crate) callers: SocketAddr,
     pub(crate) metrics: SocketAddr,
     pub(crate) target: ScriptedTarget,
+    /// The store as this node sees it.
+    pub(crate) store: StoreView,
     service: &'static str,
     /// Runtime of a node that can crash; `None` if it shares that of the test.
     runtime: Option<Runtime>,
@@ -180,7 +183,8 @@
             },
             ..MeshSettings::default()
         };
-        let platform = TestPlatform { store: self.store.clone(), tables: Arc::clone(&self.tables) };
+        let store = StoreView::new(self.store.clone());
+        let platform = TestPlatform { store: store.clone(), tables: Arc::clone(&self.tables) };
         let callers = cfg.callers_address;
         let start = async move { MeshNode::start(&cfg, Arc::new(platform)).await.unwrap() };
         let node = match &runtime {
@@ -188,7 +192,7 @@
             None => start.await,
         };
         let metrics = SocketAddr::from((ip, METRICS_PORT));
-        TestNode { node, callers, metrics, target, service, runtime }
+        TestNode { node, callers, metrics, target, store, service, runtime }
     }
 
     pub(crate) async fn wait_until_members_known(&self) {
@@ -204,9 +208,7 @@
 
     /// Sends one request to the first node on a new connection.
     pub(crate) async fn call(&self, method: &str, path: &str, id: &str) -> RawAnswer {
-        let mut caller = self.caller().await;
-        caller.request(method, path, id, DEADLINE_MS).await;
-        caller.answer().await.expect("an answer")
+        self.nodes[0].call(method, path, id).await
     }
 
     /// Opens a connection to the first node.
@@ -221,6 +223,13 @@
 }
 
 impl TestNode {
+    /// Sends the node one request on a new connection.
+    pub(crate) async fn call(&self, method: &str, path: &str, id: &str) -> RawAnswer {
+        let mut caller = RawCaller::connect(self.callers).await;
+        caller.request(method, path, id, DEADLINE_MS).await;
+        caller.answer().await.expect("an answer")
+    }
+
     /// Sends the node a report of its target.
     pub(crate) fn report(&self, sequence: u64, is_draining: bool) {
         self.report_of(1, sequence, is_draining);
