Step in for watchers of the routes that cannot reach the store

Cause: three nodes of a region watch the store for all, chosen by rank. Rank does not say whether a node can do it: a watcher that the store refuses stays a watcher, and nobody else looks. The class: a duty is given by membership, and nobody checks that it is done.

Ruled out: a watch that misses a version, and an object that cannot be read. The nine watchers log store-lost before the confirmation, the others make no call, and the version comes with store-regained.

Change: a node that has read the store tells its linked nodes how long ago (ConfirmRoutes), and they pass it on. StoreDutyChoice lets a node step in as a deputy once it has heard nothing for 1.7 s, by rank in groups that double each 100 ms, for 5 s; one that fails tries again after 4 s at the earliest. This takes the place of the watch of nodes without contact to others. Watchers begin with a list that is not stale and wait 0.75 to 1.5 s at random. Protocol version 7 has the new request; 6, 5 and 4 are spoken as before.

Evidence: both tests failed before and pass now; core store_duty replays refused ranks on a virtual clock against the bound of 2.5 s.

--- a/crates/pollenlever-core/src/membership/membership.rs
+++ b/crates/pollenlever-core/src/membership/membership.rs
@@ -9,7 +9,7 @@
 use super::seed_list::SeedList;
 use super::{
     BucketId, Change, GossipMessage, GossipPurpose, Link, Member, MemberTable, MembershipAction,
-    MembershipEvent, MembershipSettings, Overlay, TargetState, highest_scores,
+    MembershipEvent, MembershipSettings, Overlay, TargetState, highest_scores, rank,
 };
 use crate::Timestamp;
 use crate::id::{ExchangeId, NodeId};
@@ -125,6 +125,12 @@
         highest_scores(self.region_members(), seed, count).contains(&self.me.node)
     }
 
+    /// Position of this node among the members of its region, in the order of rendezvous hashing with
+    /// `seed`; 0 is chosen first.
+    pub fn rank_in_region(&self, seed: u64) -> usize {
+        rank(self.region_members(), seed, self.me.node)
+    }
+
     pub(super) fn on_target_notice(
         &mut self,
         now: Timestamp,
--- a/crates/pollenlever-core/src/membership/mod.rs
+++ b/crates/pollenlever-core/src/membership/mod.rs
@@ -35,4 +35,4 @@
 pub use membership_event::MembershipEvent;
 pub use membership_settings::MembershipSettings;
 pub use overlay::{Link, Overlay};
-pub use rendezvous::highest_scores;
+pub use rendezvous::{highest_scores, rank};
--- a/crates/pollenlever-core/src/membership/rendezvous.rs
+++ b/crates/pollenlever-core/src/membership/rendezvous.rs
@@ -31,3 +31,18 @@
     }
     chosen.into_iter().map(|(_, node)| node).collect()
 }
+
+/// Number of nodes with a higher score for `seed` than `node`, which is one of them.
+///
+/// ```
+/// use pollenlever_core::id::NodeId;
+/// use pollenlever_core::membership::{highest_scores, rank};
+/// let nodes: Vec<NodeId> =
+///     (1..9).map(|port| format!("127.0.0.1:{port}@1").parse().unwrap()).collect();
+/// let chosen = highest_scores(nodes.iter().copied(), 7, 3);
+/// assert_eq!(rank(nodes.iter().copied(), 7, chosen[2]), 2);
+/// ```
+pub fn rank(nodes: impl IntoIterator<Item = NodeId>, seed: u64, node: NodeId) -> usize {
+    let score = |it: NodeId| (hash_addr(it.addr, seed), it);
+    nodes.into_iter().filter(|it| score(*it) > score(node)).count()
+}
--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -28,7 +28,7 @@
     Attempt(AttemptReply),
     /// `true` if the attempt is sealed, `false` if it was started before.
     Sealed(bool),
-    /// Reply to an offer of routes: the process that replies and the version of its routes.
+    /// Reply to an offer or a confirmation of routes: the process that replies and the version of its routes.
     RoutesVersion {
         /// The process.
         node: NodeId,
--- a/crates/pollenlever-core/src/mesh/mesh_request.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_request.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{MeshAttempt, RouteVersion};
+use super::{MeshAttempt, RouteConfirmation, RouteVersion};
 use crate::id::AttemptId;
 use crate::message::Suspicion;
 use crate::quota::{ShareDelegation, TokenRequest};
@@ -26,4 +26,6 @@
     ShareTableWritten,
     /// Send the number of shards of the share table.
     QuotaShards,
+    /// The sender's routes were the newest ones in the store.
+    ConfirmRoutes(RouteConfirmation),
 }
--- a/crates/pollenlever-core/src/mesh/route_freshness.rs
+++ b/crates/pollenlever-core/src/mesh/route_freshness.rs
@@ -2,7 +2,11 @@
 
 use crate::Timestamp;
 
-/// When the routes of a node were last known to be the newest ones in the store.
+/// Advance of the confirmation from which it is announced to other nodes again.
+const MIN_ANNOUNCED_ADVANCE: Duration = Duration::from_millis(500);
+
+/// When the routes of a node were last known to be the newest ones in the store, by its own reading or
+/// from what other nodes announce.
 ///
 /// ```
 /// use std::time::Duration;
@@ -17,6 +21,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct RouteFreshness {
     confirmed_at: Timestamp,
+    announced_at: Timestamp,
 }
 
 impl RouteFreshness {
@@ -34,4 +39,15 @@
     pub fn age(&self, now: Timestamp) -> Duration {
         now.saturating_sub(self.confirmed_at)
     }
+
+    /// Whether linked nodes should hear of the confirmation.
+    pub fn is_announcement_due(&self) -> bool {
+        self.confirmed_at >= self.announced_at + MIN_ANNOUNCED_ADVANCE
+    }
+
+    /// Records that the confirmation is announced, and returns its age.
+    pub fn announce(&mut self, now: Timestamp) -> Duration {
+        self.announced_at = self.confirmed_at;
+        self.age(now)
+    }
 }
--- a/crates/pollenlever-core/tests/mesh/main.rs
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod registry;
 mod routes;
 mod shared_rejection;
+mod store_duty;
 mod suspects;
 
 /// Defines one test per case, which calls the check with the case's arguments.
--- a/crates/pollenlever/src/mesh/member_versions.rs
+++ b/crates/pollenlever/src/mesh/member_versions.rs
@@ -13,6 +13,8 @@
 
 /// First protocol version whose nodes know workspaces and quotas.
 const WORKSPACES_VERSION: u16 = 5;
+/// First protocol version whose nodes confirm routes.
+const CONFIRMATIONS_VERSION: u16 = 7;
 /// Time between two checks whether members speak earlier protocol versions.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -70,6 +72,11 @@
         self.protocol_of(node).is_none_or(|it| it >= WORKSPACES_VERSION)
     }
 
+    /// Whether a node reads confirmations of routes.
+    pub(super) fn reads_confirmations(&self, node: NodeId) -> bool {
+        self.protocol_of(node).is_none_or(|it| it >= CONFIRMATIONS_VERSION)
+    }
+
     /// Members that can hold units of quotas and be homes of shards. Nodes that have not been heard of
     /// count among them, unless the deployment is known to have members that cannot.
     pub(super) fn members_with_quotas(&self) -> Vec<Member> {
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -35,6 +35,9 @@
             MeshRequest::OfferRoutes(version) => {
                 (shared.on_routes_offered(from, version), Bytes::new())
             }
+            MeshRequest::ConfirmRoutes(confirmation) => {
+                (shared.on_routes_confirmed(from, confirmation), Bytes::new())
+            }
             MeshRequest::Suspects(suspicions) => {
                 shared.gate.merge_suspicions(&suspicions);
                 (MeshReply::Acknowledged, Bytes::new())
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -166,7 +166,7 @@
     tokio::spawn(Delegator::new(Arc::clone(shared) as SharedQuotaNode).run());
     let share_keeper = ShareKeeper::new(Arc::clone(shared) as SharedQuotaNode, platform.store());
     tokio::spawn(share_keeper.run());
-    tokio::spawn(RouteWatch { shared: Arc::clone(shared), platform }.run());
+    tokio::spawn(RouteWatch::new(Arc::clone(shared), platform).run());
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener, NodeStartError> {
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -9,7 +9,7 @@
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
     CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteFreshness,
-    RouteTable, RouteVersion, WeightedSplit,
+    RouteTable, RouteVersion, WATCHERS_PER_REGION, WeightedSplit,
 };
 use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
@@ -33,8 +33,6 @@
 /// Time for which changes of members are collected before they are pushed together. It is short, as
 /// requests to a target that leaves are refused until its departure is known.
 const GOSSIP_PUSH_INTERVAL: Duration = Duration::from_millis(20);
-/// Members of a region that watch the store for all of its nodes.
-pub(super) const WATCHERS_PER_REGION: usize = 3;
 /// Seed for choosing the watchers.
 pub(super) const WATCHER_SEED: u64 = 0x7761_7463_6865;
 /// Time after the start during which a node does not watch the store, because it does not know
@@ -69,6 +67,8 @@
     pub(super) departure_changed: Notify,
     /// Signalled when other routes are in force.
     pub(super) routes_changed: Notify,
+    /// Signalled when the routes were confirmed and other nodes should hear of it.
+    pub(super) routes_confirmed: Notify,
     state: Mutex<State>,
     /// What targets stated in the answers that this node passed on.
     pub(super) remembered_statements: Mutex<RememberedStatements>,
@@ -94,8 +94,6 @@
     pub(super) routing: TwoChoices,
     /// Members that do not answer and are probed.
     pub(super) lost: BTreeMap<SocketAddr, NodeId>,
-    /// When another node was last in contact with this one, on the node's clock.
-    pub(super) last_contact: Duration,
     pub(super) call_classifier: CallClassifier,
 }
 
@@ -124,7 +122,6 @@
             splits: HashMap::new(),
             routing,
             lost: BTreeMap::new(),
-            last_contact: Duration::ZERO,
             call_classifier: CallClassifier::default(),
         };
         let membership = MembershipSettings {
@@ -151,6 +148,7 @@
             members: Arc::new(SharedMachine::new(membership)),
             departure_changed: Notify::new(),
             routes_changed: Notify::new(),
+            routes_confirmed: Notify::new(),
             state: Mutex::new(state),
             remembered_statements: Mutex::default(),
             last_id: AtomicU64::new(0),
@@ -230,29 +228,20 @@
         self.clock.now().saturating_sub(self.lock().routes_since)
     }
 
-    /// Records that the store held no newer routes at `at`, on the node's clock.
-    pub(super) fn confirm_routes(&self, at: Duration) {
-        self.lock().route_freshness.confirm(at);
-    }
-
-    /// Time since the routes in force were last known to be the newest ones in the store.
-    pub(super) fn routes_confirmed_age(&self) -> Duration {
-        self.lock().route_freshness.age(self.clock.now())
-    }
-
-    /// Applies routes, unless the ones in force have the same or a later version.
-    pub(super) fn apply_routes(&self, table: RouteTable, source: &str) {
+    /// Applies routes, unless the ones in force have the same or a later version. Returns `false` if
+    /// they cannot be used.
+    pub(super) fn apply_routes(&self, table: RouteTable, source: &str) -> bool {
         let mut state = self.lock();
         let known = state.routes.as_ref().map_or(0, |it| it.table.version);
         if table.version <= known && state.routes.is_some() {
-            return;
+            return true;
         }
         let routes = match RoutesInForce::new(table) {
             Ok(routes) => routes,
             Err(err) => {
                 let reason = err.to_string();
                 log_event!(LogEvent::RoutesRefused, "source={source} reason={reason:?}");
-                return;
+                return false;
             }
         };
         let table = &routes.table;
@@ -284,6 +273,7 @@
         state.routes = Some(routes);
         drop(state);
         self.routes_changed.notify_one();
+        true
     }
 
     /// Limits for connections of callers.
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -42,6 +42,7 @@
 mod request_frame;
 mod request_log;
 mod request_sender;
+mod route_confirmations;
 mod route_spread;
 mod route_watch;
 mod routed_request;
@@ -59,6 +60,7 @@
 mod target_result;
 mod target_run;
 mod target_state;
+mod watch_position;
 
 pub use control_server::{ControlAnswer, ControlHandler, SharedControlHandler};
 pub use header_names::HeaderNames;
--- a/crates/pollenlever/src/mesh/quota_node.rs
+++ b/crates/pollenlever/src/mesh/quota_node.rs
@@ -3,9 +3,10 @@
 
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::{TargetState, highest_scores};
+use pollenlever_core::mesh::WATCHERS_PER_REGION;
 
 use super::MeshShared;
-use super::mesh_shared::{WATCHER_SEED, WATCHERS_PER_REGION};
+use super::mesh_shared::WATCHER_SEED;
 use crate::quota::{Quota, QuotaMember, QuotaNode, QuotaStatus};
 
 impl QuotaNode for MeshShared {
--- a/crates/pollenlever/src/mesh/route_spread.rs
+++ b/crates/pollenlever/src/mesh/route_spread.rs
@@ -8,6 +8,7 @@
 use pollenlever_core::mesh::{MeshReply, MeshRequest, RouteVersion};
 use pollenlever_core::message::{PeerReply, PeerRequest};
 use rand::seq::IndexedRandom;
+use tokio::time::Instant;
 
 use super::MeshShared;
 
@@ -15,9 +16,6 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time between two comparisons of route versions with one linked node, which repair lost offers.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
-/// Time without an exchange with another node after which a node counts as cut off from them and
-/// watches the store itself.
-const MAX_TIME_WITHOUT_CONTACT: Duration = Duration::from_millis(2500);
 /// Delay before routes are fetched from a node whose reply to a request shows a newer version:
 /// usually they arrive by themselves.
 const FETCH_DELAY: Duration = Duration::from_millis(300);
@@ -25,26 +23,39 @@
 /// Spread of routes between nodes. A few nodes read them from the store; every node offers a new
 /// version to the nodes that its gossip links lead to.
 impl MeshShared {
-    /// Offers new versions to all linked nodes and compares versions with one of them from time to
-    /// time, for as long as the node runs.
+    /// Offers new versions to all linked nodes, tells them when the routes were confirmed, and
+    /// compares versions with one of them from time to time, for as long as the node runs.
     pub(super) async fn spread_routes(self: Arc<MeshShared>) {
+        let mut compare_at = Instant::now();
         loop {
-            let jitter = rand::random_range(0.75..1.25);
-            let links = self.members.read(|it| it.links().to_vec());
-            let receivers = tokio::select! {
-                () = self.routes_changed.notified() => links,
-                () = tokio::time::sleep(COMPARE_INTERVAL.mul_f64(jitter)) => {
+            tokio::select! {
+                () = self.routes_changed.notified() => {
+                    for node in self.linked_nodes() {
+                        self.spawn_offer(node);
+                    }
+                }
+                () = self.routes_confirmed.notified() => self.announce_confirmation(),
+                () = tokio::time::sleep_until(compare_at) => {
+                    let jitter = rand::random_range(0.75..1.25);
+                    compare_at = Instant::now() + COMPARE_INTERVAL.mul_f64(jitter);
                     self.update_node_count();
-                    links.choose(&mut rand::rng()).copied().into_iter().collect()
+                    if let Some(node) = self.linked_nodes().choose(&mut rand::rng()) {
+                        self.spawn_offer(*node);
+                    }
                 }
-            };
-            for link in receivers {
-                let shared = Arc::clone(&self);
-                tokio::spawn(async move { shared.offer_routes(link.node.addr).await });
             }
         }
     }
 
+    pub(super) fn linked_nodes(&self) -> Vec<NodeId> {
+        self.members.read(|it| it.links().iter().map(|link| link.node).collect())
+    }
+
+    fn spawn_offer(self: &Arc<MeshShared>, node: NodeId) {
+        let shared = Arc::clone(self);
+        tokio::spawn(async move { shared.offer_routes(node.addr).await });
+    }
+
     /// Tells the node at `addr` the version of this node's routes, and fetches its routes if they
     /// are newer. Returns its reply; `None` if there is none.
     pub(super) async fn offer_routes(
@@ -53,7 +64,6 @@
     ) -> Option<MeshReply> {
         let reply = self.call_peer(addr, MeshRequest::OfferRoutes(self.route_version())).await?;
         if let MeshReply::RoutesVersion { node, version } = &reply {
-            self.record_contact();
             self.fetch_routes_if_newer(*node, *version, Duration::ZERO);
         }
         Some(reply)
@@ -65,7 +75,6 @@
         from: NodeId,
         version: RouteVersion,
     ) -> MeshReply {
-        self.record_contact();
         self.fetch_routes_if_newer(from, version, Duration::ZERO);
         MeshReply::RoutesVersion { node: self.me, version: self.route_version() }
     }
@@ -75,7 +84,7 @@
         self.fetch_routes_if_newer(node, version, FETCH_DELAY);
     }
 
-    fn fetch_routes_if_newer(
+    pub(super) fn fetch_routes_if_newer(
         self: &Arc<MeshShared>,
         node: NodeId,
         version: RouteVersion,
@@ -109,17 +118,6 @@
         }
     }
 
-    /// Whether this node has had no exchange with another one for so long that it may be cut off
-    /// from them.
-    pub(super) fn is_out_of_contact(&self) -> bool {
-        self.clock.now().saturating_sub(self.lock().last_contact) > MAX_TIME_WITHOUT_CONTACT
-    }
-
-    fn record_contact(&self) {
-        let now = self.clock.now();
-        self.lock().last_contact = now;
-    }
-
     /// Sends a control request to the process at an address; `None` without a reply.
     pub(super) async fn call_peer(&self, addr: SocketAddr, req: MeshRequest) -> Option<MeshReply> {
         let to = NodeId { addr, incarnation: ANY_INCARNATION };
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -2,152 +2,172 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use serde_json::Value;
+use pollenlever_core::mesh::{StoreDuty, StoreDutyChoice};
 
 use super::log_event::{LogEvent, log_event};
+use super::mesh_shared::WATCHER_SEED;
 use super::store_backoff::{StoreBackoff, wait_before_relist};
+use super::watch_position::{RouteRead, WatchPosition};
 use super::{MeshShared, SharedMeshPlatform};
-use crate::store::{ObjectList, Revision, SharedObjectApi, StoreError};
+use crate::store::{NamedObject, ObjectList, Revision, SharedObjectApi, StoreError};
 
-/// Longest wait of one watch call. A store that drops a call without an answer is noticed only when the
-/// call times out, and until then no node hears of new routes.
-const WATCH_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Longest backoff between failed calls, and between reads of a node that has no routes yet.
 const MAX_BACKOFF: Duration = Duration::from_millis(1500);
 /// First wait between two reads of a node that has no routes yet; doubles with each read.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between two checks whether this node has to watch the store.
-const DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest and shortest time between two checks whether this node has to watch the store.
+const MAX_DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const MIN_DUTY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Keeps the routes in force in step with the store, on the few nodes that watch it for all others,
-/// and on every node that has no routes yet or is cut off from the other nodes.
+/// and on every node that has no routes yet or does not hear that others reach the store.
 pub(super) struct RouteWatch {
-    pub(super) shared: Arc<MeshShared>,
-    pub(super) platform: SharedMeshPlatform,
-}
-
-/// Position of a watch in the store's sequence of updates.
-#[derive(Debug, Default)]
-struct WatchPosition {
-    since: Option<Revision>,
-    /// Whether the next list must not be stale, since the store no longer had the changes after the
-    /// position, or has a version that this node knows of.
-    needs_present_list: bool,
+    shared: Arc<MeshShared>,
+    platform: SharedMeshPlatform,
+    store: SharedObjectApi,
+    duty_choice: StoreDutyChoice,
+    position: WatchPosition,
+    backoff: StoreBackoff,
+    poll_interval: Duration,
+    /// Version of the last object that could not be used.
+    refused: Option<Revision>,
 }
 
 impl RouteWatch {
+    pub(super) fn new(shared: Arc<MeshShared>, platform: SharedMeshPlatform) -> RouteWatch {
+        RouteWatch {
+            shared,
+            store: platform.store(),
+            platform,
+            duty_choice: StoreDutyChoice::default(),
+            position: WatchPosition::default(),
+            backoff: StoreBackoff::new(MAX_BACKOFF),
+            poll_interval: MIN_POLL_INTERVAL,
+            refused: None,
+        }
+    }
+
     /// Runs for as long as the node does.
-    pub(super) async fn run(self) {
-        let store = self.platform.store();
-        let mut backoff = StoreBackoff::new(MAX_BACKOFF);
-        let mut position = WatchPosition::default();
-        let mut poll_interval = MIN_POLL_INTERVAL;
+    pub(super) async fn run(mut self) {
         loop {
-            let watches = self.shared.is_store_watcher() || self.shared.is_out_of_contact();
+            let duty = self.choose_duty();
             let has_routes = self.shared.routes().is_some();
             let is_read_due = self.shared.is_routes_read_due.swap(false, Ordering::Relaxed);
-            self.record_duty(watches);
-            if has_routes && !watches && !is_read_due {
-                position = WatchPosition::default();
-                tokio::time::sleep(DUTY_CHECK_INTERVAL).await;
+            if has_routes && duty == StoreDuty::None && !is_read_due {
+                self.position = WatchPosition::default();
+                tokio::time::sleep(self.time_to_duty_check()).await;
                 continue;
             }
-            position.needs_present_list |= is_read_due;
-            let sent_at = self.shared.clock.now();
-            match self.read(&store, &position).await {
-                Ok(list) => {
-                    if let Some(at) = self.confirmed_at(&position, &list, sent_at) {
-                        self.shared.confirm_routes(at);
-                    }
-                    self.shared.metrics.record_store_call(true);
-                    if backoff.reset() {
-                        let (kind, _) = self.platform.routes_object();
-                        log_event!(LogEvent::StoreRegained, "kind={kind}");
-                    }
-                    position.since = watches.then_some(list.revision);
-                    self.apply_list(&list);
-                    if !watches && self.shared.routes().is_none() {
-                        tokio::time::sleep(poll_interval).await;
-                        poll_interval = (poll_interval * 2).min(MAX_BACKOFF);
-                    }
-                }
-                Err(StoreError::HistoryExpired) => {
-                    self.shared.metrics.record_store_call(false);
-                    position = WatchPosition { since: None, needs_present_list: true };
-                    wait_before_relist().await;
-                }
-                Err(err) => {
-                    self.record_failure(&backoff, &err);
-                    self.shared.is_routes_read_due.fetch_or(is_read_due, Ordering::Relaxed);
-                    backoff.pause().await;
-                }
+            self.position.needs_present_list |= is_read_due || duty != StoreDuty::None;
+            if let Err(err) = self.read(duty).await {
+                self.shared.is_routes_read_due.fetch_or(is_read_due, Ordering::Relaxed);
+                self.pause_after(duty, has_routes, &err).await;
             }
         }
     }
 
-    async fn read(
-        &self,
-        store: &SharedObjectApi,
-        position: &WatchPosition,
-    ) -> Result<ObjectList, StoreError> {
-        let (kind, _) = self.platform.routes_object();
-        match position {
-            WatchPosition { since: Some(since), .. } => {
-                store.watch(kind, *since, WATCH_TIMEOUT).await
+    /// Whether this node watches the store at present.
+    fn choose_duty(&mut self) -> StoreDuty {
+        let (now, rank) = (self.shared.clock.now(), self.rank());
+        let duty = self.duty_choice.duty(now, rank, self.shared.routes_confirmed_at());
+        let watches = duty != StoreDuty::None;
+        if self.shared.watches_routes.swap(watches, Ordering::Relaxed) != watches {
+            let version = self.shared.route_version();
+            if watches {
+                let is_deputy = duty == StoreDuty::Deputy;
+                let event = LogEvent::RoutesWatchBegan;
+                log_event!(event, "version={version} rank={rank} deputy={is_deputy}");
+            } else {
+                log_event!(LogEvent::RoutesWatchEnded, "version={version}");
             }
-            WatchPosition { needs_present_list: true, .. } => store.list(kind).await,
-            WatchPosition { .. } => store.list_allowing_stale(kind).await,
         }
+        duty
     }
 
-    /// Logs when this node begins or ends to watch the store.
-    fn record_duty(&self, watches: bool) {
-        if self.shared.watches_routes.swap(watches, Ordering::Relaxed) == watches {
-            return;
-        }
-        let version = self.shared.route_version();
-        let event = if watches { LogEvent::RoutesWatchBegan } else { LogEvent::RoutesWatchEnded };
-        log_event!(event, "version={version}");
+    fn rank(&self) -> usize {
+        self.shared.members.read(|it| it.rank_in_region(WATCHER_SEED))
     }
 
-    /// Time at which the store held nothing newer than what a call sent at `sent_at` has returned;
-    /// `None` if it may have returned something older.
-    fn confirmed_at(
-        &self,
-        position: &WatchPosition,
-        list: &ObjectList,
-        sent_at: Duration,
-    ) -> Option<Duration> {
+    /// Time until this node may have to step in.
+    fn time_to_duty_check(&self) -> Duration {
+        let steps_in_at =
+            self.duty_choice.steps_in_at(self.rank(), self.shared.routes_confirmed_at());
+        let wait = steps_in_at.saturating_sub(self.shared.clock.now());
+        wait.clamp(MIN_DUTY_CHECK_INTERVAL, MAX_DUTY_CHECK_INTERVAL)
+    }
+
+    /// Reads the routes once and applies them.
+    async fn read(&mut self, duty: StoreDuty) -> Result<(), StoreError> {
+        let read = self.position.next_read();
+        let sent_at = self.shared.clock.now();
+        let list = self.call(read).await?;
         let took = self.shared.clock.now().saturating_sub(sent_at);
-        match position {
-            WatchPosition { since: Some(_), .. } => {
-                let is_unchanged = list.objects.is_empty() && took >= WATCH_TIMEOUT;
-                Some(if is_unchanged { sent_at + WATCH_TIMEOUT } else { sent_at })
-            }
-            WatchPosition { needs_present_list: true, .. } => Some(sent_at),
-            WatchPosition { .. } => None,
+        self.record_success();
+        let is_applied = self.apply_list(&list);
+        if let Some(at) = read.confirmed_at(&list, sent_at, took).filter(|_| is_applied) {
+            self.shared.confirm_routes(at);
         }
+        self.position.since = (duty != StoreDuty::None).then_some(list.revision);
+        if duty == StoreDuty::None && self.shared.routes().is_none() {
+            tokio::time::sleep(self.poll_interval).await;
+            self.poll_interval = (self.poll_interval * 2).min(MAX_BACKOFF);
+        }
+        Ok(())
     }
 
-    fn record_failure(&self, backoff: &StoreBackoff, err: &StoreError) {
+    async fn call(&self, read: RouteRead) -> Result<ObjectList, StoreError> {
+        let (kind, _) = self.platform.routes_object();
+        match read {
+            RouteRead::Watch(since, wait) => self.store.watch(kind, since, wait).await,
+            RouteRead::List => self.store.list(kind).await,
+            RouteRead::ListAllowingStale => self.store.list_allowing_stale(kind).await,
+        }
+    }
+
+    fn record_success(&mut self) {
+        self.shared.metrics.record_store_call(true);
+        if self.backoff.reset() {
+            let (kind, _) = self.platform.routes_object();
+            log_event!(LogEvent::StoreRegained, "kind={kind}");
+        }
+    }
+
+    /// Waits after a failed call. A deputy lets other nodes try instead.
+    async fn pause_after(&mut self, duty: StoreDuty, has_routes: bool, err: &StoreError) {
         self.shared.metrics.record_store_call(false);
-        if !backoff.is_failing() {
+        if *err == StoreError::HistoryExpired {
+            self.position = WatchPosition { since: None, needs_present_list: true };
+            return wait_before_relist().await;
+        }
+        if !self.backoff.is_failing() {
             let ((kind, _), reason) = (self.platform.routes_object(), err.to_string());
             log_event!(LogEvent::StoreLost, "kind={kind} reason={reason:?}");
         }
+        if duty == StoreDuty::Deputy && has_routes {
+            self.backoff.record_failure();
+            self.duty_choice.record_failure(self.shared.clock.now());
+        } else {
+            self.backoff.pause().await;
+        }
     }
 
-    fn apply_list(&self, list: &ObjectList) {
+    /// Applies the routes of a list. Returns `false` if they cannot be used.
+    fn apply_list(&mut self, list: &ObjectList) -> bool {
         let (_, name) = self.platform.routes_object();
-        for object in list.objects.iter().filter(|it| it.name == name) {
-            self.apply(&object.value);
-        }
+        let found = list.objects.iter().find(|it| it.name == name);
+        found.is_none_or(|it| self.apply(it))
     }
 
-    fn apply(&self, value: &Value) {
-        match self.platform.routes(value) {
+    fn apply(&mut self, object: &NamedObject) -> bool {
+        match self.platform.routes(&object.value) {
             Ok(table) => self.shared.apply_routes(table, "store"),
-            Err(err) => log_event!(LogEvent::RoutesRefused, "reason={:?}", err.to_string()),
+            Err(err) => {
+                if self.refused.replace(object.version) != Some(object.version) {
+                    let reason = err.to_string();
+                    log_event!(LogEvent::RoutesRefused, "reason={reason:?}");
+                }
+                false
+            }
         }
     }
 }
--- a/crates/pollenlever/src/mesh/store_backoff.rs
+++ b/crates/pollenlever/src/mesh/store_backoff.rs
@@ -23,6 +23,11 @@
     pub(crate) async fn pause(&mut self) {
         let jitter = rand::random_range(0.5..1.5);
         tokio::time::sleep(self.next.mul_f64(jitter)).await;
+        self.record_failure();
+    }
+
+    /// Records a failed call after which the caller does not wait here.
+    pub(crate) fn record_failure(&mut self) {
         self.next = (self.next * 2).min(self.max);
     }
 
--- a/crates/pollenlever/src/peer/mod.rs
+++ b/crates/pollenlever/src/peer/mod.rs
@@ -24,6 +24,7 @@
 mod serve_stream;
 mod v4;
 mod v5;
+mod v6;
 mod wire_error;
 
 pub use build_info::own_build;
--- a/crates/pollenlever/src/peer/v4/mesh_request.rs
+++ b/crates/pollenlever/src/peer/v4/mesh_request.rs
@@ -29,7 +29,10 @@
             Current::DelegateShares(_)
             | Current::TakeTokens(_)
             | Current::ShareTableWritten
-            | Current::QuotaShards => return Err(WireError::NotInVersion { version: VERSION }),
+            | Current::QuotaShards
+            | Current::ConfirmRoutes(_) => {
+                return Err(WireError::NotInVersion { version: VERSION });
+            }
         })
     }
 }
--- a/crates/pollenlever/tests/frames/main.rs
+++ b/crates/pollenlever/tests/frames/main.rs
@@ -17,6 +17,7 @@
 const VERSION_4: &str = include_str!("version-4.txt");
 const VERSION_5: &str = include_str!("version-5.txt");
 const VERSION_6: &str = include_str!("version-6.txt");
+const VERSION_7: &str = include_str!("version-7.txt");
 const TO: u64 = 0x4f;
 
 /// Recorded heads by direction and name.
@@ -88,17 +89,22 @@
 
 #[test]
 fn version_5_is_written_and_read_as_recorded() {
-    check_version(5, VERSION_5, Some, samples::reply_in_version_5);
+    check_version(5, VERSION_5, samples::request_in_version_6, samples::reply_in_version_5);
 }
 
 #[test]
 fn version_6_is_written_and_read_as_recorded() {
-    check_version(6, VERSION_6, Some, Some);
+    check_version(6, VERSION_6, samples::request_in_version_6, Some);
+}
+
+#[test]
+fn version_7_is_written_and_read_as_recorded() {
+    check_version(7, VERSION_7, Some, Some);
 }
 
 #[test]
 fn each_spoken_version_is_recorded() {
-    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=6);
+    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=7);
 }
 
 #[test]
--- a/crates/pollenlever/tests/frames/samples.rs
+++ b/crates/pollenlever/tests/frames/samples.rs
@@ -18,9 +18,11 @@
     AttemptHead, ForwardHead, GateLoad, PeerReply, PeerRequest, SealReply,
 };
 use quota::{delegation, delegation_reply, token_grant, token_request};
-use routes::route_table;
+use routes::{confirmation, route_table};
 
-pub(crate) use as_read::{reply_in_version_4, reply_in_version_5, request_in_version_4};
+pub(crate) use as_read::{
+    reply_in_version_4, reply_in_version_5, request_in_version_4, request_in_version_6,
+};
 
 /// Names and requests.
 pub(crate) fn requests() -> Vec<(&'static str, PeerRequest)> {
@@ -44,6 +46,7 @@
         ("mesh-take-tokens", mesh(MeshRequest::TakeTokens(vec![token_request()]))),
         ("mesh-share-table-written", mesh(MeshRequest::ShareTableWritten)),
         ("mesh-quota-shards", mesh(MeshRequest::QuotaShards)),
+        ("mesh-confirm-routes", mesh(MeshRequest::ConfirmRoutes(confirmation()))),
     ]
 }
 
--- a/crates/pollenlever/tests/frames/samples/as_read.rs
+++ b/crates/pollenlever/tests/frames/samples/as_read.rs
@@ -14,12 +14,19 @@
             MeshRequest::DelegateShares(_)
             | MeshRequest::TakeTokens(_)
             | MeshRequest::ShareTableWritten
-            | MeshRequest::QuotaShards,
+            | MeshRequest::QuotaShards
+            | MeshRequest::ConfirmRoutes(_),
         ) => None,
         req => Some(req),
     }
 }
 
+/// A request as a node of version 5 or 6 reads it; `None` if these versions have no such request.
+pub(crate) fn request_in_version_6(req: PeerRequest) -> Option<PeerRequest> {
+    let is_known = !matches!(req, PeerRequest::Mesh(MeshRequest::ConfirmRoutes(_)));
+    is_known.then_some(req)
+}
+
 /// A reply as this build reads it from a node of version 5.
 pub(crate) fn reply_in_version_5(reply: PeerReply) -> Option<PeerReply> {
     Some(with_load(reply, |it| GateLoad { admitted_permille: 0, ..it }))
--- a/crates/pollenlever/tests/frames/samples/routes.rs
+++ b/crates/pollenlever/tests/frames/samples/routes.rs
@@ -1,4 +1,6 @@
-use pollenlever_core::mesh::{ClientLimits, HttpRoute, RouteTable, ServiceLimits, WeightedService};
+use pollenlever_core::mesh::{
+    ClientLimits, HttpRoute, RouteConfirmation, RouteTable, ServiceLimits, WeightedService,
+};
 use pollenlever_core::workspace::{KeyDigest, QuotaLimit, Workspace};
 
 use super::ms;
@@ -30,6 +32,10 @@
     }
 }
 
+pub(crate) fn confirmation() -> RouteConfirmation {
+    RouteConfirmation { version: 700, age: ms(350), store_era: 2 }
+}
+
 fn workspace() -> Workspace {
     Workspace {
         name: "padova".into(),
