Do not take a repeated rejection for the answer to another send

What callers saw: 503 as not run for a request that its target ran (REFUSED), or the request ran again (TWICE).

Cause: answers were told apart by the request id, which all sends of one request have in common, and a rejection without an id fitted any request. A rejection that a target writes once more on a kept connection was taken for the answer to the next send. The class: an answer is matched by something that two sends share.

Change: a request is not sent on a connection on which it has been rejected, so an id stands for one send on each connection. A rejection without an id counts only on a connection that has carried nothing else; otherwise the outcome is unknown. A connection is closed after 32 rejections, which bounds the ids that it keeps. Closing it after each one was weighed: under rejections every request would open a connection.

Elsewhere: exchanges between nodes have a stream each. pollenleverd reads no statement that a request has not run.

The scripted target echoes the id in rejections now, as the protocol says; a rejection without one has a script of its own.

--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -76,7 +76,7 @@
             Err(reason) => return TargetResult::Unsendable(reason).into(),
         };
         for _ in 0..MAX_CONNECTION_TRIES {
-            let mut connection = match self.connection(head.is_idempotent).await {
+            let mut connection = match self.connection(head).await {
                 Ok(connection) => connection,
                 Err(ConnectError::AtLimit) => return TargetResult::NoConnectionLeft.into(),
                 Err(ConnectError::Failed(reason)) => {
@@ -118,26 +118,27 @@
         self.max_open.store(max as usize, Ordering::Relaxed);
     }
 
-    async fn connection(&self, is_idempotent: bool) -> Result<TargetConnection, ConnectError> {
-        let max_idle = if is_idempotent { Duration::MAX } else { MAX_IDLE_NON_IDEMPOTENT };
-        let max_idle = max_idle.min(self.idle_limit.get());
-        loop {
-            let popped = self.idle_connections().pop();
-            match popped {
-                Some(connection) if connection.is_reusable(max_idle) => return Ok(connection),
-                Some(connection) if connection.is_reusable(Duration::MAX) => {
-                    self.idle_connections().insert(0, connection);
-                    break;
-                }
-                Some(_) => {}
-                None => break,
-            }
+    async fn connection(&self, head: &MeshAttempt) -> Result<TargetConnection, ConnectError> {
+        if let Some(connection) = self.take_idle(head) {
+            return Ok(connection);
         }
         self.make_room()?;
         let opened = TargetConnection::open(self.addr, self.open.start(), &self.answers).await;
         opened.map_err(ConnectError::Failed)
     }
 
+    /// Takes the connection that was used last of those that may carry a request.
+    fn take_idle(&self, head: &MeshAttempt) -> Option<TargetConnection> {
+        let max_idle = if head.is_idempotent { Duration::MAX } else { MAX_IDLE_NON_IDEMPOTENT };
+        let max_idle = max_idle.min(self.idle_limit.get());
+        let mut idle = self.idle_connections();
+        idle.retain(|it| it.is_reusable(Duration::MAX));
+        let may_carry =
+            |it: &TargetConnection| it.is_reusable(max_idle) && !it.has_rejected(&head.request_id);
+        let at = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(at))
+    }
+
     /// Closes an idle connection if as many are open as the target accepts.
     fn make_room(&self) -> Result<(), ConnectError> {
         let max_open = self.max_open.load(Ordering::Relaxed);
@@ -179,18 +180,20 @@
         response: Response<Incoming>,
     ) -> TargetRun {
         let status = response.status().as_u16();
-        if let Some(reason) = self.mismatch(head, response.headers(), status) {
+        let is_first = connection.idle_time().is_none();
+        if let Some(reason) = self.mismatch(head, response.headers(), status, is_first) {
             return TargetResult::Unknown(reason).into();
         }
         // Another process than the expected one answers 421.
         let is_expected = status != 421;
         let statement = is_expected.then(|| AnswerStatement::read(&self.names, response.headers()));
-        TargetRun { result: self.read_result(connection, response).await, statement }
+        TargetRun { result: self.read_result(connection, head, response).await, statement }
     }
 
     async fn read_result(
         &self,
         mut connection: TargetConnection,
+        head: &MeshAttempt,
         response: Response<Incoming>,
     ) -> TargetResult {
         let (parts, body) = response.into_parts();
@@ -199,6 +202,9 @@
             Ok(body) => body,
             Err(err) => return TargetResult::Unknown(broken_answer(&err)),
         };
+        if self.says_not_run(status, &parts.headers) {
+            connection.record_rejection(&head.request_id);
+        }
         if connection.finish_exchange(&parts.headers).await {
             let mut idle = self.idle_connections();
             if idle.len() < MAX_IDLE_CONNECTIONS {
@@ -215,12 +221,24 @@
         TargetResult::Answered { status, headers, body }
     }
 
-    /// Why an answer cannot be the target's answer to this request; `None` if it can.
-    fn mismatch(&self, head: &MeshAttempt, headers: &HeaderMap, status: u16) -> Option<String> {
-        let says_not_run = status == 421 || headers.contains_key(&self.names.not_run);
+    /// Whether an answer says that its request has not run and never will.
+    fn says_not_run(&self, status: u16, headers: &HeaderMap) -> bool {
+        status == 421 || headers.contains_key(&self.names.not_run)
+    }
+
+    /// Why an answer cannot be the target's answer to this request; `None` if it can. `is_first` is
+    /// whether the connection has carried no other request: a later answer without an id may be
+    /// a repeated one to an earlier request.
+    fn mismatch(
+        &self,
+        head: &MeshAttempt,
+        headers: &HeaderMap,
+        status: u16,
+        is_first: bool,
+    ) -> Option<String> {
         match headers.get(&self.names.request_id).map(HeaderValue::as_bytes) {
             Some(id) if id == head.request_id.as_bytes() => {}
-            None if says_not_run => {}
+            None if is_first && self.says_not_run(status, headers) => {}
             Some(_) => return Some("answer to another request".to_owned()),
             None => return Some("answer without a request id".to_owned()),
         }
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper_util::rt::TokioIo;
-use pollenlever_core::mesh::{AnswerBuffer, AnswerBytes};
+use pollenlever_core::mesh::{AnswerBuffer, AnswerBytes, RequestId};
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::answer_body::{BodyError, read_body};
@@ -27,6 +27,9 @@
 /// Time before the target's announced limit at which an idle connection is no longer used.
 const IDLE_MARGIN: Duration = Duration::from_millis(1500);
 
+/// Rejections after which a connection is closed, so that it remembers few ids.
+const MAX_REJECTIONS: usize = 32;
+
 /// An open connection to the target beside the node.
 #[derive(Debug)]
 pub(super) struct TargetConnection {
@@ -36,6 +39,8 @@
     /// When the last answer was read; `None` before the first one.
     idle_since: Option<Instant>,
     idle_limit: Duration,
+    /// Requests that the target has rejected on this connection.
+    rejected: Vec<RequestId>,
     _open: InFlightGuard,
 }
 
@@ -66,6 +71,7 @@
             bytes,
             idle_since: None,
             idle_limit: DEFAULT_IDLE,
+            rejected: Vec::new(),
             _open: open,
         })
     }
@@ -82,6 +88,17 @@
         self.idle_since.map(|it| it.elapsed())
     }
 
+    /// Whether the target has rejected the request on this connection. A repeated copy of that
+    /// rejection could not be told from the answer to another send of the same request.
+    pub(super) fn has_rejected(&self, id: &RequestId) -> bool {
+        self.rejected.contains(id)
+    }
+
+    /// Records that the target has rejected a request.
+    pub(super) fn record_rejection(&mut self, id: &RequestId) {
+        self.rejected.push(id.clone());
+    }
+
     /// Sends a request and waits for the head of the answer. The error returns the request if
     /// nothing of it was sent.
     pub(super) async fn send(
@@ -110,7 +127,8 @@
             .get_all(http::header::CONNECTION)
             .iter()
             .any(|it| it.to_str().is_ok_and(|it| it.to_ascii_lowercase().contains("close")));
-        !asks_to_close && !self.sender.is_closed()
+        let is_kept = self.rejected.len() < MAX_REJECTIONS && !asks_to_close;
+        is_kept && !self.sender.is_closed()
     }
 }
 
--- a/crates/pollenlever/tests/mesh/once.rs
+++ b/crates/pollenlever/tests/mesh/once.rs
@@ -58,3 +58,26 @@
     assert_eq!(mesh.call("GET", "/read/1", "r1").await.status, 502);
     assert_eq!(mesh.arrivals().iter().sum::<usize>(), 2);
 }
+
+/// A rejection that a target writes once more on a kept connection must not be taken for the answer to
+/// a request that the target runs.
+async fn check_repeated_rejection(first: Action) {
+    let script = [first, Action::RunAndRepeatRejection];
+    let mesh = TestMesh::start(&[("read", &[Action::Close]), ("charge", &script)]).await;
+    for request in ["r1", "r2", "r3"] {
+        let status = mesh.call("POST", "/charge/1", request).await.status;
+        let runs = mesh.nodes[1].target.runs().iter().filter(|it| *it == request).count();
+        assert!(runs <= 1, "{request} ran {runs} times");
+        assert!(status != 503 || runs == 0, "{request} was refused as not run, and ran");
+    }
+}
+
+#[tokio::test]
+async fn a_repeated_rejection_of_the_same_request_is_taken_for_its_answer() {
+    check_repeated_rejection(Action::Reject).await;
+}
+
+#[tokio::test]
+async fn a_repeated_rejection_without_id_is_taken_for_an_answer() {
+    check_repeated_rejection(Action::RejectWithoutId).await;
+}
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -9,13 +9,23 @@
 /// Timeout of the conditions that a test waits for.
 const WAIT: Duration = Duration::from_secs(20);
 
+const REJECTION: &str = "HTTP/1.1 503 X\r\nPollenlever-Not-Run: 1\r\nPollenlever-Request-Id: {id}\r\n\
+    Content-Length: 0\r\n\r\n";
+const REJECTION_WITHOUT_ID: &str =
+    "HTTP/1.1 503 X\r\nPollenlever-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
 /// What a scripted target does with one request.
 #[derive(Debug, Clone)]
 pub(crate) enum Action {
     /// Answer with this status and body, echoing the request's id.
     Answer(u16, &'static str),
-    /// Answer 503 with the header that says that the request was not run.
+    /// Answer 503 with the header that says that the request was not run, echoing its id.
     Reject,
+    /// Like `Reject`, without an id.
+    RejectWithoutId,
+    /// Run the request, and write the last rejection on the connection once more in place of the answer;
+    /// answer 200 if there was none.
+    RunAndRepeatRejection,
     /// Write this text, with `{id}` replaced by the request's id, and keep the connection open.
     Write(&'static str),
     /// Like `Write`, then close the connection.
@@ -56,6 +66,8 @@
 struct State {
     script: Vec<Action>,
     arrivals: Vec<Arrival>,
+    /// Ids of requests that were run by `Action::RunAndRepeatRejection`.
+    runs: Vec<String>,
     connections: usize,
     hangups: usize,
     /// Bytes written by `Action::Endless`.
@@ -100,6 +112,11 @@
         self.state.lock().unwrap().arrivals.clone()
     }
 
+    /// Ids of requests that were run by `Action::RunAndRepeatRejection`.
+    pub(crate) fn runs(&self) -> Vec<String> {
+        self.state.lock().unwrap().runs.clone()
+    }
+
     /// Number of connections accepted so far.
     pub(crate) fn connections(&self) -> usize {
         self.state.lock().unwrap().connections
@@ -147,6 +164,8 @@
 
     async fn serve(&self, mut io: TcpStream) {
         let mut buf = Vec::new();
+        // The last rejection on this connection.
+        let mut rejection: Option<String> = None;
         while let Some(arrival) = read_request(&mut io, &mut buf).await {
             let id = arrival.header("pollenlever-request-id").unwrap_or_default();
             let path = arrival.head.split(' ').nth(1).unwrap_or_default().to_owned();
@@ -161,11 +180,17 @@
             };
             let (text, close) = match action {
                 Action::Answer(status, body) => (answer(status, body), false),
-                Action::Reject => (
-                    "HTTP/1.1 503 X\r\nPollenlever-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
-                        .to_owned(),
-                    false,
-                ),
+                Action::Reject => {
+                    let text = REJECTION.replace("{id}", &id);
+                    (rejection.insert(text).clone(), false)
+                }
+                Action::RejectWithoutId => {
+                    (rejection.insert(REJECTION_WITHOUT_ID.to_owned()).clone(), false)
+                }
+                Action::RunAndRepeatRejection => {
+                    self.state.lock().unwrap().runs.push(id.clone());
+                    (rejection.clone().unwrap_or_else(|| answer(200, "ran")), false)
+                }
                 Action::Write(text) => (text.replace("{id}", &id), false),
                 Action::WriteAndClose(text) => (text.replace("{id}", &id), true),
                 Action::Close => return,
