Test: a head that ends early never becomes a complete answer

Report of other operators: clients got 200 with an empty or short body after a target stopped within the head of its answer. It cannot happen here: the HTTP client reports the end of the connection before the empty line as an incomplete message, at whichever byte, and the outcome is unknown (502, or another send for idempotent requests). The test cuts the head at each end of a line and at every seventh byte.

--- a/crates/pollenlever/tests/mesh/answers.rs
+++ b/crates/pollenlever/tests/mesh/answers.rs
@@ -146,3 +146,19 @@
     caller.request("POST", "/charge/1", "r1", 300).await;
     assert_eq!(caller.answer().await.unwrap().status, 504);
 }
+
+/// An answer whose head ends early, wherever that is, must not become a complete answer.
+#[tokio::test]
+async fn a_head_that_ends_early_is_passed_on_as_an_empty_answer() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
+        Content-Length: 5\r\nContent-Type: text/plain\r\n\r\n";
+    // Each end of a line, with and without it, and places inside the lines.
+    let ends = (1..WHOLE.len()).filter(|it| WHOLE[*it..].starts_with(['\r', '\n']) || it % 7 == 0);
+    let script: Vec<Action> = ends.map(|it| Action::WriteAndClose(&WHOLE[..it])).collect();
+    let mesh = TestMesh::start(&[("read", &[Action::Close]), ("charge", &script)]).await;
+    for cut in 0..script.len() {
+        let answer = mesh.call("POST", "/charge/1", &format!("r{cut}")).await;
+        assert_eq!(answer.status, 502, "head cut at {cut}");
+    }
+    assert_eq!(mesh.nodes[1].target.arrivals().len(), script.len());
+}
