--- a/crates/pollenlever/src/gossip/seed_publisher.rs
+++ b/crates/pollenlever/src/gossip/seed_publisher.rs
@@ -96,7 +96,7 @@
         let mut listed = ListedPeers { own_version: ABSENT_VERSION, ..ListedPeers::default() };
         for object in list.objects {
             let NamedObject { name, version, value } = object;
-            let peers = parse_peers(&name, value);
+            let peers = parse_peers(&name, &value);
             if name == own_name {
                 listed.own_version = version;
                 listed.own_region = peers;
@@ -117,7 +117,7 @@
         match self.store.put(self.kind, &name, expected, &value).await {
             Ok(_) => Ok(()),
             Err(StoreError::Conflict(current)) => {
-                let own_region = parse_peers(&name, current.value);
+                let own_region = parse_peers(&name, &current.value);
                 self.offer_seeds(&ListedPeers { own_region, ..ListedPeers::default() });
                 Ok(())
             }
@@ -179,13 +179,17 @@
     }
 }
 
-/// Addresses in the value of a [`PeersObject`]; none if it does not have this form.
-fn parse_peers(name: &str, value: Value) -> Vec<SocketAddr> {
-    match serde_json::from_value::<PeersObject>(value) {
-        Ok(it) => it.peers,
-        Err(err) => {
-            log::warn!("list of peers ignored name={name:?} error=\"{err}\"");
-            Vec::new()
-        }
+/// Addresses in the value of a [`PeersObject`], without entries that are none.
+fn parse_peers(name: &str, value: &Value) -> Vec<SocketAddr> {
+    let Some(entries) = value["peers"].as_array() else {
+        log::warn!("list of peers ignored name={name:?} error=\"no list `peers`\"");
+        return Vec::new();
+    };
+    let parse = |it: &Value| it.as_str().and_then(|it| it.parse().ok());
+    let peers: Vec<SocketAddr> = entries.iter().filter_map(parse).collect();
+    if peers.len() < entries.len() {
+        let ignored = entries.len() - peers.len();
+        log::warn!("entries of a list of peers ignored name={name:?} count={ignored}");
     }
+    peers
 }
--- a/crates/pollenlever/tests/mesh/config.rs
+++ b/crates/pollenlever/tests/mesh/config.rs
@@ -1,6 +1,6 @@
 use pollenlever_core::id::NodeId;
 use pollenlever_core::mesh::{HttpRoute, RouteTable, WeightedService};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::gossip_peer::GossipPeer;
 use super::scripted_target::Action;
@@ -140,6 +140,23 @@
     wait_until("contacted", || peer.contacts().contains(&node)).await;
 }
 
+/// One entry of the list that is no address must not keep a node from joining through the others.
+#[tokio::test]
+async fn a_port_out_of_range_hides_the_other_listed_nodes() {
+    let script = [Action::Answer(200, "read")];
+    let mut mesh = TestMesh::start(&[("read", &script[..]); 4]).await;
+    let stored = |mesh: &TestMesh| mesh.store.value(SEEDS, "lombardia");
+    let is_enough = |it: Value| it["peers"].as_array().is_some_and(|it| it.len() >= 3);
+    wait_until("list stored", || stored(&mesh).is_some_and(is_enough)).await;
+    let mut list = stored(&mesh).unwrap();
+    list["peers"].as_array_mut().unwrap().insert(0, json!("10.0.0.7:99999"));
+    mesh.store.write(SEEDS, "lombardia", &list);
+    mesh.add_node("read", &script).await;
+    let joining = mesh.nodes[4].node.shared();
+    wait_until("joined", || joining.serving_member_count() == 4).await;
+    assert_eq!(stored(&mesh), Some(list), "joined through the list as it was");
+}
+
 /// Watchers that cannot reach the store must not keep a version from nodes that can.
 async fn a_version_reaches_nodes_that_the_store_serves(refusal: Refusal) {
     let script = [Action::Answer(200, "read")];
