--- a/crates/pollenlever/src/mesh/departure_store.rs
+++ b/crates/pollenlever/src/mesh/departure_store.rs
@@ -19,6 +19,9 @@
 /// Time between two searches for objects whose nodes are gone. An object is deleted if its node is
 /// missing in two searches in a row.
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(60);
+/// Longest wait before a departure is stored again that a store from an older copy may lack. The wait is
+/// random, as all nodes hear of it at the same time.
+const MAX_RESTORE_JITTER: Duration = Duration::from_secs(1);
 
 /// Keeps the departure of the target beside this node in the store, so that a restart of the node
 /// does not take a target that has left back into use.
@@ -49,12 +52,17 @@
             }
         }
         self.shared.mark_target_state_restored();
+        let mut era = self.shared.store_era.subscribe();
         let mut backoff = StoreBackoff::new(MAX_BACKOFF);
         loop {
             match self.update().await {
                 Ok(()) => {
                     backoff.reset();
-                    self.shared.departure_changed.notified().await;
+                    tokio::select! {
+                        () = self.shared.departure_changed.notified() => {}
+                        // The sender lives as long as this node.
+                        _ = era.changed() => self.forget_stored().await,
+                    }
                 }
                 Err(StoreError::Conflict(current)) => {
                     self.record_found(Some(current));
@@ -101,6 +109,14 @@
         self.stored = found.and_then(|it| DepartureObject::from_value(&it.value));
     }
 
+    /// Handles that the store may lack what this node has stored. The next update then writes it again,
+    /// unless the store still has it.
+    async fn forget_stored(&mut self) {
+        if self.stored.take().is_some() {
+            tokio::time::sleep(MAX_RESTORE_JITTER.mul_f64(rand::random_range(0.0..1.0))).await;
+        }
+    }
+
     /// Brings the store's object in line with the target: writes its departure, and deletes the
     /// object once another target is in use.
     async fn update(&mut self) -> Result<(), StoreError> {
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -11,6 +11,7 @@
     SettingsRefused,
     StoreLost,
     StoreRegained,
+    StoreEraChanged,
     OwnObjectNotStored,
     RoutesInForce,
     RoutesRefused,
@@ -50,7 +51,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 42] = [
+    pub const ALL: [LogEvent; 43] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -58,6 +59,7 @@
         LogEvent::SettingsRefused,
         LogEvent::StoreLost,
         LogEvent::StoreRegained,
+        LogEvent::StoreEraChanged,
         LogEvent::OwnObjectNotStored,
         LogEvent::RoutesInForce,
         LogEvent::RoutesRefused,
@@ -110,6 +112,7 @@
             LogEvent::SettingsRefused => "settings-refused",
             LogEvent::StoreLost => "store-lost",
             LogEvent::StoreRegained => "store-regained",
+            LogEvent::StoreEraChanged => "store-era-changed",
             LogEvent::OwnObjectNotStored => "own-object-not-stored",
             LogEvent::RoutesInForce => "routes-in-force",
             LogEvent::RoutesRefused => "routes-refused",
@@ -155,6 +158,7 @@
                 Level::Error
             }
             LogEvent::StoreLost
+            | LogEvent::StoreEraChanged
             | LogEvent::OwnObjectNotStored
             | LogEvent::MemberLost
             | LogEvent::TargetClosed
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -80,6 +80,8 @@
     pub(super) is_routes_read_due: AtomicBool,
     /// Whether this node watches the routes in the store.
     pub(super) watches_routes: AtomicBool,
+    /// Era of the store; `None` until an answer of it or another node has told.
+    pub(super) store_era: watch::Sender<Option<u64>>,
     stopped: watch::Sender<bool>,
 }
 
@@ -157,6 +159,7 @@
             is_fetching_routes: AtomicBool::new(false),
             is_routes_read_due: AtomicBool::new(false),
             watches_routes: AtomicBool::new(false),
+            store_era: watch::channel(None).0,
             stopped: watch::channel(false).0,
         }
     }
--- a/crates/pollenlever/src/mesh/route_confirmations.rs
+++ b/crates/pollenlever/src/mesh/route_confirmations.rs
@@ -5,6 +5,7 @@
 use pollenlever_core::mesh::{MeshReply, MeshRequest, RouteConfirmation};
 
 use super::MeshShared;
+use super::log_event::{LogEvent, log_event};
 
 /// What nodes know of how new their routes are. A node that reads the store confirms its routes;
 /// every node passes the latest confirmation on to the nodes that its gossip links lead to.
@@ -29,6 +30,20 @@
         self.lock().route_freshness.age(self.clock.now())
     }
 
+    /// Notes the era of the store that this node or another one has seen.
+    pub(super) fn observe_store_era(&self, era: u64) {
+        self.store_era.send_if_modified(|known| {
+            let before = *known;
+            *known = before.max(Some(era));
+            let is_changed = before.is_some_and(|it| it < era);
+            if is_changed {
+                let before = before.unwrap_or_default();
+                log_event!(LogEvent::StoreEraChanged, "era={era} before={before}");
+            }
+            is_changed
+        });
+    }
+
     /// Tells the linked nodes when the routes were last confirmed.
     pub(super) fn announce_confirmation(self: &Arc<MeshShared>) {
         let confirmation = {
@@ -36,7 +51,11 @@
             let mut state = self.lock();
             let version = state.routes.as_ref().map_or(0, |it| it.table.version);
             let age = state.route_freshness.announce(self.clock.now());
-            RouteConfirmation { version, age, store_era: 0 }
+            RouteConfirmation {
+                version,
+                age,
+                store_era: self.store_era.borrow().unwrap_or_default(),
+            }
         };
         for node in self.linked_nodes().into_iter().filter(|it| self.reads_confirmations(*it)) {
             let shared = Arc::clone(self);
@@ -59,6 +78,7 @@
         from: NodeId,
         confirmation: RouteConfirmation,
     ) -> MeshReply {
+        self.observe_store_era(confirmation.store_era);
         let version = self.route_version();
         if confirmation.version > version {
             self.fetch_routes_if_newer(from, confirmation.version, Duration::ZERO);
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -100,7 +100,9 @@
     async fn read(&mut self, duty: StoreDuty) -> Result<(), StoreError> {
         let read = self.position.next_read();
         let sent_at = self.shared.clock.now();
-        let list = self.call(read).await?;
+        let list = self.call(read).await;
+        self.shared.observe_store_era(self.store.era());
+        let list = list?;
         let took = self.shared.clock.now().saturating_sub(sent_at);
         self.record_success();
         let is_applied = self.apply_list(&list);
--- a/crates/pollenlever/src/store/object_api.rs
+++ b/crates/pollenlever/src/store/object_api.rs
@@ -40,6 +40,13 @@
     /// Waits at most `timeout` for changes after the revision `since` and returns the changed
     /// objects; the list is empty if there were none.
     fn watch(&self, kind: &str, since: Revision, timeout: Duration) -> StoreFuture<ObjectList>;
+
+    /// Era of the store, as far as its answers have told: it grows each time that the store comes back
+    /// from an older copy of its objects. Writes since the copy are lost then, and whoever wants them
+    /// kept has to write them again.
+    fn era(&self) -> u64 {
+        0
+    }
 }
 
 /// An object API that the threads of a process share.
