Do not hold units of quotas twice after the store came back from a copy

What callers would see: more requests of a workspace than its quota, for up to 10 s after the store has come back from a copy of before units were passed on. Their earlier holder takes them from the table, the later ones have not read it.

A table of a later era counts as newer, though it is an older state.

Change: a change of era makes all nodes read the table at once. On the first table of a later era a holder uses no more units than before for 15 s and gives none away; then it passes them on as usual.

Limit: a node that cannot read the store within these 15 s keeps its units, as long as tables are valid.

--- a/crates/pollenlever-core/src/quota/share_holder.rs
+++ b/crates/pollenlever-core/src/quota/share_holder.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::home_link::CLOCK_MARGIN;
 use super::shard_delegations::ShardDelegations;
 use super::{
@@ -7,6 +9,10 @@
 use crate::Timestamp;
 use crate::id::{Incarnation, NodeId, NodeName};
 
+/// Time for which a holder uses no more units than before, after the store has come back from an older
+/// copy. Within it, all nodes that reach the store read its table.
+const ERA_SETTLE_TIME: Duration = Duration::from_secs(15);
+
 /// The units of this node and the homes to which they are delegated.
 #[derive(Debug)]
 pub struct ShareHolder {
@@ -17,6 +23,8 @@
     settings: QuotaSettings,
     table: Option<SeenTable>,
     lowered: Option<Lowered>,
+    /// Limit of the units after a change of the store's era, and when it ends.
+    settling: Option<(Timestamp, ShareUnits)>,
     is_leaving: bool,
     sequence: u64,
     shards: Vec<ShardDelegations>,
@@ -66,6 +74,7 @@
             settings,
             table: None,
             lowered: None,
+            settling: None,
             is_leaving: false,
             sequence: 0,
             shards: Vec::new(),
@@ -101,6 +110,19 @@
         self.lowered = Some(Lowered { revision, units: units.min(earlier) });
     }
 
+    /// Uses at most `units` for 15 s. To be called before the first table of a later era of the store is
+    /// taken over: it may give this node units back that it has passed on since, and whose holders have
+    /// not read it yet. `units` is the smaller one of those before and in that table.
+    pub fn enter_era(&mut self, now: Timestamp, units: ShareUnits) {
+        let units = units.min(self.units(now));
+        self.settling = Some((now + ERA_SETTLE_TIME, units));
+    }
+
+    /// Whether the limit of [`ShareHolder::enter_era`] holds. No units may be given to others then.
+    pub fn is_settling(&self, now: Timestamp) -> bool {
+        self.settling.is_some_and(|it| now < it.0)
+    }
+
     /// Whether at most `units` are delegated or in use, so that the table may be written.
     pub fn is_lowered_to(&self, now: Timestamp, units: ShareUnits) -> bool {
         now >= self.earlier_ended
@@ -153,7 +175,9 @@
         if now >= table.read_at + self.settings.table_lifetime {
             return 0;
         }
-        self.lowered.map_or(table.units, |it| it.units.min(table.units))
+        let settling = self.settling.filter(|it| now < it.0).map(|it| it.1);
+        let lowered = self.lowered.map(|it| it.units);
+        [settling, lowered].into_iter().flatten().fold(table.units, ShareUnits::min)
     }
 
     fn due_messages(&mut self, now: Timestamp) -> Vec<(NodeId, ShareDelegation)> {
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -54,7 +54,7 @@
                 (MeshReply::Tokens(shared.quota.on_token_requests(&requests)), Bytes::new())
             }
             MeshRequest::ShareTableWritten => {
-                shared.quota.on_share_table_written();
+                shared.quota.request_table_read();
                 (MeshReply::Acknowledged, Bytes::new())
             }
             MeshRequest::QuotaShards => {
--- a/crates/pollenlever/src/mesh/route_confirmations.rs
+++ b/crates/pollenlever/src/mesh/route_confirmations.rs
@@ -39,6 +39,7 @@
             if is_changed {
                 let before = before.unwrap_or_default();
                 log_event!(LogEvent::StoreEraChanged, "era={era} before={before}");
+                self.quota.request_table_read();
             }
             is_changed
         });
--- a/crates/pollenlever/src/quota/known_table.rs
+++ b/crates/pollenlever/src/quota/known_table.rs
@@ -18,6 +18,8 @@
     newest: Revision,
     /// Whether a read that was not stale, or a write, has succeeded in this process.
     has_seen_present: bool,
+    /// Era of the store from which the last table came.
+    era: u64,
 }
 
 /// What the last read has found.
@@ -37,6 +39,7 @@
             table: None,
             newest: ABSENT_VERSION,
             has_seen_present: false,
+            era: 0,
         }
     }
 
@@ -79,14 +82,14 @@
     }
 
     /// Handles the result of a read that was not stale, or of a write. `now` is the start of the call.
-    pub(super) fn update_present(&mut self, now: Timestamp, stored: StoredTable) {
+    pub(super) fn update_present(&mut self, now: Timestamp, stored: StoredTable, era: u64) {
         self.has_seen_present = true;
-        self.update(now, stored);
+        self.update(now, stored, era);
     }
 
-    /// Handles the result of a read that began at `now`. An object older than one seen before is
+    /// Handles the result of a read in `era` that began at `now`. An object older than one seen before is
     /// ignored.
-    pub(super) fn update(&mut self, now: Timestamp, stored: StoredTable) {
+    pub(super) fn update(&mut self, now: Timestamp, stored: StoredTable, era: u64) {
         match stored {
             StoredTable::Absent => self.presence = Presence::Absent,
             StoredTable::Invalid(revision) if revision >= self.newest => {
@@ -99,6 +102,9 @@
                     self.quota.set_table(revision, &table);
                 }
                 self.newest = revision;
+                if self.era < era {
+                    self.enter_era(era, &table);
+                }
                 self.apply(now, revision, &table);
                 self.table = Some((revision, table));
             }
@@ -106,6 +112,16 @@
         }
     }
 
+    /// Handles the first table of a later era.
+    fn enter_era(&mut self, era: u64, table: &ShareTable) {
+        self.era = era;
+        if self.table.is_some() {
+            let units = table.units_of(&self.quota.name);
+            let now = self.quota.clock.now();
+            self.quota.lock_holder().enter_era(now, units);
+        }
+    }
+
     fn apply(&self, now: Timestamp, revision: Revision, table: &ShareTable) {
         let quota = &self.quota;
         quota.set_shards(table.shards);
--- a/crates/pollenlever/src/quota/quota.rs
+++ b/crates/pollenlever/src/quota/quota.rs
@@ -147,8 +147,8 @@
         self.lock_home().on_requests(self.clock.now(), requests)
     }
 
-    /// Handles a message about the share table.
-    pub(crate) fn on_share_table_written(&self) {
+    /// Makes this node read the share table at once.
+    pub(crate) fn request_table_read(&self) {
         self.table_written.notify_one();
     }
 
--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -113,9 +113,9 @@
         let stored = self.store.read_allowing_stale().await?;
         if self.known.needs_present_table(&stored) {
             let stored = self.store.read().await?;
-            self.known.update_present(now, stored);
+            self.known.update_present(now, stored, self.store.era());
         } else {
-            self.known.update(now, stored);
+            self.known.update(now, stored, self.store.era());
         }
         let is_known = self.known.table().is_some();
         let interval = if is_known { READ_INTERVAL } else { READ_INTERVAL_WITHOUT_TABLE };
@@ -165,7 +165,7 @@
         has_read: bool,
     ) -> Option<(ShareAction, ShareTable)> {
         let (name, incarnation) = (&self.quota.name, self.quota.me.incarnation);
-        if table.units_of(name) == 0 {
+        if table.units_of(name) == 0 || self.quota.lock_holder().is_settling(now) {
             return None;
         }
         if let Some(after) = table.confirm(name, incarnation) {
@@ -226,7 +226,7 @@
             }
             Err(current) => current,
         };
-        self.known.update_present(now, stored);
+        self.known.update_present(now, stored, self.store.era());
         Ok(is_written)
     }
 
--- a/crates/pollenlever/src/quota/share_table_store.rs
+++ b/crates/pollenlever/src/quota/share_table_store.rs
@@ -36,6 +36,11 @@
         ShareTableStore { host, api, refused: ABSENT_VERSION, is_lost: false }
     }
 
+    /// Era of the store, as far as its answers have told.
+    pub(super) fn era(&self) -> u64 {
+        self.api.era()
+    }
+
     /// Reads the table, which may be some seconds old.
     pub(super) async fn read_allowing_stale(&mut self) -> Result<StoredTable, StoreError> {
         let list = self.api.list_allowing_stale(KIND).await;
--- a/crates/pollenlever/tests/mesh/memory_store.rs
+++ b/crates/pollenlever/tests/mesh/memory_store.rs
@@ -13,8 +13,19 @@
 /// Time after which a call without an answer fails; for a watch, after its own wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bits of a revision that hold the number; the era is above them.
+const NUMBER_BITS: u32 = 48;
+
+/// What a store comes back from when it has lost its latest writes.
+pub(crate) struct StoreCopy {
+    revision: Revision,
+    objects: BTreeMap<Key, Object>,
+}
+
 #[derive(Default)]
 struct State {
+    /// How often the store has come back from a copy.
+    era: u64,
     revision: Revision,
     objects: BTreeMap<Key, Object>,
     /// Changes in order; `None` stands for a removed object.
@@ -91,6 +102,26 @@
         state.objects.keys().filter(|it| it.0 == kind).map(|it| it.1.clone()).collect()
     }
 
+    /// Copies what the store holds.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        let state = self.state.lock().unwrap();
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again,
+    /// in another era.
+    pub(crate) fn restore(&self, copy: StoreCopy) {
+        let mut state = self.state.lock().unwrap();
+        state.era += 1;
+        let era = state.era << NUMBER_BITS;
+        state.revision = era | copy.revision;
+        state.objects = copy.objects;
+        state.objects.values_mut().for_each(|it| it.version |= era);
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     fn change(&self, kind: &str, name: &str, value: Option<&Value>) -> Revision {
         let mut state = self.state.lock().unwrap();
         state.revision += 1;
@@ -177,7 +208,17 @@
     }
 
     fn list(&self, kind: &str) -> StoreFuture<ObjectList> {
-        let list = self.check(kind).map(|()| ObjectList { deleted: vec![], ..self.since(kind, 0) });
+        let list = self.check(kind).map(|()| {
+            let state = self.state.lock().unwrap();
+            let of_kind = state.objects.iter().filter(|(key, _)| key.0 == kind);
+            let objects = of_kind.map(|((_, name), it)| NamedObject {
+                name: name.clone(),
+                version: it.version,
+                value: it.value.clone(),
+            });
+            let objects = objects.collect();
+            ObjectList { revision: state.revision, objects, deleted: vec![] }
+        });
         Box::pin(async move { list })
     }
 
@@ -195,6 +236,9 @@
                 loop {
                     let next = store.changed.notified();
                     store.check(&kind)?;
+                    if since >> NUMBER_BITS != store.era() {
+                        return Err(StoreError::HistoryExpired);
+                    }
                     let list = store.since(&kind, since);
                     if !list.objects.is_empty() || !list.deleted.is_empty() {
                         return Ok(list);
@@ -206,6 +250,10 @@
             tokio::time::timeout(timeout, changed).await.unwrap_or_else(|_| unchanged())
         })
     }
+
+    fn era(&self) -> u64 {
+        self.state.lock().unwrap().era
+    }
 }
 
 /// Counts a watch as waiting until it is dropped.
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -11,7 +11,7 @@
 use super::log_lines::{error_lines_with, keep_error_lines};
 use super::raw_caller::RawCaller;
 use super::scripted_target::Action;
-use super::test_mesh::{DEADLINE_MS, METRICS_PORT, TestMesh, table, wait_until};
+use super::test_mesh::{DEADLINE_MS, METRICS_PORT, TestMesh, TestNode, table, wait_until};
 
 /// Kind of the store object with the share table.
 const KIND: &str = "pollenlever-quota";
@@ -388,3 +388,33 @@
     // The request after the rejected one has got the same token.
     assert_eq!(error, "overloaded");
 }
+
+/// A store that comes back from a copy of before units were passed on gives them back to their earlier
+/// holder, while the later ones have not read it yet.
+#[tokio::test]
+async fn units_are_held_twice_after_the_store_came_back_from_a_copy() {
+    const ALL_UNITS: u32 = 1_000_000;
+    let mut mesh = mesh_with(1, Some(QUOTA)).await;
+    let held = |mesh: &TestMesh| -> Vec<u32> {
+        mesh.nodes.iter().map(|it| it.node.shared().quota_status().units).collect()
+    };
+    wait_until("all units at one node", || held(&mesh) == [ALL_UNITS]).await;
+    let copy = mesh.store.copy();
+    for _ in 0..3 {
+        mesh.join("read", &[Action::Answer(200, "ran")]).await;
+    }
+    let all_hold = |mesh: &TestMesh| held(mesh).iter().all(|it| *it > 0);
+    wait_until("units at all nodes", || all_hold(&mesh)).await;
+    let version_before = mesh.nodes[0].node.shared().quota_status().table_version;
+    mesh.store.restore(copy);
+    let has_read = |mesh: &TestMesh| {
+        let version = |it: &TestNode| it.node.shared().quota_status().table_version;
+        mesh.nodes.iter().all(|it| version(it) > version_before)
+    };
+    wait_until("all have read it and hold units again", || {
+        let sum: u32 = held(&mesh).iter().sum();
+        assert!(sum <= ALL_UNITS, "{sum} units are held");
+        has_read(&mesh) && all_hold(&mesh)
+    })
+    .await;
+}
--- a/crates/pollenlever/tests/mesh/store_view.rs
+++ b/crates/pollenlever/tests/mesh/store_view.rs
@@ -93,4 +93,8 @@
             result
         })
     }
+
+    fn era(&self) -> u64 {
+        self.store.era()
+    }
 }
