Create the share table from any node that watches the store

What callers would see: 503 quota-unavailable for all requests with a quota, at nodes that the store serves, for as long as it refuses the watchers and there is no share table.

Only watchers by rank may create the table, whether or not they reach the store.

Change: a deputy may create it too; the write is conditional, so one node wins.

Ruled out elsewhere: publishers of the lists of peers (a node that cannot join lists itself), removal of departures of nodes that are gone (only left over for longer).

--- a/crates/pollenlever/src/mesh/quota_node.rs
+++ b/crates/pollenlever/src/mesh/quota_node.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::{TargetState, highest_scores};
@@ -35,7 +36,8 @@
     }
 
     fn may_create_shares(&self) -> bool {
-        if self.is_store_watcher() {
+        // A deputy reaches the store, which the watchers may not.
+        if self.is_store_watcher() || self.watches_routes.load(Ordering::Relaxed) {
             return true;
         }
         let region = self.member().region;
--- a/crates/pollenlever/tests/mesh/quota.rs
+++ b/crates/pollenlever/tests/mesh/quota.rs
@@ -11,6 +11,7 @@
 use super::log_lines::{error_lines_with, keep_error_lines};
 use super::raw_caller::RawCaller;
 use super::scripted_target::Action;
+use super::store_view::Refusal;
 use super::test_mesh::{DEADLINE_MS, METRICS_PORT, TestMesh, TestNode, table, wait_until};
 
 /// Kind of the store object with the share table.
@@ -418,3 +419,15 @@
     })
     .await;
 }
+
+/// Watchers that cannot reach the store must not keep the quotas from nodes that can.
+#[tokio::test]
+async fn quotas_stay_unavailable_while_all_watchers_are_refused() {
+    let mesh = mesh_with(6, None).await;
+    let watches = |it: &&TestNode| it.store.is_watching();
+    wait_until("three watch", || mesh.nodes.iter().filter(watches).count() == 3).await;
+    let watchers: Vec<&TestNode> = mesh.nodes.iter().filter(watches).collect();
+    watchers.iter().for_each(|it| it.store.set_refusal(Some(Refusal::Error)));
+    mesh.publish(with_quota(3, Some(QUOTA)));
+    wait_until("a share table", || mesh.store.value(KIND, NAME).is_some()).await;
+}
