--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -15,6 +15,7 @@
 mod once;
 mod pipeline;
 mod quota;
+mod quota_store;
 mod raw_caller;
 mod reported_load;
 mod scripted_target;
