Close pipelined connections of a leaving node behind the requests received so far

Cause: an answer said Connection: close only if no request had come behind it when it began. With pipelined requests there always is one, so no answer closed the connection, and the node read, passed on and answered new requests until it exited. The class: a state that ends only if traffic pauses.

Ruled out: the grace period is not too short (with the connection closed, all ended 2.6 to 2.8 s after the SIGTERM), and no request was held up at a gate (400 ms of work each, as ever).

Change: the connection's order of requests (Pipeline) knows which request closes it. From the SIGTERM on, that is the last one received whose answer has not begun; no request behind it is started, so its caller may send it again, as the protocol says. Before, an answer could also say so too early, if a later one ended first, and a request that is not idempotent ran behind an answer that closes the connection, though its caller takes it for unread. A closed connection is read on for up to 1 s: bytes that were unread at the close reset it, and answers on their way could be lost.

Conclusion: each connection ends within one request's time of the SIGTERM. The price is that requests behind the closing answer are sent again.

--- a/crates/pollenlever/src/mesh/edge_connection.rs
+++ b/crates/pollenlever/src/mesh/edge_connection.rs
@@ -13,6 +13,7 @@
 use super::pipeline::Pipeline;
 use super::pipelined_answer::{PipelinedAnswer, max_buf_bytes};
 use super::request_frame::{BodyFrame, RequestFrame};
+use super::stop_phase::StopPhase;
 
 /// Most requests of one connection that are processed at the same time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -21,6 +22,9 @@
 /// Time added to the configured timeouts for idle connections and slow request heads, so that a
 /// caller that stays just within them does not have its connection closed.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
+/// Longest time for which a closed connection is still read. Closing it with unread bytes would reset it,
+/// and the caller could lose answers that are on their way.
+pub(super) const MAX_LINGER: Duration = Duration::from_secs(1);
 
 /// How serving a connection ended.
 pub(super) enum ConnectionEnd {
@@ -31,10 +35,13 @@
     Chunked(TcpStream, BytesMut),
 }
 
-/// Why reading requests from a connection ended.
+/// Why a connection takes no further requests.
 enum ReadEnd {
+    /// The caller is gone, or its answers cannot be written.
     HungUp,
+    /// All answers that the caller is to get have been written.
     Close,
+    /// The next request has a chunked body.
     Chunked,
 }
 
@@ -74,15 +81,35 @@
             tokio::pin!(writer);
             tokio::select! {
                 end = connection.read_requests() => end,
-                () = &mut writer => ReadEnd::HungUp,
+                end = &mut writer => end,
             }
         };
         match end {
-            ReadEnd::HungUp | ReadEnd::Close => ConnectionEnd::Closed,
+            ReadEnd::HungUp => ConnectionEnd::Closed,
+            ReadEnd::Close => {
+                connection.linger(out).await;
+                ConnectionEnd::Closed
+            }
             ReadEnd::Chunked => connection.into_chunked(out),
         }
     }
 
+    /// Ends the answers, and drops what the caller still sends until it closes the connection.
+    async fn linger(mut self, mut out: OwnedWriteHalf) {
+        self.tasks.shutdown().await;
+        if let Err(err) = out.shutdown().await {
+            log::debug!("connection of a caller not shut down reason={:?}", err.to_string());
+            return;
+        }
+        let drained = async {
+            while self.io.read_buf(&mut self.buf).await.is_ok_and(|it| it > 0) {
+                self.buf.clear();
+            }
+        };
+        // A caller that keeps the connection open for longer has it reset.
+        let _ = timeout(MAX_LINGER, drained).await;
+    }
+
     fn into_chunked(self, out: OwnedWriteHalf) -> ConnectionEnd {
         match self.io.reunite(out) {
             Ok(io) => ConnectionEnd::Chunked(io, self.buf),
@@ -96,17 +123,19 @@
     /// Reads and starts requests until no more can follow. On return all of them have been
     /// answered, unless the caller hung up.
     async fn read_requests(&mut self) -> ReadEnd {
-        let shared = Arc::clone(&self.shared);
-        let stopped = shared.wait_until_stopped();
-        tokio::pin!(stopped);
-        let mut is_stopped = false;
+        let mut stop_phase = self.shared.subscribe_stop_phase();
         loop {
             while self.tasks.try_join_next().is_some() {}
             if let Some(end) = self.start_requests().await {
                 return self.wait_until_answered(end).await;
             }
+            let phase = *stop_phase.borrow_and_update();
+            if phase >= StopPhase::Leaving {
+                self.pipeline.close_after_last();
+            }
             let is_idle = self.pipeline.unanswered_count() == 0;
-            if is_idle && (self.pipeline.is_closing() || (is_stopped && self.buf.is_empty())) {
+            let is_unused = phase >= StopPhase::Stopped && self.buf.is_empty();
+            if is_idle && (self.pipeline.is_closing() || is_unused) {
                 return ReadEnd::Close;
             }
             let limit = self.waiting_since + self.wait_timeout();
@@ -126,7 +155,8 @@
                     }
                     return ReadEnd::Close;
                 }
-                () = &mut stopped, if !is_stopped => is_stopped = true,
+                // The sender lives as long as the node.
+                _ = stop_phase.changed() => {}
             }
         }
     }
@@ -152,19 +182,21 @@
                     return Some(ReadEnd::Chunked);
                 }
                 RequestFrame::Complete { head_len, body: BodyFrame::Length(len) } => {
-                    if !self.start_request(head_len, len).await {
+                    // A body over the limit is not read.
+                    let is_last = len > self.shared.client_limits().max_body_bytes as u64;
+                    if !self.start_request(head_len, len, is_last).await {
                         return Some(ReadEnd::HungUp);
                     }
                 }
                 RequestFrame::Ambiguous => {
-                    let _ = self.pipeline.add_request();
-                    self.queue_answer(PipelinedAnswer::ambiguous()).await;
+                    if self.pipeline.add_last_request().is_some() {
+                        self.queue_answer(PipelinedAnswer::ambiguous()).await;
+                    }
                     return Some(ReadEnd::Close);
                 }
                 // The HTTP server answers with the specific error.
                 RequestFrame::Invalid | RequestFrame::Partial => {
-                    self.pipeline.close();
-                    self.start_request(self.buf.len(), 0).await;
+                    self.start_request(self.buf.len(), 0, true).await;
                     return Some(ReadEnd::Close);
                 }
             }
@@ -172,18 +204,18 @@
         None
     }
 
-    /// Starts a request and forwards its body. Returns whether the caller is still connected.
-    async fn start_request(&mut self, head_len: usize, body_len: u64) -> bool {
-        if body_len > self.shared.client_limits().max_body_bytes as u64 {
-            // The request is refused without reading its body.
-            self.pipeline.close();
-        }
+    /// Starts a request and forwards its body, unless it is the `is_last` one whose answer closes the
+    /// connection in any case. Returns whether the caller is still connected.
+    async fn start_request(&mut self, head_len: usize, body_len: u64, is_last: bool) -> bool {
+        let position =
+            if is_last { self.pipeline.add_last_request() } else { self.pipeline.add_request() };
+        // An answer that has begun meanwhile closes the connection.
+        let Some(position) = position else { return true };
         let head = self.buf.split_to(head_len);
-        let position = self.pipeline.add_request();
         let started = PipelinedAnswer::start(&self.shared, &head, position, &mut self.tasks).await;
         let (answer, request) = started;
         self.queue_answer(answer).await;
-        let is_connected = self.pipeline.is_closing() || self.forward_body(body_len, request).await;
+        let is_connected = is_last || self.forward_body(body_len, request).await;
         self.waiting_since = Instant::now();
         is_connected
     }
@@ -220,6 +252,9 @@
     /// Waits until all requests have been answered or the caller hangs up.
     async fn wait_until_answered(&mut self, end: ReadEnd) -> ReadEnd {
         while self.pipeline.unanswered_count() > 0 {
+            if self.pipeline.has_ended() {
+                return ReadEnd::Close;
+            }
             tokio::select! {
                 read = self.io.read_buf(&mut self.buf), if self.buf.len() < MAX_READ_AHEAD_BYTES => {
                     if !read.is_ok_and(|it| it > 0) {
@@ -238,19 +273,19 @@
     mut queue: mpsc::Receiver<PipelinedAnswer>,
     out: &mut OwnedWriteHalf,
     pipeline: &Pipeline,
-) {
+) -> ReadEnd {
     while let Some(answer) = queue.recv().await {
         match answer.write_to(out).await {
             Ok(true) => pipeline.record_answered(),
-            Ok(false) => return,
+            Ok(false) => return ReadEnd::Close,
             Err(err) => {
                 log::debug!("answer not written reason={:?}", err.to_string());
-                return;
+                return ReadEnd::HungUp;
             }
         }
-        if pipeline.is_closing() && pipeline.unanswered_count() == 0 {
-            let _ = out.shutdown().await;
-            return;
+        if pipeline.has_ended() {
+            return ReadEnd::Close;
         }
     }
+    ReadEnd::HungUp
 }
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -9,12 +9,13 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use super::MeshShared;
 use super::control_server::ACCEPT_RETRY_DELAY;
-use super::edge_connection::{ConnectionEnd, EdgeConnection};
+use super::edge_connection::{ConnectionEnd, EdgeConnection, MAX_LINGER};
 use super::hangup_io::HangupIo;
-use super::pipeline::Pipeline;
+use super::pipeline::PipelinePosition;
 use super::pipelined_answer::{answer, max_buf_bytes};
 
 /// Time added to the configured idle timeout, so that a caller that stays just within it does not
@@ -69,7 +70,7 @@
             let guard = RequestGuard::new(&in_flight);
             async move {
                 let _guard = guard;
-                Ok::<_, Infallible>(answer(shared, Pipeline::default().add_request(), req).await)
+                Ok::<_, Infallible>(answer(shared, PipelinePosition::alone(), req).await)
             }
         });
         let mut builder = http1::Builder::new();
@@ -85,8 +86,11 @@
                 // Returning drops the connection's unfinished requests.
                 () = poll_fn(|cx| io.poll_hangup(cx)) => return,
                 res = connection.as_mut() => {
-                    if let Err(err) = res {
-                        log::debug!("connection of a caller ended reason={:?}", err.to_string());
+                    match res {
+                        Ok(()) => linger(&io).await,
+                        Err(err) => {
+                            log::debug!("connection of a caller ended reason={:?}", err.to_string());
+                        }
                     }
                     return;
                 }
@@ -118,6 +122,12 @@
     }
 }
 
+/// Reads what the caller still sends until it closes the connection, whose answers have ended.
+async fn linger(io: &HangupIo) {
+    // A caller that keeps the connection open for longer has it reset.
+    let _ = timeout(MAX_LINGER, poll_fn(|cx| io.poll_hangup(cx))).await;
+}
+
 /// Counts a request as in flight until it is dropped.
 struct RequestGuard(Arc<AtomicUsize>);
 
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -22,6 +22,7 @@
 use super::request_log::RequestLog;
 use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
+use super::stop_phase::StopPhase;
 use crate::gossip::{SharedMachine, SharedMembership};
 use crate::node::{Clock, InFlightCounter};
 use crate::peer::PeerClient;
@@ -73,7 +74,6 @@
     /// What targets stated in the answers that this node passed on.
     pub(super) remembered_statements: Mutex<RememberedStatements>,
     last_id: AtomicU64,
-    leaving: AtomicBool,
     target_state_restored: AtomicBool,
     pub(super) is_fetching_routes: AtomicBool,
     /// Whether routes of a newer version are in the store, and no node can send them to this one.
@@ -82,7 +82,7 @@
     pub(super) watches_routes: AtomicBool,
     /// Era of the store; `None` until an answer of it or another node has told.
     pub(super) store_era: watch::Sender<Option<u64>>,
-    stopped: watch::Sender<bool>,
+    stop_phase: watch::Sender<StopPhase>,
 }
 
 pub(super) struct State {
@@ -154,13 +154,12 @@
             state: Mutex::new(state),
             remembered_statements: Mutex::default(),
             last_id: AtomicU64::new(0),
-            leaving: AtomicBool::new(false),
             target_state_restored: AtomicBool::new(false),
             is_fetching_routes: AtomicBool::new(false),
             is_routes_read_due: AtomicBool::new(false),
             watches_routes: AtomicBool::new(false),
             store_era: watch::channel(None).0,
-            stopped: watch::channel(false).0,
+            stop_phase: watch::channel(StopPhase::default()).0,
         }
     }
 
@@ -334,12 +333,12 @@
     }
 
     pub(super) fn is_leaving(&self) -> bool {
-        self.leaving.load(Ordering::Relaxed)
+        *self.stop_phase.borrow() >= StopPhase::Leaving
     }
 
     /// Refuses requests of other nodes from now on; the node is no longer ready for callers.
     pub(super) fn start_leaving(&self) {
-        self.leaving.store(true, Ordering::Relaxed);
+        self.stop_phase.send_replace(StopPhase::Leaving);
         self.gate.close();
         self.members.notify(MembershipEvent::Leave);
         self.quota.start_leaving();
@@ -347,7 +346,7 @@
 
     /// Stops accepting requests from callers.
     pub(super) fn stop(&self) {
-        self.stopped.send_replace(true);
+        self.stop_phase.send_replace(StopPhase::Stopped);
     }
 
     /// Number of open connections of callers.
@@ -365,11 +364,16 @@
         self.in_flight_work.is_idle() && self.open_connections.is_idle()
     }
 
+    /// How far the node is with its stop, with notice of changes.
+    pub(super) fn subscribe_stop_phase(&self) -> watch::Receiver<StopPhase> {
+        self.stop_phase.subscribe()
+    }
+
     /// Resolves once the node accepts no new requests.
     pub(super) async fn wait_until_stopped(&self) {
-        let mut stopped = self.stopped.subscribe();
+        let mut phase = self.subscribe_stop_phase();
         // The sender lives as long as this node, so waiting cannot fail.
-        let _ = stopped.wait_for(|it| *it).await;
+        let _ = phase.wait_for(|it| *it >= StopPhase::Stopped).await;
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -53,6 +53,7 @@
 mod slot_guard;
 mod stated_rate;
 mod statement_log;
+mod stop_phase;
 mod store_backoff;
 mod suspicion_exchange;
 mod target_client;
--- a/crates/pollenlever/src/mesh/pipelined_answer.rs
+++ b/crates/pollenlever/src/mesh/pipelined_answer.rs
@@ -81,7 +81,7 @@
     builder.half_close(true).max_buf_size(max_buf);
     if let Err(err) = builder.serve_connection(TokioIo::new(io), service).await {
         log::debug!("request of a caller not answered reason={:?}", err.to_string());
-        position.pipeline().close();
+        position.close();
     }
 }
 
@@ -98,11 +98,10 @@
 ) -> EdgeResponse {
     let asks_to_close = req.version() != Version::HTTP_11 || has_connection_close(req.headers());
     let mut response = RequestDispatcher::new(Arc::clone(&shared)).answer(req, &position).await;
-    // Requests received after this one are still answered, so this answer does not close the
-    // connection.
-    let closes = position.pipeline().is_closing() || (shared.is_leaving() && position.is_last());
-    if closes || asks_to_close {
-        position.pipeline().close();
+    if asks_to_close {
+        position.close();
+    }
+    if position.begin_answer(shared.is_leaving()) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -71,8 +71,8 @@
         let _open = self.shared.in_flight_work.start();
         match RoutedRequest::read(&self.shared, req).await {
             Ok(req) => {
-                if !req.route.is_idempotent {
-                    position.wait_for_earlier_answers().await;
+                if !req.route.is_idempotent && !position.wait_for_earlier_answers().await {
+                    return error_answer(ErrorKind::Leaving, None);
                 }
                 self.deliver(req).await
             }
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -19,6 +19,8 @@
 pub(crate) enum Action {
     /// Answer with this status and body, echoing the request's id.
     Answer(u16, &'static str),
+    /// Like `Answer` with status 200, after this time.
+    AnswerAfter(Duration, &'static str),
     /// Answer 503 with the header that says that the request was not run, echoing its id.
     Reject,
     /// Like `Reject`, without an id.
@@ -180,6 +182,10 @@
             };
             let (text, close) = match action {
                 Action::Answer(status, body) => (answer(status, body), false),
+                Action::AnswerAfter(delay, body) => {
+                    tokio::time::sleep(delay).await;
+                    (answer(200, body), false)
+                }
                 Action::Reject => {
                     let text = REJECTION.replace("{id}", &id);
                     (rejection.insert(text).clone(), false)
--- a/crates/pollenlever/tests/mesh/stop.rs
+++ b/crates/pollenlever/tests/mesh/stop.rs
@@ -1,7 +1,10 @@
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::TcpStream;
 
+use super::raw_caller::RawCaller;
 use super::scripted_target::Action;
 use super::test_mesh::{DEADLINE_MS, TestMesh, wait_until};
 
@@ -54,6 +57,74 @@
     assert_eq!(answer.unwrap().body, "held");
 }
 
+/// How a connection with pipelined requests ended.
+struct PipelineEnd {
+    answered: usize,
+    /// Requests that were sent and not answered.
+    unanswered: usize,
+    /// Whether the last answer says that the connection closes.
+    is_announced: bool,
+}
+
+/// Keeps `DEPTH` idempotent requests open on a connection until it ends, or until 100 were answered.
+async fn keep_pipeline_full(mut caller: RawCaller) -> PipelineEnd {
+    const DEPTH: usize = 3;
+    const MAX_ANSWERS: usize = 100;
+    // The requests do not end together, so that there is always one behind the one that ends.
+    const PAUSE: Duration = Duration::from_millis(25);
+    let mut open = VecDeque::new();
+    let mut end = PipelineEnd { answered: 0, unanswered: 0, is_announced: false };
+    while end.answered < MAX_ANSWERS {
+        while open.len() < DEPTH {
+            let id = format!("p{}", end.answered + open.len());
+            caller.request("GET", "/read/1", &id, DEADLINE_MS).await;
+            open.push_back(id);
+            tokio::time::sleep(PAUSE).await;
+        }
+        let Some(answer) = caller.answer().await else { break };
+        let answered_id = answer.header("pollenlever-request-id");
+        assert_eq!(answered_id, open.pop_front().as_deref(), "{answer:?}");
+        end.answered += 1;
+        end.is_announced = answer.header("connection") == Some("close");
+        if end.is_announced {
+            break;
+        }
+    }
+    end.unanswered = open.len();
+    end
+}
+
+/// Guards against requests cut when a node exits: on a connection that always had a request behind the
+/// one that ended, no answer said that it closes, and the node went on reading and passing on requests.
+#[tokio::test]
+async fn pipelined_requests_are_cut_when_a_leaving_node_exits() {
+    let slow = [Action::AnswerAfter(Duration::from_millis(100), "x")];
+    let mesh = TestMesh::start(&[("charge", &[Action::Hang]), ("read", &slow)]).await;
+    let pipeline = tokio::spawn(keep_pipeline_full(mesh.caller().await));
+    mesh.nodes[1].target.wait_for_arrivals(4).await;
+    assert!(mesh.nodes[0].node.leave().await, "requests were open at the end of the grace period");
+    let end = pipeline.await.unwrap();
+    assert!(end.is_announced);
+    assert!(end.unanswered > 0, "the case needs requests behind the closing answer");
+    // What is behind the closing answer was not passed on, so its caller may send it again.
+    assert_eq!(mesh.nodes[1].target.arrivals().len(), end.answered);
+}
+
+/// Guards against two runs: a request that is not idempotent and was sent behind an answer that closes
+/// the connection counts as not read for its caller, who sends it again.
+#[tokio::test]
+async fn a_non_idempotent_request_behind_a_closing_answer_is_run() {
+    let script = [Action::AnswerAfter(Duration::from_millis(100), "x")];
+    let mesh =
+        TestMesh::start(&[("read", &script), ("charge", &[Action::Answer(200, "ran")])]).await;
+    let mut caller = mesh.caller().await;
+    caller.request_with("GET", "/read/1", "r1", DEADLINE_MS, "Connection: close\r\n").await;
+    caller.request("POST", "/charge/1", "r2", DEADLINE_MS).await;
+    assert_eq!(caller.answer().await.unwrap().header("connection"), Some("close"));
+    assert_eq!(caller.answer().await, None);
+    assert_eq!(mesh.arrivals(), [1, 0]);
+}
+
 /// Waits until a node accepts no new connections.
 async fn wait_until_refused(addr: SocketAddr) {
     let refused = async { while TcpStream::connect(addr).await.is_ok() {} };
