Refuse requests that come too late in a stop, and answer those that are open at its end

Report of other operators: in a planned stop of one sidecar machine, in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST).

Cause: a node stopped taking connections, not requests. The class: admission is checked where work enters, not where it becomes work.

Ruled out: requests of other nodes (the gate refuses them from the SIGTERM on), idle connections (closed at 2.6 s).

Change: a request that is whole only after the node has stopped taking work (2.6 s after the SIGTERM, before the 3 s of the users' rule) is refused as not run, with a time to come back. One that is taken while the node leaves gets no deadline beyond the node's end, so gates refuse what cannot finish and targets stop in time. What is still open 0.4 s before the end of the grace period gets 502, outcome unknown. node-stopped logs the open requests and connections.

Evidence: both new tests of mesh stop failed before (a request that became whole after the stop reached its target; no answer within the grace period) and pass now.

--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -17,6 +17,7 @@
 use super::hangup_io::HangupIo;
 use super::pipeline::PipelinePosition;
 use super::pipelined_answer::{answer, max_buf_bytes};
+use super::stop_phase::StopPhase;
 
 /// Time added to the configured idle timeout, so that a caller that stays just within it does not
 /// have its connection closed.
@@ -36,7 +37,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = self.shared.wait_until_stopped() => return,
+                () = self.shared.wait_for_stop_phase(StopPhase::Stopped) => return,
             };
             match accepted {
                 Ok((io, _)) => {
@@ -104,7 +105,7 @@
 
     /// Resolves once the connection has been idle for the idle timeout, or the node stops.
     async fn wait_until_idle(&self, io: &HangupIo, in_flight: &AtomicUsize) {
-        let stopped = self.shared.wait_until_stopped();
+        let stopped = self.shared.wait_for_stop_phase(StopPhase::Stopped);
         tokio::pin!(stopped);
         loop {
             let limit = self.shared.client_limits().idle_timeout + IDLE_MARGIN;
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -32,6 +32,8 @@
 const MAX_HAND_BACK_TIME: Duration = Duration::from_secs(4);
 /// Time before the end of the grace period at which a leaving node abandons its last requests.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Time for writing the answers to abandoned requests.
+const ABANDON_TIME: Duration = Duration::from_millis(100);
 /// Interval between checks whether requests are still open.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Largest body of a message between nodes, in bytes.
@@ -117,13 +119,13 @@
         self.shared.apply_settings(cfg);
     }
 
-    /// Leaves the mesh: turns callers and nodes away and finishes open requests. Returns whether
-    /// all of them ended within the grace period.
+    /// Leaves the mesh: turns callers and nodes away and finishes open requests. Those that are open
+    /// at the end of the grace period are answered with an error. Returns whether there were none.
     pub async fn leave(&self) -> bool {
         let started = self.shared.clock.now();
         let grace = self.shared.settings().stop_grace_period;
         log_event!(LogEvent::NodeLeaving, "grace_ms={}", grace.as_millis());
-        self.shared.start_leaving();
+        self.shared.start_leaving(started + grace.saturating_sub(EXIT_MARGIN));
         tokio::time::sleep(DRAIN_DELAY.min(grace / 2)).await;
         self.shared.stop();
         loop {
@@ -132,8 +134,17 @@
             let is_handed_back =
                 self.shared.quota.is_handed_back() || elapsed >= MAX_HAND_BACK_TIME;
             if (is_idle && is_handed_back) || elapsed + EXIT_MARGIN >= grace {
-                let after_ms = elapsed.as_millis();
-                log_event!(LogEvent::NodeStopped, "idle={is_idle} after_ms={after_ms}");
+                let (requests, connections) =
+                    (self.shared.in_flight_work.count(), self.shared.open_connection_count());
+                log_event!(
+                    LogEvent::NodeStopped,
+                    "idle={is_idle} after_ms={} open_requests={requests} open_connections={connections}",
+                    elapsed.as_millis()
+                );
+                if requests > 0 {
+                    self.shared.abandon_requests();
+                    tokio::time::sleep(ABANDON_TIME).await;
+                }
                 return is_idle;
             }
             tokio::time::sleep(IDLE_CHECK_INTERVAL).await;
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -1,7 +1,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use pollenlever_core::config::ServiceConfig;
@@ -83,6 +83,8 @@
     /// Era of the store; `None` until an answer of it or another node has told.
     pub(super) store_era: watch::Sender<Option<u64>>,
     stop_phase: watch::Sender<StopPhase>,
+    /// When a leaving node abandons its open requests, on its clock.
+    abandons_at: OnceLock<Duration>,
 }
 
 pub(super) struct State {
@@ -160,6 +162,7 @@
             watches_routes: AtomicBool::new(false),
             store_era: watch::channel(None).0,
             stop_phase: watch::channel(StopPhase::default()).0,
+            abandons_at: OnceLock::new(),
         }
     }
 
@@ -336,19 +339,35 @@
         *self.stop_phase.borrow() >= StopPhase::Leaving
     }
 
-    /// Refuses requests of other nodes from now on; the node is no longer ready for callers.
-    pub(super) fn start_leaving(&self) {
+    /// Refuses requests of other nodes from now on; the node is no longer ready for callers. Requests
+    /// that are open at `abandons_at` will be abandoned.
+    pub(super) fn start_leaving(&self, abandons_at: Duration) {
+        self.abandons_at.get_or_init(|| abandons_at);
         self.stop_phase.send_replace(StopPhase::Leaving);
         self.gate.close();
         self.members.notify(MembershipEvent::Leave);
         self.quota.start_leaving();
     }
 
-    /// Stops accepting requests from callers.
+    /// Latest deadline that a request can be given: none that it could outlive this node with.
+    pub(super) fn latest_deadline(&self) -> Duration {
+        self.abandons_at.get().copied().unwrap_or(Duration::MAX)
+    }
+
+    /// Refuses new requests of callers from now on.
     pub(super) fn stop(&self) {
         self.stop_phase.send_replace(StopPhase::Stopped);
     }
 
+    /// Answers open requests of callers with an error.
+    pub(super) fn abandon_requests(&self) {
+        self.stop_phase.send_replace(StopPhase::Abandoning);
+    }
+
+    pub(super) fn is_stopped(&self) -> bool {
+        *self.stop_phase.borrow() >= StopPhase::Stopped
+    }
+
     /// Number of open connections of callers.
     pub fn open_connection_count(&self) -> usize {
         self.open_connections.count()
@@ -369,11 +388,11 @@
         self.stop_phase.subscribe()
     }
 
-    /// Resolves once the node accepts no new requests.
-    pub(super) async fn wait_until_stopped(&self) {
-        let mut phase = self.subscribe_stop_phase();
+    /// Resolves once the node's stop has come to `phase`.
+    pub(super) async fn wait_for_stop_phase(&self, phase: StopPhase) {
+        let mut present = self.subscribe_stop_phase();
         // The sender lives as long as this node, so waiting cannot fail.
-        let _ = phase.wait_for(|it| *it >= StopPhase::Stopped).await;
+        let _ = present.wait_for(|it| *it >= phase).await;
     }
 
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -21,6 +21,7 @@
 use super::pending_request::PendingRequest;
 use super::pipeline::PipelinePosition;
 use super::routed_request::RoutedRequest;
+use super::stop_phase::StopPhase;
 
 /// Timeout for sealing an attempt whose reply was lost.
 const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,8 +87,15 @@
             Delivery::new(req.route.is_idempotent, req.route.max_attempts, req.is_urgent());
         let pending = PendingRequest::new(&self.shared, &req);
         let _call = req.lineage.is_call().then(|| self.shared.gate.open_call(&req.id));
-        let result = tokio::time::timeout(left, self.run(&req, &mut delivery)).await;
-        let result = result.unwrap_or(RequestResult::Error(ErrorKind::DeadlinePassed, None));
+        let result = tokio::select! {
+            biased;
+            result = tokio::time::timeout(left, self.run(&req, &mut delivery)) => {
+                result.unwrap_or(RequestResult::Error(ErrorKind::DeadlinePassed, None))
+            }
+            () = self.shared.wait_for_stop_phase(StopPhase::Abandoning) => {
+                RequestResult::Error(ErrorKind::OutcomeUnknown, None)
+            }
+        };
         match result {
             RequestResult::Answer(answer) => {
                 let downstream_calls = f64::from(answer.load.calls_per_100_runs) / 100.0;
@@ -103,10 +111,14 @@
         }
     }
 
-    /// Refuses a new chain for which the services have no room, before it costs anything. Otherwise takes a
+    /// Refuses a request that has come too late to end before this node does, and a new chain for which
+    /// the services have no room, before it costs anything. Otherwise takes a
     /// token if the request uses a quota, and runs the request. The token is given back if the
     /// request has not run. A request without a token adds nothing to the retry budget.
     async fn run(&self, req: &RoutedRequest, delivery: &mut Delivery) -> RequestResult {
+        if self.shared.is_stopped() {
+            return RequestResult::Error(ErrorKind::Leaving, None);
+        }
         if let Some(retry_after) = self.shared.downstream.chain_refusal(&req.service, req.lineage) {
             return RequestResult::Error(ErrorKind::Overloaded, Some(retry_after));
         }
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -37,7 +37,7 @@
     pub(super) body: Bytes,
     /// Arrival time on the node's clock.
     pub(super) arrived: Duration,
-    /// Time on the node's clock at which the caller or the route gives up.
+    /// Time on the node's clock at which the caller, the route or this node, if it leaves, gives up.
     pub(super) deadline: Duration,
     /// Position of the request in its call chain.
     pub(super) lineage: Lineage,
@@ -73,8 +73,9 @@
         let sender = RequestSender::identify(shared, &routes, &route, &parts.headers, &id)?;
         let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
         let (lineage, workspace) = shared.lineage(&id, &route, expires, &sender);
-        let deadline = arrived + time_budget.min(route.timeout);
         let body = read_body(table, body).await?;
+        let deadline = arrived + time_budget.min(route.timeout);
+        let deadline = deadline.min(shared.latest_deadline());
         Ok(RoutedRequest {
             id,
             service,
--- a/crates/pollenlever/src/mesh/stop_phase.rs
+++ b/crates/pollenlever/src/mesh/stop_phase.rs
@@ -6,6 +6,8 @@
     Running,
     /// It is not ready, and closes each connection of a caller after the requests received so far.
     Leaving,
-    /// It takes no further requests.
+    /// It refuses further requests.
     Stopped,
+    /// Its grace period is over: open requests get an error.
+    Abandoning,
 }
--- a/crates/pollenlever/tests/mesh/stop.rs
+++ b/crates/pollenlever/tests/mesh/stop.rs
@@ -110,6 +110,43 @@
     assert_eq!(mesh.nodes[1].target.arrivals().len(), end.answered);
 }
 
+/// Guards against requests cut when a node exits: a request whose last bytes came late in the grace
+/// period was passed on, and had no time left to be answered.
+#[tokio::test]
+async fn a_request_that_arrives_late_in_the_grace_period_is_passed_on_and_cut() {
+    let mesh = TestMesh::start(&[("read", &[Action::Hang]), ("charge", &[Action::Hold])]).await;
+    let mut caller = mesh.caller().await;
+    let head = "POST /charge/1 HTTP/1.1\r\nHost: a.example\r\nPollenlever-Request-Id: late\r\n";
+    caller.write(&format!("{head}Content-Length: 4\r\n\r\nab")).await;
+    let left = async { mesh.nodes[0].node.leave().await };
+    let answered = async {
+        wait_until_refused(mesh.nodes[0].callers).await;
+        caller.write("cd").await;
+        caller.answer().await
+    };
+    let (was_idle, answer) = tokio::join!(left, answered);
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.header("pollenlever-outcome")), (503, Some("not-run")));
+    assert!(answer.header("retry-after").is_some());
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(was_idle);
+    assert_eq!(mesh.arrivals(), [0, 0]);
+}
+
+/// Guards against requests cut when a node exits: one that is still at work at the end of the grace
+/// period lost its connection without a word.
+#[tokio::test]
+async fn a_request_at_work_at_the_end_of_the_grace_period_gets_no_answer() {
+    let mesh = TestMesh::start(&[("read", &[Action::Hang]), ("charge", &[Action::Hang])]).await;
+    let mut caller = mesh.caller().await;
+    caller.request("POST", "/charge/1", "r1", DEADLINE_MS).await;
+    mesh.nodes[1].target.wait_for_arrivals(1).await;
+    let (was_idle, answer) = tokio::join!(mesh.nodes[0].node.leave(), caller.answer());
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status, answer.header("pollenlever-outcome")), (502, Some("unknown")));
+    assert!(!was_idle);
+}
+
 /// Guards against two runs: a request that is not idempotent and was sent behind an answer that closes
 /// the connection counts as not read for its caller, who sends it again.
 #[tokio::test]
