Confirm a departure only once it outlives the process of the node

Cause: the node confirmed the departure of its target as soon as its own memory had it. While the store refused that node, nothing else knew of it; a restart forgot it, and a report that had been sent before opened the gate again. The node also gave up reading its departure from the store 1.5 s after its start, for good. The class: a promise is given before what it rests on is there.

Ruled out: the order of reports (the sequence is lost with the process, and the report is newer than anything the next one knows), gossip (it says that the target leaves, not which process, and the next process replaces the entry).

Change: a heartbeat that says draining and a deregistration get 200 only when the store has the departure or, while it refuses this node, two other nodes (one, if there is only one) keep it; otherwise 503 within 0.8 s, and the target gets no new work all the same. Nodes that keep a departure tell each later process of its node (protocol version 8: KeepDeparture, RecallDeparture; not sent to earlier versions). A node reads its departure until the store answers, and applies it then. A departure without a start covers the processes that started until then, also when it closes the gate. Weighed: no confirmation while the store refuses (targets exit unconfirmed though others could know); statements that owners remember (an answer that is on its way when the target leaves replaces them).

Limit: if all nodes that keep a departure are restarted before the store takes it, it is forgotten.

--- a/crates/pollenlever-core/src/mesh/mesh_request.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_request.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{MeshAttempt, RouteConfirmation, RouteVersion};
+use super::{DepartedTarget, MeshAttempt, RouteConfirmation, RouteVersion};
 use crate::id::AttemptId;
 use crate::message::Suspicion;
 use crate::quota::{ShareDelegation, TokenRequest};
@@ -28,4 +28,8 @@
     QuotaShards,
     /// The sender's routes were the newest ones in the store.
     ConfirmRoutes(RouteConfirmation),
+    /// The target beside the sender has left: tell that each later process of the sender.
+    KeepDeparture(DepartedTarget),
+    /// The target beside the receiver has left, as an earlier process of the receiver has told the sender.
+    RecallDeparture(DepartedTarget),
 }
--- a/crates/pollenlever-core/src/mesh/target_registry.rs
+++ b/crates/pollenlever-core/src/mesh/target_registry.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{InstanceId, StartTime, TargetReport};
+use super::{DepartedTarget, InstanceId, StartTime, TargetReport};
 use crate::Timestamp;
 
 /// Maximum number of departed targets that are remembered; the oldest is forgotten first.
@@ -11,9 +11,6 @@
 /// one with an earlier start time.
 const REPLACEABLE_AFTER: Duration = Duration::from_secs(5);
 
-/// A target that is gone: all its processes that started at this time or earlier.
-pub type DepartedTarget = (InstanceId, StartTime);
-
 /// Effect of a report or a departure on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RegistryChange {
@@ -76,9 +73,10 @@
     ) -> RegistryChange {
         let current = self.current.as_ref().filter(|it| it.instance == *instance);
         let known = current.map(|it| it.started);
-        let matching = current.filter(|it| started.is_none_or(|at| at == it.started));
+        let matching = current.filter(|it| started.is_none_or(|at| at >= it.started));
         let (is_known, closes) = (matching.is_some(), matching.is_some_and(|it| !it.is_draining));
-        self.record_departure((instance.clone(), started.or(known).unwrap_or(now)));
+        let started = started.or(known).unwrap_or(now);
+        self.record_departure(DepartedTarget { instance: instance.clone(), started });
         if !is_known {
             return RegistryChange::Stale;
         }
@@ -88,17 +86,32 @@
         if closes { RegistryChange::Closed } else { RegistryChange::Refreshed }
     }
 
+    /// Handles a departure that was recorded before this process of the node started. Those that it has
+    /// heard of itself stay the later ones.
+    pub fn handle_past_departure(&mut self, departed: DepartedTarget) -> RegistryChange {
+        let current = self.current.as_mut().filter(|it| departed.includes(it) && !it.is_draining);
+        let closes = current.is_some();
+        if let Some(current) = current {
+            current.is_draining = true;
+        }
+        if !self.departed.contains(&departed) && self.departed.len() < MAX_DEPARTED {
+            self.departed.push_front(departed);
+        }
+        if closes { RegistryChange::Closed } else { RegistryChange::Refreshed }
+    }
+
     /// Records the departure of the present process, which stated it in an answer.
     pub fn close_current(&mut self) -> RegistryChange {
         let Some(current) = &mut self.current else { return RegistryChange::Stale };
         let was_draining = std::mem::replace(&mut current.is_draining, true);
-        let departed = (current.instance.clone(), current.started);
+        let departed =
+            DepartedTarget { instance: current.instance.clone(), started: current.started };
         self.record_departure(departed);
         if was_draining { RegistryChange::Refreshed } else { RegistryChange::Closed }
     }
 
     /// Records that the processes of a target up to a start time are gone.
-    pub fn record_departure(&mut self, target: DepartedTarget) {
+    fn record_departure(&mut self, target: DepartedTarget) {
         if self.departed.contains(&target) {
             return;
         }
@@ -108,9 +121,15 @@
         self.departed.push_back(target);
     }
 
-    /// The target that was recorded as gone last.
-    pub fn last_departed(&self) -> Option<&DepartedTarget> {
-        self.departed.back()
+    /// The target that has left; `None` while one is in use or none is known to have left.
+    pub fn departed(&self) -> Option<DepartedTarget> {
+        let Some(current) = &self.current else { return self.departed.back().cloned() };
+        if !current.is_draining {
+            return None;
+        }
+        let recorded = self.departed.iter().find(|it| it.includes(current)).cloned();
+        let TargetReport { instance, started, .. } = current;
+        recorded.or_else(|| Some(DepartedTarget { instance: instance.clone(), started: *started }))
     }
 
     /// Records that the target refused a connection or answered under another identity. It gets no
@@ -135,8 +154,7 @@
     }
 
     fn has_departed(&self, report: &TargetReport) -> bool {
-        let mut departed = self.departed.iter();
-        departed.any(|(instance, last)| *instance == report.instance && report.started <= *last)
+        self.departed.iter().any(|it| it.includes(report))
     }
 
     fn is_stale(&self, now: Timestamp, report: &TargetReport) -> bool {
--- a/crates/pollenlever-core/tests/mesh/registry.rs
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use pollenlever_core::mesh::{RegistryChange, TargetRegistry, TargetReport};
+use pollenlever_core::mesh::{DepartedTarget, RegistryChange, TargetRegistry, TargetReport};
 
 use crate::cases;
 
@@ -69,10 +69,25 @@
     assert!(registry.serving().is_some());
 }
 
+/// A departure that the node learns only after a late report has opened the gate.
+#[test]
+fn a_past_departure_closes_the_target_and_stays_behind_later_ones() {
+    let past = DepartedTarget { instance: "a".into(), started: 10 };
+    let mut registry = TargetRegistry::default();
+    registry.handle_report(NOW, ready("a", 9, 1));
+    assert_eq!(registry.handle_past_departure(past.clone()), RegistryChange::Closed);
+    assert_eq!(registry.departed(), Some(past.clone()));
+    assert_eq!(registry.handle_report(NOW, ready("a", 10, 2)), RegistryChange::Stale);
+    let mut registry = TargetRegistry::default();
+    registry.handle_departure(&"b".into(), Some(20), 50);
+    assert_eq!(registry.handle_past_departure(past), RegistryChange::Refreshed);
+    assert_eq!(registry.departed(), Some(DepartedTarget { instance: "b".into(), started: 20 }));
+}
+
 #[test]
 fn a_process_that_left_before_the_node_started_is_not_opened() {
     let mut registry = TargetRegistry::default();
-    registry.record_departure(("a".into(), 10));
+    registry.handle_past_departure(DepartedTarget { instance: "a".into(), started: 10 });
     assert_eq!(registry.handle_report(NOW, ready("a", 10, 7)), RegistryChange::Stale);
     assert!(registry.serving().is_none());
 }
@@ -95,7 +110,7 @@
     registry.handle_departure(&"a".into(), None, 50);
     assert_eq!(registry.handle_report(NOW, ready("a", 10, 7)), RegistryChange::Stale);
     assert!(registry.serving().is_none());
-    assert_eq!(registry.last_departed(), Some(&("a".into(), 50)));
+    assert_eq!(registry.departed(), Some(DepartedTarget { instance: "a".into(), started: 50 }));
     assert_eq!(registry.handle_report(NOW, ready("a", 51, 1)), RegistryChange::Opened);
 }
 
--- a/crates/pollenlever/src/mesh/control_server.rs
+++ b/crates/pollenlever/src/mesh/control_server.rs
@@ -1,4 +1,5 @@
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -26,10 +27,13 @@
     pub body: String,
 }
 
+/// Response to come to a control request.
+pub type ControlFuture<'a> = Pin<Box<dyn Future<Output = ControlAnswer> + Send + 'a>>;
+
 /// Handles control requests: those that the target and the platform send to a node.
 pub trait ControlHandler: Send + Sync {
     /// Returns the response to one request.
-    fn handle(&self, method: &str, path: &str, body: &[u8]) -> ControlAnswer;
+    fn handle<'a>(&'a self, method: &'a str, path: &'a str, body: &'a [u8]) -> ControlFuture<'a>;
 }
 
 /// Shared [`ControlHandler`].
@@ -63,7 +67,7 @@
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (parts, body) = req.into_parts();
     let answer = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-        Ok(body) => handler.handle(parts.method.as_str(), parts.uri.path(), &body.to_bytes()),
+        Ok(body) => handler.handle(parts.method.as_str(), parts.uri.path(), &body.to_bytes()).await,
         Err(err) => {
             log::warn!("control request refused reason={:?}", err.to_string());
             ControlAnswer { status: 400, content_type: "text/plain", body: err.to_string() }
--- a/crates/pollenlever/src/mesh/departure_object.rs
+++ b/crates/pollenlever/src/mesh/departure_object.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use pollenlever_core::mesh::DepartedTarget;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -17,6 +18,17 @@
 }
 
 impl DepartureObject {
+    /// The departure of the target beside the node at `peer`.
+    pub(super) fn new(peer: SocketAddr, departed: &DepartedTarget) -> DepartureObject {
+        let instance = departed.instance.to_string();
+        DepartureObject { peer, instance, started_ms: departed.started }
+    }
+
+    /// The target that has left.
+    pub(super) fn departed(&self) -> DepartedTarget {
+        DepartedTarget { instance: self.instance.as_str().into(), started: self.started_ms }
+    }
+
     /// Parses a value from the store; `None` if it does not have this form.
     pub(super) fn from_value(value: &Value) -> Option<DepartureObject> {
         DepartureObject::deserialize(value).ok()
--- a/crates/pollenlever/src/mesh/departure_store.rs
+++ b/crates/pollenlever/src/mesh/departure_store.rs
@@ -30,6 +30,8 @@
 pub(super) struct DepartureStore {
     shared: Arc<MeshShared>,
     store: SharedObjectApi,
+    /// Whether this node's object has been read.
+    is_read: bool,
     /// Version of this node's object; `ABSENT_VERSION` if there is none.
     version: Revision,
     /// The stored departure; `None` if there is none or the object has another form.
@@ -38,18 +40,16 @@
 
 impl DepartureStore {
     pub(super) fn new(shared: Arc<MeshShared>, store: SharedObjectApi) -> DepartureStore {
-        DepartureStore { shared, store, version: ABSENT_VERSION, stored: None }
+        DepartureStore { shared, store, is_read: false, version: ABSENT_VERSION, stored: None }
     }
 
     /// Restores the departure that an earlier process stored, and stores later ones, for as long as
-    /// the node runs.
+    /// the node runs. If the store does not answer in time, reports of the target are taken, and a
+    /// departure that is read later takes the target out of use again.
     pub(super) async fn run(mut self) {
-        match timeout(RECOVERY_TIMEOUT, self.read_until_answered()).await {
-            Ok(found) => self.restore(found),
-            Err(_) => {
-                let kind = DEPARTURES_KIND;
-                log_event!(LogEvent::StoreLost, "kind={kind} reason=\"read timeout\"");
-            }
+        if timeout(RECOVERY_TIMEOUT, self.read_until_answered()).await.is_err() {
+            let kind = DEPARTURES_KIND;
+            log_event!(LogEvent::StoreLost, "kind={kind} reason=\"read timeout\"");
         }
         self.shared.mark_target_state_restored();
         let mut era = self.shared.store_era.subscribe();
@@ -76,43 +76,45 @@
         }
     }
 
-    async fn read_until_answered(&self) -> Option<Object> {
+    async fn read_until_answered(&mut self) {
         let mut backoff = StoreBackoff::new(MAX_BACKOFF);
-        loop {
-            let name = self.shared.settings().name;
-            let read = self.store.get(DEPARTURES_KIND, &name).await;
-            self.shared.metrics.record_store_call(read.is_ok());
-            match read {
-                Ok(found) => return found,
-                Err(err) => {
-                    if !backoff.is_failing() {
-                        let reason = err.to_string();
-                        log_event!(LogEvent::StoreLost, "kind={DEPARTURES_KIND} reason={reason:?}");
-                    }
-                    backoff.pause().await;
-                }
+        while let Err(err) = self.read().await {
+            if !backoff.is_failing() {
+                let reason = err.to_string();
+                log_event!(LogEvent::StoreLost, "kind={DEPARTURES_KIND} reason={reason:?}");
             }
+            backoff.pause().await;
         }
     }
 
-    fn restore(&mut self, found: Option<Object>) {
-        self.record_found(found);
+    /// Reads this node's object, and takes the target out of use if it is the one that has left.
+    async fn read(&mut self) -> Result<(), StoreError> {
+        let name = self.shared.settings().name;
+        let found = self.store.get(DEPARTURES_KIND, &name).await;
+        self.shared.metrics.record_store_call(found.is_ok());
+        self.record_found(found?);
+        self.is_read = true;
         if let Some(stored) = &self.stored {
-            log_event!(LogEvent::TargetLeaving, "source=store instance={}", stored.instance);
-            let instance = stored.instance.as_str().into();
-            self.shared.gate.record_past_departure(instance, stored.started_ms);
+            self.shared.apply_past_departure(stored.departed(), "store");
         }
+        Ok(())
     }
 
     fn record_found(&mut self, found: Option<Object>) {
         self.version = found.as_ref().map_or(ABSENT_VERSION, |it| it.version);
-        self.stored = found.and_then(|it| DepartureObject::from_value(&it.value));
+        self.set_stored(found.and_then(|it| DepartureObject::from_value(&it.value)));
+    }
+
+    fn set_stored(&mut self, stored: Option<DepartureObject>) {
+        self.shared.departures.set_stored(stored.as_ref().map(DepartureObject::departed));
+        self.stored = stored;
     }
 
     /// Handles that the store may lack what this node has stored. The next update then writes it again,
     /// unless the store still has it.
     async fn forget_stored(&mut self) {
-        if self.stored.take().is_some() {
+        if self.stored.is_some() {
+            self.set_stored(None);
             tokio::time::sleep(MAX_RESTORE_JITTER.mul_f64(rand::random_range(0.0..1.0))).await;
         }
     }
@@ -120,8 +122,12 @@
     /// Brings the store's object in line with the target: writes its departure, and deletes the
     /// object once another target is in use.
     async fn update(&mut self) -> Result<(), StoreError> {
+        if !self.is_read {
+            self.read().await?;
+        }
         let name = self.shared.settings().name;
-        let departed = self.departed();
+        let departed = self.shared.gate.departed_target();
+        let departed = departed.map(|it| DepartureObject::new(self.shared.me.addr, &it));
         if departed == self.stored && (departed.is_some() || self.version == ABSENT_VERSION) {
             return Ok(());
         }
@@ -137,21 +143,9 @@
         let written = self.store.put(DEPARTURES_KIND, &name, self.version, &value).await;
         self.shared.metrics.record_store_call(written.is_ok());
         self.version = written?;
-        self.stored = departed;
+        self.set_stored(departed);
         Ok(())
     }
-
-    /// The departure to keep; `None` while a target is in use.
-    fn departed(&self) -> Option<DepartureObject> {
-        let gate = &self.shared.gate;
-        let (instance, started_ms) = match gate.target() {
-            Some((report, _)) if !report.is_draining => return None,
-            Some((report, _)) => (report.instance, report.started),
-            None => gate.last_departed()?,
-        };
-        let instance = instance.to_string();
-        Some(DepartureObject { peer: self.shared.me.addr, instance, started_ms })
-    }
 }
 
 /// Deletes the departures of nodes that are gone for good, while this node is one of those chosen
--- a/crates/pollenlever/src/mesh/gate_state.rs
+++ b/crates/pollenlever/src/mesh/gate_state.rs
@@ -220,6 +220,12 @@
         self.deliver_verdicts(verdicts);
     }
 
+    /// Stops the use of the target, which leaves.
+    pub(super) fn close_target(&mut self, now: Duration) {
+        self.pace.close(now, false);
+        self.refuse_waiting();
+    }
+
     /// Refuses all queued requests, because the target accepts no new ones.
     pub(super) fn refuse_waiting(&mut self) {
         for (id, tx) in self.waiting.drain() {
--- a/crates/pollenlever/src/mesh/gate_target.rs
+++ b/crates/pollenlever/src/mesh/gate_target.rs
@@ -37,10 +37,7 @@
                 }
                 state.apply_statement(now);
             }
-            RegistryChange::Closed => {
-                state.pace.close(now, false);
-                state.refuse_waiting();
-            }
+            RegistryChange::Closed => state.close_target(now),
             RegistryChange::Refreshed | RegistryChange::Stale => {}
         }
         change
@@ -56,20 +53,25 @@
         let mut state = self.lock();
         let change = state.registry.handle_departure(instance, started, unix_time_ms());
         if change == RegistryChange::Closed {
-            state.pace.close(now, false);
-            state.refuse_waiting();
+            state.close_target(now);
         }
         change
     }
 
-    /// Records a target process that left before this node started.
-    pub(super) fn record_past_departure(&self, instance: InstanceId, started: StartTime) {
-        self.lock().registry.record_departure((instance, started));
+    /// Handles a departure that was recorded before this process of the node started.
+    pub(super) fn handle_past_departure(&self, departed: DepartedTarget) -> RegistryChange {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let change = state.registry.handle_past_departure(departed);
+        if change == RegistryChange::Closed {
+            state.close_target(now);
+        }
+        change
     }
 
-    /// The target process that left last.
-    pub(super) fn last_departed(&self) -> Option<DepartedTarget> {
-        self.lock().registry.last_departed().cloned()
+    /// The target that has left; `None` while one is in use or none is known to have left.
+    pub(super) fn departed_target(&self) -> Option<DepartedTarget> {
+        self.lock().registry.departed()
     }
 
     /// Records what the target stated about itself in the answer to a run.
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -28,6 +28,8 @@
     TargetClosed,
     TargetCrashed,
     TargetReportIgnored,
+    DepartureKeptElsewhere,
+    DepartureNotConfirmed,
     TargetStatement,
     TargetLoadMalformed,
     ApiKeyRefused,
@@ -51,7 +53,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 43] = [
+    pub const ALL: [LogEvent; 45] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -76,6 +78,8 @@
         LogEvent::TargetClosed,
         LogEvent::TargetCrashed,
         LogEvent::TargetReportIgnored,
+        LogEvent::DepartureKeptElsewhere,
+        LogEvent::DepartureNotConfirmed,
         LogEvent::TargetStatement,
         LogEvent::TargetLoadMalformed,
         LogEvent::ApiKeyRefused,
@@ -129,6 +133,8 @@
             LogEvent::TargetClosed => "target-closed",
             LogEvent::TargetCrashed => "target-crashed",
             LogEvent::TargetReportIgnored => "target-report-ignored",
+            LogEvent::DepartureKeptElsewhere => "departure-kept-elsewhere",
+            LogEvent::DepartureNotConfirmed => "departure-not-confirmed",
             LogEvent::TargetStatement => "target-statement",
             LogEvent::TargetLoadMalformed => "target-load-malformed",
             LogEvent::ApiKeyRefused => "api-key-refused",
@@ -160,6 +166,7 @@
             LogEvent::StoreLost
             | LogEvent::StoreEraChanged
             | LogEvent::OwnObjectNotStored
+            | LogEvent::DepartureNotConfirmed
             | LogEvent::MemberLost
             | LogEvent::TargetClosed
             | LogEvent::TargetCrashed
--- a/crates/pollenlever/src/mesh/member_versions.rs
+++ b/crates/pollenlever/src/mesh/member_versions.rs
@@ -15,6 +15,8 @@
 const WORKSPACES_VERSION: u16 = 5;
 /// First protocol version whose nodes confirm routes.
 const CONFIRMATIONS_VERSION: u16 = 7;
+/// First protocol version whose nodes keep departures for each other.
+const KEPT_DEPARTURES_VERSION: u16 = 8;
 /// Time between two checks whether members speak earlier protocol versions.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -77,6 +79,11 @@
         self.protocol_of(node).is_none_or(|it| it >= CONFIRMATIONS_VERSION)
     }
 
+    /// Whether a node can keep the departure of this node's target.
+    pub(super) fn keeps_departures(&self, node: NodeId) -> bool {
+        self.protocol_of(node).is_none_or(|it| it >= KEPT_DEPARTURES_VERSION)
+    }
+
     /// Members that can hold units of quotas and be homes of shards. Nodes that have not been heard of
     /// count among them, unless the deployment is known to have members that cannot.
     pub(super) fn members_with_quotas(&self) -> Vec<Member> {
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -22,8 +22,8 @@
         from: NodeId,
         req: MeshRequest,
         body: Bytes,
-    ) -> (MeshReply, Bytes) {
-        match req {
+    ) -> Result<(MeshReply, Bytes), ErrorKind> {
+        let reply = match req {
             MeshRequest::Attempt(head) => {
                 let (reply, body) = shared.gate.attempt(*head, body).await;
                 let reply = AttemptReply { routes: shared.route_version(), ..reply };
@@ -42,6 +42,14 @@
                 shared.gate.merge_suspicions(&suspicions);
                 (MeshReply::Acknowledged, Bytes::new())
             }
+            MeshRequest::KeepDeparture(departed) => {
+                shared.keep_departure(from, departed)?;
+                (MeshReply::Acknowledged, Bytes::new())
+            }
+            MeshRequest::RecallDeparture(departed) => {
+                shared.apply_past_departure(departed, "peer");
+                (MeshReply::Acknowledged, Bytes::new())
+            }
             MeshRequest::Routes(known) => {
                 let newer = shared.routes().filter(|it| it.version > known);
                 (MeshReply::Routes(newer.map(|it| (*it).clone())), Bytes::new())
@@ -60,7 +68,8 @@
             MeshRequest::QuotaShards => {
                 (MeshReply::QuotaShards(shared.quota.shards()), Bytes::new())
             }
-        }
+        };
+        Ok(reply)
     }
 }
 
@@ -70,8 +79,11 @@
         Box::pin(async move {
             match req {
                 PeerRequest::Mesh(req) => {
-                    let (reply, body) = MeshHandler::reply(shared, from, req, body).await;
-                    Some((PeerReply::Mesh(reply), body))
+                    let reply = MeshHandler::reply(shared, from, req, body).await;
+                    Some(match reply {
+                        Ok((reply, body)) => (PeerReply::Mesh(reply), body),
+                        Err(err) => (PeerReply::Refused(err), Bytes::new()),
+                    })
                 }
                 PeerRequest::Gossip(message) => {
                     let reply = reply_to_gossip(&shared.members, from, message);
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -1,3 +1,4 @@
+use std::future::ready;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
@@ -9,7 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::{ControlAnswer, ControlHandler, MeshShared, SharedControlHandler};
+use super::{ControlAnswer, ControlFuture, ControlHandler, MeshShared, SharedControlHandler};
 use crate::quota::QuotaMetrics;
 use crate::tool::output::to_json;
 
@@ -287,7 +288,13 @@
 }
 
 impl ControlHandler for MetricsHandler {
-    fn handle(&self, method: &str, path: &str, _body: &[u8]) -> ControlAnswer {
+    fn handle<'a>(&'a self, method: &'a str, path: &'a str, _: &'a [u8]) -> ControlFuture<'a> {
+        Box::pin(ready(self.answer(method, path)))
+    }
+}
+
+impl MetricsHandler {
+    fn answer(&self, method: &str, path: &str) -> ControlAnswer {
         match (method, path) {
             ("GET", METRICS_PATH) => {
                 let body = self.shared.metrics.encode_text(&self.shared);
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, watch};
 
 use super::HeaderNames;
+use super::departure_records::DepartureRecords;
 use super::downstream::Downstream;
 use super::gate::Gate;
 use super::log_event::{LogEvent, log_event};
@@ -64,6 +65,8 @@
     pub(super) quota: Arc<Quota>,
     /// The other nodes, as gossip tells.
     pub(super) members: SharedMembership,
+    /// Where departures of targets are known.
+    pub(super) departures: DepartureRecords,
     /// Signalled when the target has left or another one is in use.
     pub(super) departure_changed: Notify,
     /// Signalled when other routes are in force.
@@ -150,6 +153,7 @@
             request_log: RequestLog::default(),
             metrics,
             members: Arc::new(SharedMachine::new(membership)),
+            departures: DepartureRecords::default(),
             departure_changed: Notify::new(),
             routes_changed: Notify::new(),
             routes_confirmed: Notify::new(),
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 mod answer_statement;
 mod control_server;
 mod departure_object;
+mod departure_records;
 mod departure_store;
 mod downstream;
 mod edge_answer;
@@ -63,7 +64,7 @@
 mod target_state;
 mod watch_position;
 
-pub use control_server::{ControlAnswer, ControlHandler, SharedControlHandler};
+pub use control_server::{ControlAnswer, ControlFuture, ControlHandler, SharedControlHandler};
 pub use header_names::HeaderNames;
 pub use log_event::LogEvent;
 pub(crate) use log_event::log_event;
--- a/crates/pollenlever/src/mesh/target_state.rs
+++ b/crates/pollenlever/src/mesh/target_state.rs
@@ -54,7 +54,7 @@
     }
 
     /// Tells the other nodes about the state of the target beside this one.
-    fn announce_target(&self) {
+    pub(super) fn announce_target(&self) {
         let notice = match self.gate.target() {
             Some((report, true)) => TargetNotice::Announce {
                 service: report.service,
--- a/crates/pollenlever/src/peer/codec.rs
+++ b/crates/pollenlever/src/peer/codec.rs
@@ -3,7 +3,8 @@
 use bytes::Bytes;
 use pollenlever_core::message::PROTOCOL_VERSION;
 
-use super::{ReplyFrame, RequestFrame, WireError, v4, v5, v6};
+use super::request_versions::{VERSION_6, VERSION_7, check_request};
+use super::{ReplyFrame, RequestFrame, WireError, v4, v5};
 
 /// Oldest protocol version that nodes of this build speak with others.
 pub const OLDEST_PROTOCOL_VERSION: u16 = v4::VERSION;
@@ -38,8 +39,8 @@
 pub fn encode_request(frame: &RequestFrame) -> Result<Bytes, WireError> {
     match frame.version {
         PROTOCOL_VERSION => encode(frame),
-        v6::VERSION | v5::VERSION => {
-            v6::check_request(frame)?;
+        VERSION_7 | VERSION_6 | v5::VERSION => {
+            check_request(frame)?;
             encode(frame)
         }
         v4::VERSION => encode(&v4::RequestFrame::try_from(frame.clone())?),
@@ -61,7 +62,7 @@
 /// ```
 pub fn decode_request(head: &[u8]) -> Result<RequestFrame, WireError> {
     match read_version(head)? {
-        PROTOCOL_VERSION | v6::VERSION | v5::VERSION => decode(head),
+        PROTOCOL_VERSION | VERSION_7 | VERSION_6 | v5::VERSION => decode(head),
         v4::VERSION => decode::<v4::RequestFrame>(head).map(RequestFrame::from),
         version => Err(unknown_version(version)),
     }
@@ -83,7 +84,7 @@
 /// ```
 pub fn encode_reply(frame: &ReplyFrame) -> Result<Bytes, WireError> {
     match frame.version {
-        PROTOCOL_VERSION | v6::VERSION => encode(frame),
+        PROTOCOL_VERSION | VERSION_7 | VERSION_6 => encode(frame),
         v5::VERSION => encode(&v5::ReplyFrame::from(frame.clone())),
         v4::VERSION => encode(&v4::ReplyFrame::try_from(frame.clone())?),
         version => Err(unknown_version(version)),
@@ -101,7 +102,7 @@
 /// ```
 pub fn decode_reply(head: &[u8]) -> Result<ReplyFrame, WireError> {
     match read_version(head)? {
-        PROTOCOL_VERSION | v6::VERSION => decode(head),
+        PROTOCOL_VERSION | VERSION_7 | VERSION_6 => decode(head),
         v5::VERSION => decode::<v5::ReplyFrame>(head).map(ReplyFrame::from),
         v4::VERSION => decode::<v4::ReplyFrame>(head).map(ReplyFrame::from),
         version => Err(unknown_version(version)),
--- a/crates/pollenlever/src/peer/mod.rs
+++ b/crates/pollenlever/src/peer/mod.rs
@@ -21,10 +21,10 @@
 mod pool;
 mod reply_frame;
 mod request_frame;
+mod request_versions;
 mod serve_stream;
 mod v4;
 mod v5;
-mod v6;
 mod wire_error;
 
 pub use build_info::own_build;
--- a/crates/pollenlever/src/peer/v4/mesh_request.rs
+++ b/crates/pollenlever/src/peer/v4/mesh_request.rs
@@ -30,7 +30,9 @@
             | Current::TakeTokens(_)
             | Current::ShareTableWritten
             | Current::QuotaShards
-            | Current::ConfirmRoutes(_) => {
+            | Current::ConfirmRoutes(_)
+            | Current::KeepDeparture(_)
+            | Current::RecallDeparture(_) => {
                 return Err(WireError::NotInVersion { version: VERSION });
             }
         })
--- a/crates/pollenlever/tests/frames/main.rs
+++ b/crates/pollenlever/tests/frames/main.rs
@@ -18,6 +18,7 @@
 const VERSION_5: &str = include_str!("version-5.txt");
 const VERSION_6: &str = include_str!("version-6.txt");
 const VERSION_7: &str = include_str!("version-7.txt");
+const VERSION_8: &str = include_str!("version-8.txt");
 const TO: u64 = 0x4f;
 
 /// Recorded heads by direction and name.
@@ -99,12 +100,17 @@
 
 #[test]
 fn version_7_is_written_and_read_as_recorded() {
-    check_version(7, VERSION_7, Some, Some);
+    check_version(7, VERSION_7, samples::request_in_version_7, Some);
+}
+
+#[test]
+fn version_8_is_written_and_read_as_recorded() {
+    check_version(8, VERSION_8, Some, Some);
 }
 
 #[test]
 fn each_spoken_version_is_recorded() {
-    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=7);
+    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=8);
 }
 
 #[test]
--- a/crates/pollenlever/tests/frames/samples.rs
+++ b/crates/pollenlever/tests/frames/samples.rs
@@ -11,8 +11,8 @@
 use pollenlever_core::answer::{Answer, ErrorKind, Outcome};
 use pollenlever_core::config::Importance;
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, Lineage, MeshAttempt, MeshReply, MeshRequest, ProcessStatement,
-    TargetStatement,
+    AttemptOutcome, AttemptReply, DepartedTarget, Lineage, MeshAttempt, MeshReply, MeshRequest,
+    ProcessStatement, TargetStatement,
 };
 use pollenlever_core::message::{
     AttemptHead, ForwardHead, GateLoad, PeerReply, PeerRequest, SealReply,
@@ -22,6 +22,7 @@
 
 pub(crate) use as_read::{
     reply_in_version_4, reply_in_version_5, request_in_version_4, request_in_version_6,
+    request_in_version_7,
 };
 
 /// Names and requests.
@@ -47,6 +48,8 @@
         ("mesh-share-table-written", mesh(MeshRequest::ShareTableWritten)),
         ("mesh-quota-shards", mesh(MeshRequest::QuotaShards)),
         ("mesh-confirm-routes", mesh(MeshRequest::ConfirmRoutes(confirmation()))),
+        ("mesh-keep-departure", mesh(MeshRequest::KeepDeparture(departed()))),
+        ("mesh-recall-departure", mesh(MeshRequest::RecallDeparture(departed()))),
     ]
 }
 
@@ -219,3 +222,7 @@
         statement: Some(statement()),
     }
 }
+
+fn departed() -> DepartedTarget {
+    DepartedTarget { instance: "i-7f3a".into(), started: 1_764_900_000_123 }
+}
--- a/crates/pollenlever/tests/frames/samples/as_read.rs
+++ b/crates/pollenlever/tests/frames/samples/as_read.rs
@@ -15,7 +15,9 @@
             | MeshRequest::TakeTokens(_)
             | MeshRequest::ShareTableWritten
             | MeshRequest::QuotaShards
-            | MeshRequest::ConfirmRoutes(_),
+            | MeshRequest::ConfirmRoutes(_)
+            | MeshRequest::KeepDeparture(_)
+            | MeshRequest::RecallDeparture(_),
         ) => None,
         req => Some(req),
     }
@@ -24,6 +26,15 @@
 /// A request as a node of version 5 or 6 reads it; `None` if these versions have no such request.
 pub(crate) fn request_in_version_6(req: PeerRequest) -> Option<PeerRequest> {
     let is_known = !matches!(req, PeerRequest::Mesh(MeshRequest::ConfirmRoutes(_)));
+    request_in_version_7(req).filter(|_| is_known)
+}
+
+/// A request as a node of version 7 reads it; `None` if that version has no such request.
+pub(crate) fn request_in_version_7(req: PeerRequest) -> Option<PeerRequest> {
+    let is_known = !matches!(
+        req,
+        PeerRequest::Mesh(MeshRequest::KeepDeparture(_) | MeshRequest::RecallDeparture(_))
+    );
     is_known.then_some(req)
 }
 
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use pollenlever::mesh::{
-    ControlAnswer, ControlHandler, HeaderNames, MeshNode, MeshPlatform, MeshShared, RouteError,
-    SharedControlHandler,
+    ControlAnswer, ControlFuture, ControlHandler, HeaderNames, MeshNode, MeshPlatform, MeshShared,
+    RouteError, SharedControlHandler,
 };
 use pollenlever::settings::MeshSettings;
 use pollenlever::store::SharedObjectApi;
@@ -38,8 +38,9 @@
 struct NoControl;
 
 impl ControlHandler for NoControl {
-    fn handle(&self, _method: &str, _path: &str, _body: &[u8]) -> ControlAnswer {
-        ControlAnswer { status: 404, content_type: "text/plain", body: String::new() }
+    fn handle<'a>(&'a self, _: &'a str, _: &'a str, _: &'a [u8]) -> ControlFuture<'a> {
+        let answer = ControlAnswer { status: 404, content_type: "text/plain", body: String::new() };
+        Box::pin(std::future::ready(answer))
     }
 }
 
