Pass confirmations between regions only where one lacks them, and let watchers call in turn

Ruled out: the size of the message (a few dozen bytes beside the stream's own), the spread of routes itself (unchanged).

Change: announcements stay within the region, which has watchers of its own. A node that is linked to other regions and has heard nothing for 1.4 s tells those its own confirmation, and one that knows at least 0.2 s more answers. Watch calls wait 1.45 to 1.5 s while the confirmations come in turn, else 0.75 to 1.5 s, and 0.4 to 1.5 s after a change (WatchWait). The rule stays: a node that hears nothing for 1.7 s watches itself.

--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -44,6 +44,7 @@
 mod target_registry;
 mod target_report;
 mod target_statement;
+mod watch_wait;
 mod weighted_service;
 mod weighted_split;
 
@@ -83,6 +84,7 @@
 pub use target_registry::{RegistryChange, TargetRegistry};
 pub use target_report::{InstanceId, StartTime, TargetReport};
 pub use target_statement::{ProcessStatement, RequestsPerSecond, TargetStatement};
+pub use watch_wait::WatchWait;
 pub use weighted_service::WeightedService;
 pub use weighted_split::WeightedSplit;
 
--- a/crates/pollenlever-core/tests/mesh/store_duty.rs
+++ b/crates/pollenlever-core/tests/mesh/store_duty.rs
@@ -3,9 +3,11 @@
 use std::time::Duration;
 
 use pollenlever_core::Timestamp;
-use pollenlever_core::mesh::{RouteFreshness, StoreDuty, StoreDutyChoice, WATCHERS_PER_REGION};
+use pollenlever_core::mesh::{
+    RouteFreshness, StoreDuty, StoreDutyChoice, WATCHERS_PER_REGION, WatchWait,
+};
+use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
 
 use crate::cases;
 
@@ -14,8 +16,8 @@
 /// Time until all nodes have what one of them has read.
 const SPREAD_TIME: Duration = Duration::from_millis(200);
 const CALL_TIME: Duration = Duration::from_millis(50);
-/// Shortest and longest time, in milliseconds, for which a watch waits.
-const WATCH_TIME_MS: std::ops::Range<u64> = 750..1500;
+/// Age of a confirmation from which other nodes step in.
+const STEP_IN_AGE: Duration = Duration::from_millis(1700);
 const STEP: Duration = Duration::from_millis(10);
 /// From when the store refuses some nodes.
 const REFUSED_FROM: Timestamp = Duration::from_secs(10);
@@ -25,6 +27,7 @@
 struct Node {
     choice: StoreDutyChoice,
     freshness: RouteFreshness,
+    watch_wait: WatchWait,
     next_call: Timestamp,
     calls: usize,
 }
@@ -33,6 +36,8 @@
 struct Seen {
     /// Longest time, from when the store refused nodes, between two reads that succeeded.
     longest_gap: Duration,
+    /// Calls of the watchers.
+    calls_of_watchers: usize,
     /// Calls of the nodes that are not watchers.
     calls_of_others: usize,
 }
@@ -56,7 +61,8 @@
                 continue;
             }
             node.calls += 1;
-            node.next_call = now + Duration::from_millis(rng.random_range(WATCH_TIME_MS));
+            node.watch_wait.record_unchanged(now, node.freshness.confirmed_at());
+            node.next_call = now + node.watch_wait.next(&mut rng);
             if now >= REFUSED_FROM && refused.contains(&rank) {
                 node.choice.record_failure(now);
                 continue;
@@ -68,8 +74,9 @@
         }
     }
     longest_gap = longest_gap.max(END - last_read);
-    let others = nodes.iter().skip(WATCHERS_PER_REGION);
-    Seen { longest_gap, calls_of_others: others.map(|it| it.calls).sum() }
+    let (watchers, others) = nodes.split_at(WATCHERS_PER_REGION);
+    let calls = |of: &[Node]| of.iter().map(|it| it.calls).sum();
+    Seen { longest_gap, calls_of_watchers: calls(watchers), calls_of_others: calls(others) }
 }
 
 /// A version that is confirmed right after the last read waits for the next one, and then spreads.
@@ -91,6 +98,15 @@
     assert_eq!(run(200, 0..0).calls_of_others, 0);
 }
 
+/// Calls of watchers have a price; those that end together confirm the same moment.
+#[test]
+fn served_watchers_call_in_turn_and_seldom() {
+    let seen = run(200, 0..0);
+    let waits = END.as_secs_f64() / 1.45;
+    assert!(seen.calls_of_watchers as f64 <= 1.05 * waits * WATCHERS_PER_REGION as f64);
+    assert!(seen.longest_gap + CALL_TIME + SPREAD_TIME <= STEP_IN_AGE, "{:?}", seen.longest_gap);
+}
+
 /// Each node tries the store once in 4 s at most while nobody reaches it.
 #[test]
 fn a_store_that_refuses_all_nodes_gets_few_calls() {
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use pollenlever_core::config::ServiceConfig;
-use pollenlever_core::id::{ChainId, NodeId, ServiceName, WorkspaceName};
+use pollenlever_core::id::{ChainId, NodeId, RegionName, ServiceName, WorkspaceName};
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
 use pollenlever_core::mesh::{
     CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteFreshness,
@@ -45,6 +45,8 @@
 pub struct MeshShared {
     /// Address and incarnation of this node.
     pub(super) me: NodeId,
+    /// Region of this node.
+    pub(super) region: RegionName,
     /// Names of the headers that the node reads and sets.
     pub(super) names: HeaderNames,
     /// Clock that all times of this node refer to.
@@ -113,7 +115,7 @@
     ) -> MeshShared {
         let clock = Clock::default();
         let metrics = MeshMetrics::new();
-        let me = own.node;
+        let (me, region) = (own.node, own.region.clone());
         let routing = TwoChoices::new(
             me,
             own.region.clone(),
@@ -142,6 +144,7 @@
         gate.set_start_pace(cfg.has_start_pace);
         MeshShared {
             me,
+            region,
             quota: Arc::new(quota),
             gate: Arc::new(gate),
             downstream,
--- a/crates/pollenlever/src/mesh/route_spread.rs
+++ b/crates/pollenlever/src/mesh/route_spread.rs
@@ -35,6 +35,7 @@
                     }
                 }
                 () = self.routes_confirmed.notified() => self.announce_confirmation(),
+                () = tokio::time::sleep(self.time_to_ask()) => self.ask_for_confirmation(),
                 () = tokio::time::sleep_until(compare_at) => {
                     let jitter = rand::random_range(0.75..1.25);
                     compare_at = Instant::now() + COMPARE_INTERVAL.mul_f64(jitter);
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use pollenlever_core::mesh::{StoreDuty, StoreDutyChoice};
+use pollenlever_core::mesh::{StoreDuty, StoreDutyChoice, WatchWait};
 
 use super::log_event::{LogEvent, log_event};
 use super::mesh_shared::WATCHER_SEED;
@@ -27,6 +27,7 @@
     store: SharedObjectApi,
     duty_choice: StoreDutyChoice,
     position: WatchPosition,
+    watch_wait: WatchWait,
     backoff: StoreBackoff,
     poll_interval: Duration,
     /// Version of the last object that could not be used.
@@ -41,6 +42,7 @@
             platform,
             duty_choice: StoreDutyChoice::default(),
             position: WatchPosition::default(),
+            watch_wait: WatchWait::default(),
             backoff: StoreBackoff::new(MAX_BACKOFF),
             poll_interval: MIN_POLL_INTERVAL,
             refused: None,
@@ -98,7 +100,7 @@
 
     /// Reads the routes once and applies them.
     async fn read(&mut self, duty: StoreDuty) -> Result<(), StoreError> {
-        let read = self.position.next_read();
+        let read = self.position.next_read(self.watch_wait.next(&mut rand::rng()));
         let sent_at = self.shared.clock.now();
         let list = self.call(read).await;
         self.shared.observe_store_era(self.store.era());
@@ -107,6 +109,7 @@
         self.record_success();
         let is_applied = self.apply_list(&list);
         if let Some(at) = read.confirmed_at(&list, sent_at, took).filter(|_| is_applied) {
+            self.record_end(read, &list, at);
             self.shared.confirm_routes(at);
         }
         self.position.since = (duty != StoreDuty::None).then_some(list.revision);
@@ -117,6 +120,14 @@
         Ok(())
     }
 
+    /// Records what a call that confirms the routes at `at` says about when the next one should end.
+    fn record_end(&mut self, read: RouteRead, list: &ObjectList, at: Duration) {
+        match read {
+            RouteRead::Watch(..) if !list.objects.is_empty() => self.watch_wait.record_change(),
+            _ => self.watch_wait.record_unchanged(at, self.shared.routes_confirmed_at()),
+        }
+    }
+
     async fn call(&self, read: RouteRead) -> Result<ObjectList, StoreError> {
         let (kind, _) = self.platform.routes_object();
         match read {
--- a/crates/pollenlever/src/mesh/watch_position.rs
+++ b/crates/pollenlever/src/mesh/watch_position.rs
@@ -2,12 +2,6 @@
 
 use crate::store::{ObjectList, Revision};
 
-/// Shortest and longest wait of a watch call. A store that drops a call without an answer is noticed
-/// only when the call times out, and until then no node hears of new routes from this one. The wait is
-/// random, so that the answers to several watchers do not all come at once.
-const MIN_WATCH_TIME: Duration = Duration::from_millis(750);
-const MAX_WATCH_TIME: Duration = Duration::from_millis(1500);
-
 /// Position of a watch in the store's sequence of updates.
 #[derive(Debug, Default)]
 pub(super) struct WatchPosition {
@@ -29,11 +23,10 @@
 }
 
 impl WatchPosition {
-    /// The next call of a node at this position.
-    pub(super) fn next_read(&self) -> RouteRead {
+    /// The next call of a node at this position; a watch waits for `wait`.
+    pub(super) fn next_read(&self, wait: Duration) -> RouteRead {
         match self {
             WatchPosition { since: Some(since), .. } => {
-                let wait = rand::random_range(MIN_WATCH_TIME..MAX_WATCH_TIME);
                 // The store takes whole milliseconds.
                 RouteRead::Watch(*since, Duration::from_millis(wait.as_millis() as u64))
             }
