Try the store again in time if this node may be the only one that it serves

Cause: a node that steps in for the watchers and fails leaves the store to others for 4 s, counted from the failure. A node counts as in touch 3 s after its trouble.

Change: the wait is 2.7 s from sending the call, so a node that is served again has read within 3 s, also if its last call timed out after 2 s.

--- a/crates/pollenlever-core/src/mesh/store_duty.rs
+++ b/crates/pollenlever-core/src/mesh/store_duty.rs
@@ -15,8 +15,9 @@
 const GROUP_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a deputy keeps the duty.
 const DEPUTY_TERM: Duration = Duration::from_secs(5);
-/// Time after a failed call before which a node does not step in again.
-const DEPUTY_RETRY_INTERVAL: Duration = Duration::from_secs(4);
+/// Time from sending a call that fails until the node may step in again. A node that the store serves again
+/// has to know the present routes within 3 s.
+const DEPUTY_RETRY_INTERVAL: Duration = Duration::from_millis(2700);
 
 /// What a node does about routes in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -73,9 +74,9 @@
         (heard_until + GROUP_INTERVAL * groups).max(self.not_before)
     }
 
-    /// Records that a call to the store failed: a deputy lets others try.
-    pub fn record_failure(&mut self, now: Timestamp) {
+    /// Records that a call to the store, sent at `sent_at`, failed: a deputy lets others try.
+    pub fn record_failure(&mut self, now: Timestamp, sent_at: Timestamp) {
         self.deputy_until = now;
-        self.not_before = now + DEPUTY_RETRY_INTERVAL;
+        self.not_before = now.max(sent_at + DEPUTY_RETRY_INTERVAL);
     }
 }
--- a/crates/pollenlever/src/mesh/route_watch.rs
+++ b/crates/pollenlever/src/mesh/route_watch.rs
@@ -30,6 +30,8 @@
     watch_wait: WatchWait,
     backoff: StoreBackoff,
     poll_interval: Duration,
+    /// When the last call was sent.
+    called_at: Duration,
     /// Version of the last object that could not be used.
     refused: Option<Revision>,
 }
@@ -45,6 +47,7 @@
             watch_wait: WatchWait::default(),
             backoff: StoreBackoff::new(MAX_BACKOFF),
             poll_interval: MIN_POLL_INTERVAL,
+            called_at: Duration::ZERO,
             refused: None,
         }
     }
@@ -102,6 +105,7 @@
     async fn read(&mut self, duty: StoreDuty) -> Result<(), StoreError> {
         let read = self.position.next_read(self.watch_wait.next(&mut rand::rng()));
         let sent_at = self.shared.clock.now();
+        self.called_at = sent_at;
         let list = self.call(read).await;
         self.shared.observe_store_era(self.store.era());
         let list = list?;
@@ -158,7 +162,7 @@
         }
         if duty == StoreDuty::Deputy && has_routes {
             self.backoff.record_failure();
-            self.duty_choice.record_failure(self.shared.clock.now());
+            self.duty_choice.record_failure(self.shared.clock.now(), self.called_at);
         } else {
             self.backoff.pause().await;
         }
