Do not seal or begin attempts that a gate may have forgotten

A gate remembered 8,192 attempts and forgot the oldest, whatever became of it. An owner that lost the reply of an older attempt asked to seal it, was told that it never runs while it ran, and sent it again (TWICE) or refused it with 503 (REFUSED). At the rate to design for, 276 attempts a second at each target, that is each run of more than 30 s whose connection breaks. In the other direction, an attempt that was sealed ran when it arrived after 8,192 others.

Also: an attempt that the gate knows already was refused as not run, whatever its stage. No sender sends one twice, so this was not reached.

Cause: memory that is bounded by count and takes "not found" for "never seen". The keyed requests of pollenleverd have the same bound with a watermark for each sender (SealTable); the mesh had none.

Change: the ledger keeps the highest number of the forgotten attempts of each sender, in two generations of 16,384 senders. An attempt up to it that is not in the ledger is neither begun nor sealed. Once a generation is dropped, an attempt of a sender in neither is not sealed either.

Ruled out: keeping attempts until they end (an owner may ask at any time after that, as after a suspension).

Evidence: mesh seals (3 tests) failed before: "the request was running", Answered(200) of a sealed attempt, RefusedByGate of a running one. No message or stored value changes.

--- a/crates/pollenlever-core/src/mesh/attempt_ledger.rs
+++ b/crates/pollenlever-core/src/mesh/attempt_ledger.rs
@@ -1,5 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 
+use super::forgotten_attempts::ForgottenAttempts;
 use crate::id::AttemptId;
 
 /// Maximum number of attempts that a gate remembers; the oldest is forgotten first.
@@ -14,35 +15,48 @@
     Started,
     /// It was not handed to the target and never will be.
     Sealed,
+    /// It, or a later attempt of its sender, is no longer remembered. It may have been handed to the
+    /// target, and will not be from now on.
+    Forgotten,
 }
 
 /// Attempts that a gate has received or sealed, so that the owner of a request can learn whether an
 /// attempt was started.
 ///
 /// The owner seals an attempt that it gives up: a sealed attempt is not started, even if it arrives
-/// after the seal.
+/// after the seal. The memory is bounded; an attempt that may have been forgotten is neither started
+/// nor said to be sealed.
 #[derive(Debug, Default)]
 pub struct AttemptLedger {
     stages: HashMap<AttemptId, AttemptStage>,
+    /// The attempts in `stages`, oldest first.
     order: VecDeque<AttemptId>,
+    forgotten: ForgottenAttempts,
 }
 
 impl AttemptLedger {
-    /// Registers an attempt that arrived. Returns `false` if it is known already or sealed.
+    /// Registers an attempt that arrived.
+    ///
+    /// # Errors
+    ///
+    /// The stage of an attempt that is known already, sealed or forgotten; it must not be started.
     ///
     /// ```
     /// use pollenlever_core::mesh::{AttemptLedger, AttemptStage};
     /// let attempt = "127.0.0.1:7101@1f~2a".parse().unwrap();
     /// let mut ledger = AttemptLedger::default();
     /// assert_eq!(ledger.seal(attempt), AttemptStage::Sealed);
-    /// assert!(!ledger.begin(attempt));
+    /// assert_eq!(ledger.begin(attempt), Err(AttemptStage::Sealed));
     /// ```
-    pub fn begin(&mut self, attempt: AttemptId) -> bool {
-        if self.stages.contains_key(&attempt) {
-            return false;
+    pub fn begin(&mut self, attempt: AttemptId) -> Result<(), AttemptStage> {
+        if let Some(stage) = self.stages.get(&attempt) {
+            return Err(*stage);
+        }
+        if self.forgotten.includes(attempt) {
+            return Err(AttemptStage::Forgotten);
         }
         self.insert(attempt, AttemptStage::Waiting);
-        true
+        Ok(())
     }
 
     /// Marks a waiting attempt as handed to the target. Returns `false` if it is not waiting, in
@@ -57,7 +71,7 @@
         }
     }
 
-    /// Seals an attempt unless it was started. Returns its resulting stage.
+    /// Seals an attempt unless it was started or may have been. Returns its resulting stage.
     pub fn seal(&mut self, attempt: AttemptId) -> AttemptStage {
         match self.stages.get_mut(&attempt) {
             Some(AttemptStage::Started) => AttemptStage::Started,
@@ -65,6 +79,7 @@
                 *stage = AttemptStage::Sealed;
                 AttemptStage::Sealed
             }
+            None if self.forgotten.may_include(attempt) => AttemptStage::Forgotten,
             None => {
                 self.insert(attempt, AttemptStage::Sealed);
                 AttemptStage::Sealed
@@ -77,6 +92,7 @@
             && let Some(oldest) = self.order.pop_front()
         {
             self.stages.remove(&oldest);
+            self.forgotten.record(oldest);
         }
         self.order.push_back(attempt);
         self.stages.insert(attempt, stage);
--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -18,6 +18,7 @@
 mod delivery;
 mod departed_target;
 mod failure_rate;
+mod forgotten_attempts;
 mod http_route;
 mod kept_departures;
 mod latest_slowdown;
--- a/crates/pollenlever/src/mesh/gate_admission.rs
+++ b/crates/pollenlever/src/mesh/gate_admission.rs
@@ -4,7 +4,7 @@
 use pollenlever_core::admission::{Admission, Ticket, Verdict};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::{ContentDigest, StreamId};
-use pollenlever_core::mesh::{AttemptOutcome, Lineage, MeshAttempt, RegistryChange};
+use pollenlever_core::mesh::{AttemptOutcome, AttemptStage, Lineage, MeshAttempt, RegistryChange};
 use tokio::sync::oneshot;
 
 use super::gate::{Gate, refused};
@@ -58,9 +58,7 @@
     ) -> Result<(StreamId, oneshot::Receiver<Verdict>), AttemptOutcome> {
         let now = self.clock.now();
         let mut state = self.lock();
-        if !state.ledger.begin(head.id) {
-            return Err(refused(ErrorKind::Overloaded, None));
-        }
+        state.ledger.begin(head.id).map_err(outcome_of_known_attempt)?;
         if state.merge_remembered(now, head.remembered.as_ref()) == RegistryChange::Closed {
             self.target_left.notify_one();
         }
@@ -128,3 +126,13 @@
         }
     }
 }
+
+/// Outcome of an attempt that arrives although the gate knows it already.
+fn outcome_of_known_attempt(stage: AttemptStage) -> AttemptOutcome {
+    match stage {
+        AttemptStage::Sealed => refused(ErrorKind::Overloaded, None),
+        AttemptStage::Waiting | AttemptStage::Started | AttemptStage::Forgotten => {
+            AttemptOutcome::Unknown
+        }
+    }
+}
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -2,6 +2,7 @@
 //! targets (server processes), on loopback addresses.
 
 mod answers;
+mod attempt_sender;
 mod bad_input;
 mod config;
 mod connections;
@@ -19,6 +20,7 @@
 mod raw_caller;
 mod reported_load;
 mod scripted_target;
+mod seals;
 mod start_pace;
 mod stated_rate;
 mod stop;
