Log and count what owners learn by sealing attempts

An owner that loses the reply of an attempt asks the gate to seal it, and what it says to its caller rests on the answer.

Change: event attempt-sealed with result and time, counter seals_total; sealing has a file of its own.

Nothing else changes. No message changes.

--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 
 mod answer_buffer;
 mod answer_limits;
+mod attempt_in_flight;
 mod attempt_ledger;
 mod attempt_outcome;
 mod call_classifier;
@@ -51,6 +52,7 @@
 
 pub use answer_buffer::{AnswerBuffer, AnswerBytes, AnswerTooLong};
 pub use answer_limits::AnswerLimits;
+pub use attempt_in_flight::AttemptInFlight;
 pub use attempt_ledger::{AttemptLedger, AttemptStage};
 pub use attempt_outcome::AttemptOutcome;
 pub use call_classifier::CallClassifier;
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -43,6 +43,7 @@
     CallerHungUp,
     AttemptRepeated,
     AttemptLost,
+    AttemptSealed,
     RunRefused,
     RunEnded,
     LimitChanged,
@@ -53,7 +54,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 45] = [
+    pub const ALL: [LogEvent; 46] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -93,6 +94,7 @@
         LogEvent::CallerHungUp,
         LogEvent::AttemptRepeated,
         LogEvent::AttemptLost,
+        LogEvent::AttemptSealed,
         LogEvent::RunRefused,
         LogEvent::RunEnded,
         LogEvent::LimitChanged,
@@ -148,6 +150,7 @@
             LogEvent::CallerHungUp => "caller-hung-up",
             LogEvent::AttemptRepeated => "attempt-repeated",
             LogEvent::AttemptLost => "attempt-lost",
+            LogEvent::AttemptSealed => "attempt-sealed",
             LogEvent::RunRefused => "run-refused",
             LogEvent::RunEnded => "run-ended",
             LogEvent::LimitChanged => "limit-changed",
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -59,6 +59,7 @@
     requests: Family<RequestLabels, Counter>,
     request_seconds: Family<ServiceLabels, Histogram, fn() -> Histogram>,
     attempts: Family<OutcomeLabels, Counter>,
+    seals: Family<OutcomeLabels, Counter>,
     retries: Family<ServiceLabels, Counter>,
     retries_refused: Family<ServiceLabels, Counter>,
     runs: Family<OutcomeLabels, Counter>,
@@ -162,6 +163,7 @@
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(histogram),
             attempts: Family::default(),
+            seals: Family::default(),
             retries: Family::default(),
             retries_refused: Family::default(),
             runs: Family::default(),
@@ -178,6 +180,8 @@
         let help = "Time from a request to its answer";
         registry.register_with_unit("request", help, Unit::Seconds, it.request_seconds.clone());
         registry.register("attempts", "Attempts by how they ended", it.attempts.clone());
+        let help = "Attempts that this node sealed at their gates, by what it learned";
+        registry.register("seals", help, it.seals.clone());
         registry.register("repeats", "Attempts after one that arrived", it.retries.clone());
         let help = "Repeats for which the budget had no room";
         registry.register("repeats_refused", help, it.retries_refused.clone());
@@ -213,6 +217,11 @@
         self.attempts.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Records an attempt that this node sealed.
+    pub(super) fn record_seal(&self, outcome: &'static str) {
+        self.seals.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Records a retry that the budget granted or refused.
     pub(super) fn record_retry(&self, service: &str, is_granted: bool) {
         let labels = ServiceLabels { service: service.to_owned() };
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer_body;
 mod answer_statement;
+mod attempt_seal;
 mod control_server;
 mod departure_object;
 mod departure_records;
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -7,13 +7,14 @@
 use pollenlever_core::answer::{ErrorKind, Outcome};
 use pollenlever_core::id::{AttemptId, NodeId};
 use pollenlever_core::mesh::{
-    AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest, NextStep,
-    RetryDecision, is_not_run_status,
+    AttemptInFlight, AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest,
+    NextStep, RetryDecision, is_not_run_status,
 };
 use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
 use pollenlever_core::policy::SendFailure;
 use pollenlever_core::routing::RouteRequest;
 
+use super::attempt_seal::SealResult;
 use super::edge_answer::{EdgeResponse, error_answer, target_answer};
 use super::gate_calls::EndedCall;
 use super::log_event::{LogEvent, log_event};
@@ -240,6 +241,7 @@
     ) -> (AttemptReply, Bytes) {
         let now = self.shared.clock.now();
         let id = AttemptId { sender: self.shared.me, seq: self.shared.next_id() };
+        let attempt = AttemptInFlight { id, gate };
         let remembered = self.shared.remembered_statement(gate);
         let head = MeshAttempt { remembered, ..req.head(&self.shared, id, now, repeat) };
         let sent = self.shared.record_sent(gate, req.body.len() as u64);
@@ -257,7 +259,7 @@
             }
             Err(failure) => {
                 sent.record_no_reply();
-                let outcome = self.outcome_without_reply(req, gate, id, failure).await;
+                let outcome = self.outcome_without_reply(req, attempt, failure).await;
                 (reply_without_load(outcome), Bytes::new())
             }
         }
@@ -305,25 +307,23 @@
     async fn outcome_without_reply(
         &self,
         req: &RoutedRequest,
-        gate: NodeId,
-        attempt: AttemptId,
+        attempt: AttemptInFlight,
         failure: SendFailure,
     ) -> AttemptOutcome {
         match failure {
             SendFailure::NotSent => AttemptOutcome::NotSent,
             SendFailure::Lost if req.route.is_idempotent => AttemptOutcome::Unknown,
-            SendFailure::Lost if self.seal(gate, attempt).await => AttemptOutcome::NotSent,
+            SendFailure::Lost if self.seal(req, attempt, SEAL_TIMEOUT).await => {
+                AttemptOutcome::NotSent
+            }
             SendFailure::Lost => AttemptOutcome::Unknown,
         }
     }
 
-    /// Asks a gate to seal an attempt, so that it never starts. Returns whether the gate confirmed
-    /// it.
-    async fn seal(&self, gate: NodeId, attempt: AttemptId) -> bool {
-        let req = PeerRequest::Mesh(MeshRequest::Seal(attempt));
-        let exchange = self.shared.peers.exchange(gate, req, Bytes::new());
-        let reply = tokio::time::timeout(SEAL_TIMEOUT, exchange).await;
-        matches!(reply, Ok(Ok((PeerReply::Mesh(MeshReply::Sealed(true)), _))))
+    /// Seals an attempt. Returns whether it is certain that it never runs.
+    async fn seal(&self, req: &RoutedRequest, attempt: AttemptInFlight, limit: Duration) -> bool {
+        let sealed = self.shared.seal_attempt(&req.id, attempt.gate, attempt.id, limit).await;
+        sealed == SealResult::Sealed
     }
 }
 
