Seal lost attempts of idempotent requests too

Most were idempotent requests in a connection between nodes that had gone silent: their outcome counted as unknown, so sending them again needed the retry budget, which the first few used up.

Cause: only requests that may run once were sealed when their reply was lost. What never arrived at a target costs the retry budget nothing, if the owner can prove it.

Ruled out: requests that a gate had started (logs of the gates, arrivals at the targets); a smaller budget (it was spent by 2 to 4 retries for each service in that second).

Change: the owner seals the attempt whatever its route, for at most 150 ms if the request is idempotent; a granted seal counts as not sent.

--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -26,6 +26,8 @@
 
 /// Timeout for sealing an attempt whose reply was lost.
 const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for sealing an attempt of an idempotent request, which may be sent again in any case.
+const IDEMPOTENT_SEAL_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Dispatches a request on the node that took it from its caller: sends attempts to gates, retries
 /// and answers.
@@ -310,12 +312,10 @@
         attempt: AttemptInFlight,
         failure: SendFailure,
     ) -> AttemptOutcome {
+        let limit = if req.route.is_idempotent { IDEMPOTENT_SEAL_TIMEOUT } else { SEAL_TIMEOUT };
         match failure {
             SendFailure::NotSent => AttemptOutcome::NotSent,
-            SendFailure::Lost if req.route.is_idempotent => AttemptOutcome::Unknown,
-            SendFailure::Lost if self.seal(req, attempt, SEAL_TIMEOUT).await => {
-                AttemptOutcome::NotSent
-            }
+            SendFailure::Lost if self.seal(req, attempt, limit).await => AttemptOutcome::NotSent,
             SendFailure::Lost => AttemptOutcome::Unknown,
         }
     }
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -21,9 +21,14 @@
 use super::raw_caller::{RawAnswer, RawCaller};
 use super::scripted_target::{Action, ScriptedTarget};
 use super::store_view::StoreView;
+use super::test_relay::TestRelay;
 
 /// Timeout of the conditions that a test waits for.
 pub(crate) const WAIT: Duration = Duration::from_secs(20);
+/// Port at which other nodes reach a node.
+const PEER_PORT: u16 = 7100;
+/// Port at which they reach it through a relay.
+const RELAYED_PEER_PORT: u16 = 7150;
 /// Port at which test nodes serve their metrics.
 pub(crate) const METRICS_PORT: u16 = 7400;
 /// Deadline of requests that should not reach it, in milliseconds.
@@ -89,6 +94,8 @@
     tables: Arc<Mutex<Vec<RouteTable>>>,
     /// Whether nodes determine the pace of started targets.
     pub(crate) has_start_pace: bool,
+    /// Retries that all nodes together may send whatever the number of requests.
+    pub(crate) min_retries: f64,
 }
 
 impl TestMesh {
@@ -116,6 +123,7 @@
             nodes: Vec::new(),
             tables: Arc::default(),
             has_start_pace: false,
+            min_retries: 1000.0,
         }
     }
 
@@ -126,6 +134,22 @@
         self.nodes.push(node);
     }
 
+    /// Starts a node like [`add_node`](TestMesh::add_node) that other nodes reach through the returned
+    /// relay.
+    pub(crate) async fn add_relayed_node(
+        &mut self,
+        service: &'static str,
+        script: &[Action],
+    ) -> TestRelay {
+        let ip = unique_loopback_ip();
+        let listen = SocketAddr::from((ip, RELAYED_PEER_PORT));
+        let relay = TestRelay::start(listen, SocketAddr::from((ip, PEER_PORT)));
+        let node =
+            self.start_node_at(self.nodes.len(), ip, Some(listen), service, script, None).await;
+        self.nodes.push(node);
+        relay
+    }
+
     /// Starts a node whose target has not reported yet, and which can crash.
     pub(crate) async fn add_crashable_node(&mut self, service: &'static str, script: &[Action]) {
         let index = self.nodes.len();
@@ -163,13 +187,26 @@
         service: &'static str,
         script: &[Action],
         runtime: Option<Runtime>,
+    ) -> TestNode {
+        self.start_node_at(index, ip, None, service, script, runtime).await
+    }
+
+    async fn start_node_at(
+        &self,
+        index: usize,
+        ip: Ipv4Addr,
+        advertise: Option<SocketAddr>,
+        service: &'static str,
+        script: &[Action],
+        runtime: Option<Runtime>,
     ) -> TestNode {
         let target = ScriptedTarget::start(script).await;
         let at = |port| SocketAddr::from((ip, port));
         let cfg = MeshSettings {
             name: format!("node-{index}"),
             callers_address: at(7000),
-            peer: at(7100),
+            peer: at(PEER_PORT),
+            advertise,
             readiness_address: at(7200),
             control_address: at(7300),
             metrics_address: Some(at(METRICS_PORT)),
@@ -179,7 +216,7 @@
             target: target.addr,
             service: service.to_owned(),
             retry_budget: RetryBudgetSettings {
-                min_retries: 1000.0,
+                min_retries: self.min_retries,
                 ..RetryBudgetSettings::default()
             },
             ..MeshSettings::default()
@@ -314,10 +351,11 @@
 }
 
 /// Returns a loopback address that no other node of this test run has. The node ports are below the
-/// range of ephemeral ports, so that no outgoing connection can take one.
+/// range of ephemeral ports, so that no outgoing connection can take one. No octet but the last one is
+/// 0, as relays need it.
 fn unique_loopback_ip() -> Ipv4Addr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = 64 + (std::process::id() % 128) as u8;
-    Ipv4Addr::new(127, process, high, low)
+    Ipv4Addr::new(127, process, high + 1, low)
 }
