Open no new streams on a connection that is silent for earlier ones

What callers saw: as before this, requests waited for up to 1 s on a connection between nodes that had gone silent, and so did the seals that could have proved that a request had not run.

Cause: a connection is closed after 1 s of silence, 0.3 s until it is pinged and 0.7 s for the answer, and until then it got each new request for its peer.

Change: once a stream has waited for 0.5 s without activity of the peer, the pool opens another connection for new streams. Those on the silent one wait on as before, so a slow peer loses nothing; at most one more connection is opened each 0.5 s.

Ruled out: a shorter timeout of the ping, which would give up requests that run on slow machines.

Evidence: node_silence a_new_request_waits_on_a_connection_that_is_silent_for_an_earlier_one failed before (Lost).

--- a/crates/pollenlever/src/peer/connection.rs
+++ b/crates/pollenlever/src/peer/connection.rs
@@ -85,6 +85,11 @@
         self.ended.borrow().is_none() && self.ended.has_changed().is_ok()
     }
 
+    /// Whether data on the connection may no longer arrive.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.liveness.is_suspect()
+    }
+
     /// Protocol version in which requests are sent: this node's, until the peer shows an older one.
     pub(super) fn version(&self) -> u16 {
         self.version.load(Ordering::Relaxed)
--- a/crates/pollenlever/src/peer/liveness.rs
+++ b/crates/pollenlever/src/peer/liveness.rs
@@ -14,6 +14,9 @@
 const PING_AFTER_SILENCE: Duration = Duration::from_millis(300);
 /// Timeout of a ping, after which the peer counts as silent.
 const PONG_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time for which a stream waits without activity of the peer before the connection is suspect. It
+/// leaves a ping time to be answered.
+const SUSPECT_AFTER_SILENCE: Duration = Duration::from_millis(500);
 /// Time without open streams and activity of the peer after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// Value of `waiting_since_ms` when no stream is waiting.
@@ -68,6 +71,12 @@
         StreamGuard { state: Arc::clone(&self.state) }
     }
 
+    /// Whether a stream has waited for so long without activity of the peer that data on the
+    /// connection may no longer arrive.
+    pub(super) fn is_suspect(&self) -> bool {
+        self.state.waiting_time().is_some_and(|it| it >= SUSPECT_AFTER_SILENCE)
+    }
+
     /// Wraps a socket so that bytes from the peer count as activity.
     pub(super) fn watch(&self, io: TcpStream) -> ObservedIo {
         ObservedIo::new(io, self.state.clone())
--- a/crates/pollenlever/src/peer/pool.rs
+++ b/crates/pollenlever/src/peer/pool.rs
@@ -8,7 +8,9 @@
 use super::WireError;
 use super::connection::Connection;
 
-/// Pool with at most one open connection for each peer address.
+/// Pool with one connection for each peer address on which new streams are opened.
+///
+/// A suspect connection is replaced; its streams go on until it is closed.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
     local_ip: Option<IpAddr>,
@@ -31,13 +33,14 @@
         Pool { local_ip, ..Pool::default() }
     }
 
-    /// Returns the open connection to `addr`, or opens one. Callers that wait at the same time share
+    /// Returns the usable connection to `addr`, or opens one. Callers that wait at the same time share
     /// one connection attempt and its failure.
     pub(super) async fn connection(&self, addr: SocketAddr) -> Result<Connection, WireError> {
         let requested_at = Instant::now();
         let peer = self.peer(addr);
         let mut state = peer.state.lock().await;
-        if let Some(connection) = state.connection.as_ref().filter(|it| it.is_open()) {
+        let usable = state.connection.as_ref().filter(|it| it.is_open() && !it.is_suspect());
+        if let Some(connection) = usable {
             return Ok(connection.clone());
         }
         if let Some((failed_at, err)) = &state.last_failure
--- a/crates/pollenlever/tests/node_silence.rs
+++ b/crates/pollenlever/tests/node_silence.rs
@@ -19,6 +19,9 @@
 /// machine.
 const MAX_FAILURE_DELAY: Duration = Duration::from_secs(6);
 
+/// Time after which a connection on which a request waits in silence gets no new ones.
+const SUSPECT_TIME: Duration = Duration::from_millis(700);
+
 /// TCP relay. Once `silenced` is set, it discards the bytes of its first connection but keeps that
 /// connection open; later connections are not affected.
 struct Relay {
@@ -83,6 +86,25 @@
     assert!(matches!(peer.exchange(to, grant()), Ok(PeerReply::Grant(_))));
 }
 
+#[test]
+fn a_new_request_waits_on_a_connection_that_is_silent_for_an_earlier_one() {
+    let node = TestNode::start();
+    let relay = Relay::start(node.cfg.peer);
+    let peer = TestPeer::new();
+    let to = NodeId { addr: relay.addr, ..node.id() };
+    let grant = || PeerRequest::Grant(format!("{}~1", node.id()).parse().unwrap());
+    assert!(matches!(peer.exchange(to, grant()), Ok(PeerReply::Grant(_))));
+
+    relay.silenced.store(true, Ordering::SeqCst);
+    std::thread::scope(|scope| {
+        let first = scope.spawn(|| peer.exchange(to, grant()));
+        std::thread::sleep(SUSPECT_TIME);
+        let second = peer.exchange(to, grant());
+        assert!(matches!(second, Ok(PeerReply::Grant(_))), "{second:?}");
+        assert_eq!(first.join().unwrap().unwrap_err().failure, SendFailure::Lost);
+    });
+}
+
 #[test]
 fn requests_with_short_timeouts_do_not_keep_a_silent_connection() {
     let node = TestNode::start();
