Say at the deadline whether a request has not run

What callers saw: 504 at the time limit of the route for requests that no target had, often with most of the caller's own time left. A caller may not send a request that may run once again after 504; after 503 it may.

Cause: the deadline ended the request without asking what had become of the attempt in flight.

Change: at the deadline the owner seals the attempt in flight of a request that may run once, for at most 250 ms, half of what the users' page allows beyond the limit of a route. A granted seal, or no attempt at all, is answered 503 as not run.

Evidence: mesh severed a_request_that_never_arrived_is_unknown_at_its_deadline failed before: (504, unknown) in place of (503, not-run).

--- a/crates/pollenlever-core/src/mesh/delivery.rs
+++ b/crates/pollenlever-core/src/mesh/delivery.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::AttemptOutcome;
+use super::{AttemptInFlight, AttemptOutcome};
 use crate::answer::ErrorKind;
 use crate::id::NodeId;
 
@@ -50,6 +50,7 @@
     rejections: u32,
     refusals: u32,
     may_have_run: bool,
+    in_flight: Option<AttemptInFlight>,
     last_refusal: (ErrorKind, Option<Duration>),
 }
 
@@ -68,12 +69,19 @@
             rejections: 0,
             refusals: 0,
             may_have_run: false,
+            in_flight: None,
             last_refusal: (ErrorKind::NoTarget, None),
         }
     }
 
+    /// Records that an attempt is sent.
+    pub fn record_sent(&mut self, attempt: AttemptInFlight) {
+        self.in_flight = Some(attempt);
+    }
+
     /// Records the outcome of the attempt at `gate` and returns the next step.
     pub fn record_outcome(&mut self, gate: NodeId, outcome: &AttemptOutcome) -> NextStep {
+        self.in_flight = None;
         match outcome {
             AttemptOutcome::Answered(status) => self.step_after_answer(gate, *status),
             AttemptOutcome::FailedDownstream(status) => {
@@ -119,7 +127,12 @@
         NextStep::Fail(self.last_refusal.0, self.last_refusal.1)
     }
 
-    /// Whether any attempt may have run.
+    /// The attempt whose outcome is not known yet; `None` if there is none.
+    pub fn in_flight(&self) -> Option<AttemptInFlight> {
+        self.in_flight
+    }
+
+    /// Whether any attempt whose outcome was recorded may have run.
     pub fn may_have_run(&self) -> bool {
         self.may_have_run
     }
--- a/crates/pollenlever-core/tests/mesh/delivery.rs
+++ b/crates/pollenlever-core/tests/mesh/delivery.rs
@@ -2,7 +2,7 @@
 
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::NodeId;
-use pollenlever_core::mesh::{AttemptOutcome, Delivery, NextStep};
+use pollenlever_core::mesh::{AttemptInFlight, AttemptOutcome, Delivery, NextStep};
 
 use crate::cases;
 
@@ -90,3 +90,15 @@
     }
     assert_eq!(delivery.record_outcome(gate(5), &AttemptOutcome::Unknown), UNKNOWN);
 }
+
+#[test]
+fn an_attempt_is_in_flight_until_its_outcome_is_recorded() {
+    let mut delivery = Delivery::new(false, 2, false);
+    assert_eq!(delivery.in_flight(), None);
+    let id = "127.0.0.1:7100@1~2".parse().unwrap();
+    let sent = AttemptInFlight { id, gate: gate(0) };
+    delivery.record_sent(sent);
+    assert_eq!(delivery.in_flight(), Some(sent));
+    delivery.record_outcome(gate(0), &AttemptOutcome::NotSent);
+    assert_eq!(delivery.in_flight(), None);
+}
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -28,6 +28,8 @@
 const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout for sealing an attempt of an idempotent request, which may be sent again in any case.
 const IDEMPOTENT_SEAL_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for sealing an attempt at the deadline, for which the caller waits.
+const DEADLINE_SEAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Dispatches a request on the node that took it from its caller: sends attempts to gates, retries
 /// and answers.
@@ -92,9 +94,10 @@
         let _call = req.lineage.is_call().then(|| self.shared.gate.open_call(&req.id));
         let result = tokio::select! {
             biased;
-            result = tokio::time::timeout(left, self.run(&req, &mut delivery)) => {
-                result.unwrap_or(RequestResult::Error(ErrorKind::DeadlinePassed, None))
-            }
+            result = tokio::time::timeout(left, self.run(&req, &mut delivery)) => match result {
+                Ok(result) => result,
+                Err(_) => self.result_at_deadline(&req, &delivery).await,
+            },
             () = self.shared.wait_for_stop_phase(StopPhase::Abandoning) => {
                 RequestResult::Error(ErrorKind::OutcomeUnknown, None)
             }
@@ -148,7 +151,7 @@
                 Err(step) => return final_result(req, step, last_answer),
             };
             let repeat = if delivery.may_have_run() { 1.0 } else { req.lineage.repeat };
-            let (reply, body) = self.send_attempt(req, gate, repeat).await;
+            let (reply, body) = self.send_attempt(req, delivery, gate, repeat).await;
             let step = delivery.record_outcome(gate, &reply.outcome);
             self.record_attempt(req, &reply);
             let cost = retry_cost(delivery, &reply.load);
@@ -165,6 +168,20 @@
         }
     }
 
+    /// Result of a request whose deadline has passed. A caller that may not send the request again
+    /// unless it has not run is told so if that can be proved.
+    async fn result_at_deadline(&self, req: &RoutedRequest, delivery: &Delivery) -> RequestResult {
+        let may_have_run = delivery.may_have_run()
+            || req.route.is_idempotent
+            || match delivery.in_flight() {
+                Some(it) => !self.seal(req, it, DEADLINE_SEAL_TIMEOUT).await,
+                None => false,
+            };
+        let kind =
+            if may_have_run { ErrorKind::DeadlinePassed } else { ErrorKind::DeadlineTooShort };
+        RequestResult::Error(kind, None)
+    }
+
     fn record_attempt(&self, req: &RoutedRequest, reply: &AttemptReply) {
         self.shared.metrics.record_attempt(outcome_name(&reply.outcome));
         let needs_retry = match reply.outcome {
@@ -238,12 +255,14 @@
     async fn send_attempt(
         &self,
         req: &RoutedRequest,
+        delivery: &mut Delivery,
         gate: NodeId,
         repeat: f32,
     ) -> (AttemptReply, Bytes) {
         let now = self.shared.clock.now();
         let id = AttemptId { sender: self.shared.me, seq: self.shared.next_id() };
         let attempt = AttemptInFlight { id, gate };
+        delivery.record_sent(attempt);
         let remembered = self.shared.remembered_statement(gate);
         let head = MeshAttempt { remembered, ..req.head(&self.shared, id, now, repeat) };
         let sent = self.shared.record_sent(gate, req.body.len() as u64);
--- a/crates/pollenlever/tests/mesh/severed.rs
+++ b/crates/pollenlever/tests/mesh/severed.rs
@@ -2,6 +2,9 @@
 use super::test_mesh::{DEADLINE_MS, TestMesh, table};
 use super::test_relay::TestRelay;
 
+/// Deadline before which the owner does not find out that a connection is silent, in milliseconds.
+const SHORT_DEADLINE_MS: u64 = 900;
+
 /// A mesh without retries whose only target of `service` is reached over a relay. It has answered a
 /// request, so that the first node has a connection to its gate.
 async fn start_relayed(service: &'static str, method: &str) -> (TestMesh, TestRelay) {
@@ -40,3 +43,8 @@
 async fn an_idempotent_request_that_never_arrived_is_unknown_without_retries_left() {
     check_is_not_run("read", "GET", DEADLINE_MS).await;
 }
+
+#[tokio::test]
+async fn a_request_that_never_arrived_is_unknown_at_its_deadline() {
+    check_is_not_run("charge", "POST", SHORT_DEADLINE_MS).await;
+}
