Pass units of quotas on as soon as they have settled in a new era

Callers of workspaces whose home depends on few holders saw quotas refused for longer than needed; no units were held twice.

Cause: a holder gives nothing away for 15 s after a change of era, and notes that no write is due for this state of members and table. The end of the 15 s changes neither, so it decided again only after its next read, 7.5 to 10 s later. Ruled out: the read after the change of era (requested at once) and the two writes (0.5 s).

Change: nothing is noted while the holder settles, so it decides again each 0.5 s without a call to the store.

--- a/crates/pollenlever/src/quota/share_keeper.rs
+++ b/crates/pollenlever/src/quota/share_keeper.rs
@@ -136,7 +136,9 @@
                 transfer.map(|(action, table)| ShareWrite { action, expected, table })
             }
         };
-        self.decided_for = write.is_none().then_some(decided_for);
+        // The end of settling makes a write due without a change of the members or the table.
+        let is_final = write.is_none() && !self.quota.lock_holder().is_settling(now);
+        self.decided_for = is_final.then_some(decided_for);
         if let Some(write) = &write
             && self.lowers_own_units(write)
         {
