Bound the memory for the bodies of all requests

What callers saw: three bodies of 60 MB at once at one node; the platform ended the process, which exceeded 260 MB, and 5 to 8 of 8 small requests at work lost their answers.

Cause: each body was read whole up to max_body_bytes, first in parts and then joined, at the owner and again at the gate, and nothing bounded the sum. Ruled out: answers (they have a bound, AnswerBuffer).

Change: BodyMemory, with a part for large bodies (9/32 of the process's memory) and one for those up to 64 KiB (1/32). A body takes its memory before it is read, waits for it while its connection is not read, for half of its time at the owner and 300 ms at a gate, and is refused as not run after that. The memory is tied to the bytes and given back with their last reference. Bodies are read into one buffer. A body has to be read within its deadline, so that a slow caller cannot keep the memory. Setting [bounds] memory_mb, 256 by default. A gate without memory answers Refused(QueueFull); owners of earlier builds take that for a lost reply and seal the attempt, which is granted.

Not measured: the latency of small requests beside uploads.

--- a/crates/pollenlever-standins/src/measure/control/simulated_fleet.rs
+++ b/crates/pollenlever-standins/src/measure/control/simulated_fleet.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use pollenlever::control::{ControlHandle, ControlMessage, ControlReply, ControlStatus};
-use pollenlever::node::{InFlightCounter, PeerRequestHandler, PendingReplies};
+use pollenlever::node::{BodyMemory, InFlightCounter, PeerRequestHandler, PendingReplies};
 use pollenlever::peer::{PeerClient, PeerOptions, PeerSender, PeerServer};
 use pollenlever::ring::ring;
 use pollenlever_core::config::ServiceConfig;
@@ -74,6 +74,7 @@
         let server = PeerServer {
             local_node: simulated_member(0, port).node,
             max_body_bytes: MAX_BODY_BYTES,
+            body_memory: BodyMemory::default(),
             in_flight_work: InFlightCounter::default(),
             versions: Arc::default(),
             handler: Arc::new(PeerRequestHandler {
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -71,6 +71,7 @@
         let peer_server = PeerServer {
             local_node: me,
             max_body_bytes: MAX_BODY_BYTES,
+            body_memory: shared.body_memory.clone(),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(shared.peers.versions()),
             handler: Arc::new(MeshHandler { shared: Arc::clone(&shared) }),
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -25,7 +25,7 @@
 use super::routes_in_force::RoutesInForce;
 use super::stop_phase::StopPhase;
 use crate::gossip::{SharedMachine, SharedMembership};
-use crate::node::{Clock, InFlightCounter};
+use crate::node::{BodyMemory, Clock, InFlightCounter};
 use crate::peer::PeerClient;
 use crate::quota::Quota;
 use crate::settings::MeshSettings;
@@ -58,6 +58,8 @@
     pub(super) peers: PeerClient,
     /// Counts requests that are not answered yet.
     pub(super) in_flight_work: InFlightCounter,
+    /// Memory for the bodies of requests.
+    pub(super) body_memory: BodyMemory,
     /// Counts open connections of callers.
     pub(super) open_connections: InFlightCounter,
     /// Limits log lines about single requests.
@@ -152,6 +154,7 @@
             clock,
             peers,
             in_flight_work: InFlightCounter::default(),
+            body_memory: BodyMemory::new(cfg.memory_bytes),
             open_connections: InFlightCounter::default(),
             request_log: RequestLog::default(),
             metrics,
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 
 mod answer_body;
 mod answer_statement;
+mod attempt_exchange;
 mod attempt_seal;
 mod control_server;
 mod departure_object;
@@ -40,9 +41,11 @@
 mod pipeline;
 mod pipelined_answer;
 mod quota_node;
+mod request_body;
 mod request_dispatcher;
 mod request_frame;
 mod request_log;
+mod request_result;
 mod request_sender;
 mod route_confirmations;
 mod route_spread;
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -1,65 +1,31 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Request;
 use hyper::body::Incoming;
-use pollenlever_core::answer::{ErrorKind, Outcome};
-use pollenlever_core::id::{AttemptId, NodeId};
-use pollenlever_core::mesh::{
-    AttemptInFlight, AttemptOutcome, AttemptReply, Delivery, MeshAttempt, MeshReply, MeshRequest,
-    NextStep, RetryDecision, is_not_run_status,
-};
-use pollenlever_core::message::{GateLoad, PeerReply, PeerRequest};
-use pollenlever_core::policy::SendFailure;
+use pollenlever_core::answer::ErrorKind;
+use pollenlever_core::id::NodeId;
+use pollenlever_core::mesh::{AttemptOutcome, AttemptReply, Delivery, NextStep, RetryDecision};
+use pollenlever_core::message::GateLoad;
 use pollenlever_core::routing::RouteRequest;
 
-use super::attempt_seal::SealResult;
 use super::edge_answer::{EdgeResponse, error_answer, target_answer};
 use super::gate_calls::EndedCall;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_shared::MeshShared;
 use super::pending_request::PendingRequest;
 use super::pipeline::PipelinePosition;
+use super::request_result::{RequestResult, final_result, record_answer};
 use super::routed_request::RoutedRequest;
 use super::stop_phase::StopPhase;
 
-/// Timeout for sealing an attempt whose reply was lost.
-const SEAL_TIMEOUT: Duration = Duration::from_millis(400);
-/// Timeout for sealing an attempt of an idempotent request, which may be sent again in any case.
-const IDEMPOTENT_SEAL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout for sealing an attempt at the deadline, for which the caller waits.
 const DEADLINE_SEAL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Dispatches a request on the node that took it from its caller: sends attempts to gates, retries
 /// and answers.
 pub(super) struct RequestDispatcher {
-    shared: Arc<MeshShared>,
-}
-
-/// An answer of a target.
-struct TargetAnswer {
-    status: u16,
-    /// Whether it is a failure caused by overloaded downstream services.
-    failed_downstream: bool,
-    load: GateLoad,
-    headers: Vec<(String, Vec<u8>)>,
-    body: Bytes,
-}
-
-/// Final result of a request.
-enum RequestResult {
-    /// The answer of a target.
-    Answer(TargetAnswer),
-    /// An error from the node itself, with the `Retry-After` to send.
-    Error(ErrorKind, Option<Duration>),
-}
-
-impl RequestResult {
-    /// Whether it says that the request has not run and never will.
-    fn is_not_run(&self) -> bool {
-        matches!(self, RequestResult::Error(kind, _) if kind.response().outcome == Outcome::NotRun)
-    }
+    pub(super) shared: Arc<MeshShared>,
 }
 
 impl RequestDispatcher {
@@ -251,132 +217,6 @@
             });
         }
     }
-
-    async fn send_attempt(
-        &self,
-        req: &RoutedRequest,
-        delivery: &mut Delivery,
-        gate: NodeId,
-        repeat: f32,
-    ) -> (AttemptReply, Bytes) {
-        let now = self.shared.clock.now();
-        let id = AttemptId { sender: self.shared.me, seq: self.shared.next_id() };
-        let attempt = AttemptInFlight { id, gate };
-        delivery.record_sent(attempt);
-        let remembered = self.shared.remembered_statement(gate);
-        let head = MeshAttempt { remembered, ..req.head(&self.shared, id, now, repeat) };
-        let sent = self.shared.record_sent(gate, req.body.len() as u64);
-        let result = if gate == self.shared.me {
-            Ok(self.shared.gate.attempt(head, req.body.clone()).await)
-        } else {
-            self.exchange(gate, head, req.body.clone()).await
-        };
-        match result {
-            Ok((mut reply, body)) => {
-                self.shared.remember_statement(gate, reply.statement.take());
-                sent.record_reply(&reply.load, body.len() as u64);
-                self.shared.downstream.record_load(&req.service, req.lineage, &reply.load);
-                (reply, body)
-            }
-            Err(failure) => {
-                sent.record_no_reply();
-                let outcome = self.outcome_without_reply(req, attempt, failure).await;
-                (reply_without_load(outcome), Bytes::new())
-            }
-        }
-    }
-
-    async fn exchange(
-        &self,
-        gate: NodeId,
-        head: MeshAttempt,
-        body: Bytes,
-    ) -> Result<(AttemptReply, Bytes), SendFailure> {
-        let id = head.request_id.clone();
-        let req = PeerRequest::Mesh(MeshRequest::Attempt(Box::new(head)));
-        match self.shared.peers.exchange(gate, req, body).await {
-            Ok((PeerReply::Mesh(MeshReply::Attempt(reply)), body)) => {
-                self.shared.on_version_in_reply(gate, reply.routes);
-                Ok((reply, body))
-            }
-            // Another process has the address now; it refused the attempt without reading it.
-            Ok((PeerReply::Refused(ErrorKind::WrongIncarnation), _)) => {
-                self.log_lost(&id, gate, "another incarnation");
-                Err(SendFailure::NotSent)
-            }
-            Ok(_) => {
-                self.log_lost(&id, gate, "unexpected reply");
-                Err(SendFailure::Lost)
-            }
-            Err(err) => {
-                self.log_lost(&id, gate, &err.reason);
-                Err(err.failure)
-            }
-        }
-    }
-
-    fn log_lost(&self, id: &str, gate: NodeId, reason: &str) {
-        if let Some(omitted) = self.shared.request_log.admit_line(self.shared.clock.now()) {
-            log_event!(
-                LogEvent::AttemptLost,
-                "request={id} gate={gate} reason={reason:?} omitted={omitted}"
-            );
-        }
-    }
-
-    /// Outcome of an attempt that got no reply.
-    async fn outcome_without_reply(
-        &self,
-        req: &RoutedRequest,
-        attempt: AttemptInFlight,
-        failure: SendFailure,
-    ) -> AttemptOutcome {
-        let limit = if req.route.is_idempotent { IDEMPOTENT_SEAL_TIMEOUT } else { SEAL_TIMEOUT };
-        match failure {
-            SendFailure::NotSent => AttemptOutcome::NotSent,
-            SendFailure::Lost if self.seal(req, attempt, limit).await => AttemptOutcome::NotSent,
-            SendFailure::Lost => AttemptOutcome::Unknown,
-        }
-    }
-
-    /// Seals an attempt. Returns whether it is certain that it never runs.
-    async fn seal(&self, req: &RoutedRequest, attempt: AttemptInFlight, limit: Duration) -> bool {
-        let sealed = self.shared.seal_attempt(&req.id, attempt.gate, attempt.id, limit).await;
-        sealed == SealResult::Sealed
-    }
-}
-
-/// Records the answer of a target, in case no later attempt brings a better one.
-fn record_answer(last: &mut Option<TargetAnswer>, reply: AttemptReply, body: Bytes) {
-    let (status, failed_downstream) = match reply.outcome {
-        AttemptOutcome::Answered(status) => (status, false),
-        AttemptOutcome::FailedDownstream(status) => (status, true),
-        _ => return,
-    };
-    let AttemptReply { headers, load, .. } = reply;
-    *last = Some(TargetAnswer { status, failed_downstream, load, headers, body });
-}
-
-/// Result of a request whose last step is `step`. The last answer of a target is passed on, unless
-/// the caller would read its status as a guarantee that the request did not run.
-fn final_result(
-    req: &RoutedRequest,
-    step: NextStep,
-    last_answer: Option<TargetAnswer>,
-) -> RequestResult {
-    let is_usable = |it: &TargetAnswer| req.route.is_idempotent || !is_not_run_status(it.status);
-    match (last_answer.filter(is_usable), step) {
-        (Some(answer), _) => RequestResult::Answer(answer),
-        (None, NextStep::Fail(kind, retry_after)) => RequestResult::Error(kind, retry_after),
-        (None, NextStep::Deliver | NextStep::Retry { .. }) => {
-            RequestResult::Error(ErrorKind::OutcomeUnknown, None)
-        }
-    }
-}
-
-fn reply_without_load(outcome: AttemptOutcome) -> AttemptReply {
-    let load = GateLoad::default();
-    AttemptReply { outcome, headers: Vec::new(), load, routes: 0, statement: None }
 }
 
 /// Cost of a retry in the retry budget: 1 for the request itself, plus the calls that the target
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -2,8 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, header::HOST};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::config::Importance;
 use pollenlever_core::id::{AttemptId, ServiceName, WorkspaceName};
@@ -12,6 +11,7 @@
 };
 
 use super::log_event::{LogEvent, log_event};
+use super::request_body::read_request_body;
 use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
 use super::{MeshShared, forwarded_headers};
@@ -73,8 +73,10 @@
         let sender = RequestSender::identify(shared, &routes, &route, &parts.headers, &id)?;
         let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
         let (lineage, workspace) = shared.lineage(&id, &route, expires, &sender);
-        let body = read_body(table, body).await?;
-        let deadline = arrived + time_budget.min(route.timeout);
+        let max_wait = time_budget.min(route.timeout);
+        let limit = table.limits.max_body_bytes;
+        let body = read_request_body(&shared.body_memory, body, limit, max_wait).await?;
+        let deadline = arrived + max_wait;
         let deadline = deadline.min(shared.latest_deadline());
         Ok(RoutedRequest {
             id,
@@ -189,18 +191,3 @@
     let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
     if bytes > table.limits.max_header_bytes { Err(ErrorKind::HeaderTooLarge) } else { Ok(()) }
 }
-
-async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, ErrorKind> {
-    let is_too_large = |it: u64| it > table.limits.max_body_bytes as u64;
-    if body.size_hint().exact().is_some_and(is_too_large) {
-        return Err(ErrorKind::BodyTooLarge);
-    }
-    match Limited::new(body, table.limits.max_body_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) if err.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Err(err) => {
-            log::debug!("body of a request not read reason={:?}", err.to_string());
-            Err(ErrorKind::MalformedRequest)
-        }
-    }
-}
--- a/crates/pollenlever/src/node/peer_thread.rs
+++ b/crates/pollenlever/src/node/peer_thread.rs
@@ -4,6 +4,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
+use super::body_memory::BodyMemory;
 use super::network_thread::NetworkThread;
 use super::shared_state::SharedState;
 use super::{NodeStartError, PeerRequestHandler};
@@ -43,6 +44,7 @@
         let server = PeerServer {
             local_node: shared.local_node,
             max_body_bytes: options.max_body_bytes,
+            body_memory: BodyMemory::default(),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(client.versions()),
             handler: Arc::new(handler),
--- a/crates/pollenlever/src/peer/message_io.rs
+++ b/crates/pollenlever/src/peer/message_io.rs
@@ -1,11 +1,16 @@
 use std::future::poll_fn;
+use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
 
 use super::WireError;
 use super::codec::MAX_HEAD_BYTES;
+use crate::node::BodyMemory;
 
+/// Longest wait for the memory of a body. Its stream is not read meanwhile, which takes up part of the
+/// window of its connection.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(300);
 /// Bytes before the head: the lengths of head and body, as big-endian `u32`.
 const PREFIX_BYTES: usize = 8;
 
@@ -41,19 +46,27 @@
     Ok(())
 }
 
-/// Reads a whole message, checks it against its declared lengths and returns head and body.
+/// Reads a whole message, checks it against its declared lengths and returns head and body. With
+/// `memory`, the body takes its memory there before it is read.
 pub(super) async fn recv_message(
     stream: &mut RecvStream,
     max_body_bytes: usize,
+    memory: Option<&BodyMemory>,
 ) -> Result<(Bytes, Bytes), WireError> {
     let mut buf = BytesMut::new();
     let mut lengths = None;
+    let mut reservation = None;
     while let Some(data) = stream.data().await {
         let data = data.map_err(stream_error)?;
         let _ = stream.flow_control().release_capacity(data.len());
         buf.put_slice(&data);
         if lengths.is_none() && buf.len() >= PREFIX_BYTES {
-            lengths = Some(read_lengths(&mut buf, max_body_bytes)?);
+            let (head, body) = read_lengths(&mut buf, max_body_bytes)?;
+            lengths = Some((head, body));
+            if let Some(memory) = memory.filter(|_| body > 0) {
+                reservation = Some(memory.reserve(body, MAX_MEMORY_WAIT).await?);
+            }
+            buf.reserve((head + body).saturating_sub(buf.len()));
         }
         if let Some((head, body)) = lengths
             && buf.len() > head + body
@@ -67,7 +80,12 @@
         return Err(WireError::Truncated { received: buf.len(), declared: head + body });
     }
     let head = buf.split_to(head).freeze();
-    Ok((head, buf.freeze()))
+    let body = buf.freeze();
+    let body = match reservation {
+        Some(reservation) => reservation.bind(body),
+        None => body,
+    };
+    Ok((head, body))
 }
 
 fn read_lengths(buf: &mut BytesMut, max_body_bytes: usize) -> Result<(usize, usize), WireError> {
--- a/crates/pollenlever/src/peer/peer_client.rs
+++ b/crates/pollenlever/src/peer/peer_client.rs
@@ -132,7 +132,7 @@
         };
         let (parts, mut reply) = response.into_parts();
         let (head, body) =
-            recv_message(&mut reply, self.options.max_body_bytes).await.map_err(lost)?;
+            recv_message(&mut reply, self.options.max_body_bytes, None).await.map_err(lost)?;
         let frame = decode_reply(&head).map_err(|err| match err {
             // A peer replies in the version of the request if it can read it.
             WireError::Version { .. } => (SendFailure::NotSent, err),
--- a/crates/pollenlever/src/peer/peer_server.rs
+++ b/crates/pollenlever/src/peer/peer_server.rs
@@ -9,7 +9,7 @@
 use super::liveness::Liveness;
 use super::serve_stream::serve_stream;
 use super::{PeerVersions, SharedPeerHandler};
-use crate::node::InFlightCounter;
+use crate::node::{BodyMemory, InFlightCounter};
 
 /// Open streams that a peer may have on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 4096;
@@ -20,6 +20,8 @@
     pub local_node: NodeId,
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
+    /// Memory for the bodies of requests.
+    pub body_memory: BodyMemory,
     /// Handles the requests.
     pub handler: SharedPeerHandler,
     /// Where the versions and builds of the peers are recorded.
--- a/crates/pollenlever/src/peer/serve_stream.rs
+++ b/crates/pollenlever/src/peer/serve_stream.rs
@@ -22,7 +22,7 @@
     tells_build: bool,
 ) {
     let (parts, mut stream) = req.into_parts();
-    let read = recv_message(&mut stream, server.max_body_bytes).await;
+    let read = recv_message(&mut stream, server.max_body_bytes, Some(&server.body_memory)).await;
     let decoded = read.and_then(|(head, body)| Ok((decode_request(&head)?, body)));
     let mut version = PROTOCOL_VERSION;
     let (reply, body) = match decoded {
--- a/crates/pollenlever/src/peer/wire_error.rs
+++ b/crates/pollenlever/src/peer/wire_error.rs
@@ -1,6 +1,8 @@
 use pollenlever_core::answer::ErrorKind;
 use thiserror::Error;
 
+use crate::node::BodyMemoryError;
+
 /// Why a message between nodes cannot be sent or read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum WireError {
@@ -37,6 +39,9 @@
         /// Largest body, in bytes.
         limit: usize,
     },
+    /// There is no memory for the body.
+    #[error("{0}")]
+    Memory(#[from] BodyMemoryError),
     /// The peer uses another version of the protocol.
     #[error("the peer uses protocol version {found}, this node {oldest} to {expected}", oldest = super::OLDEST_PROTOCOL_VERSION)]
     Version {
@@ -62,6 +67,8 @@
         match self {
             WireError::HeadTooLarge { .. } => ErrorKind::HeaderTooLarge,
             WireError::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
+            WireError::Memory(BodyMemoryError::Taken) => ErrorKind::QueueFull,
+            WireError::Memory(BodyMemoryError::TooLarge { .. }) => ErrorKind::BodyTooLarge,
             WireError::Version { .. } => ErrorKind::WrongProtocolVersion,
             _ => ErrorKind::MalformedRequest,
         }
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -12,6 +12,9 @@
 const SWITCH: &[&str] = &["on", "off"];
 const RETRY_SLACK_RANGE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
+/// The process needs the lowest of these for itself and for answers, and a body of 4 MB.
+const MEMORY_MB_RANGE: std::ops::RangeInclusive<usize> = 16..=1_000_000;
+const BYTES_PER_MB: usize = 1_000_000;
 const QUOTA_SHARDS_RANGE: std::ops::RangeInclusive<u32> = 1..=256;
 
 /// Settings of a node in a service mesh. Unknown sections and keys are ignored, because the platform
@@ -54,6 +57,8 @@
     pub retry_budget: RetryBudgetSettings,
     /// `[bounds] stop_grace_s`: time from SIGTERM until the platform kills the process.
     pub stop_grace_period: Duration,
+    /// `[bounds] memory_mb`: memory that the process may use, in bytes here.
+    pub memory_bytes: usize,
     /// `[quota] shards`: number of shards into which workspaces with quotas are divided. Only the node
     /// that creates the share table uses it; all others take the number from the table.
     pub quota_shards: u32,
@@ -135,6 +140,8 @@
         );
         set(&mut self.retry_budget.window, reader.optional("retry_window_s", seconds));
         set(&mut self.stop_grace_period, reader.optional("stop_grace_s", seconds));
+        let memory_mb = reader.optional("memory_mb", values::number(MEMORY_MB_RANGE));
+        set(&mut self.memory_bytes, memory_mb.map(|it| it * BYTES_PER_MB));
     }
 
     fn read_quota(&mut self, doc: &Document, faults: &mut Faults) {
@@ -163,6 +170,7 @@
             store: loopback(7300),
             retry_budget: RetryBudgetSettings::default(),
             stop_grace_period: Duration::from_secs(6),
+            memory_bytes: 256 * BYTES_PER_MB,
             quota_shards: 8,
             log_level: "info".to_owned(),
         }
--- a/crates/pollenlever/tests/mesh/gossip_peer.rs
+++ b/crates/pollenlever/tests/mesh/gossip_peer.rs
@@ -2,7 +2,7 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use pollenlever::node::InFlightCounter;
+use pollenlever::node::{BodyMemory, InFlightCounter};
 use pollenlever::peer::{PeerClient, PeerHandler, PeerOptions, PeerReplyFuture, PeerServer};
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::GossipMessage;
@@ -39,6 +39,7 @@
         let server = PeerServer {
             local_node: me,
             max_body_bytes: MAX_BODY_BYTES,
+            body_memory: BodyMemory::default(),
             handler: Arc::new(Recorder(Arc::clone(&contacts))),
             in_flight_work: InFlightCounter::default(),
             versions: Arc::default(),
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod attempt_sender;
 mod bad_input;
+mod body_memory;
 mod config;
 mod connections;
 mod crash;
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -62,6 +62,13 @@
         self.write(&head).await;
     }
 
+    /// Sends a request with a body of `len` bytes.
+    pub(crate) async fn upload(&mut self, path: &str, id: &str, deadline_ms: u64, len: usize) {
+        let line = format!("Content-Length: {len}\r\n");
+        self.request_with("POST", path, id, deadline_ms, &line).await;
+        self.write(&"x".repeat(len)).await;
+    }
+
     /// Sends a `GET` request with an API key and waits for its answer.
     pub(crate) async fn get_with_key(&mut self, path: &str, id: &str, key: &str) -> RawAnswer {
         let line = format!("Authorization: Bearer {key}\r\n");
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -96,6 +96,8 @@
     pub(crate) has_start_pace: bool,
     /// Retries that all nodes together may send whatever the number of requests.
     pub(crate) min_retries: f64,
+    /// Memory that each node may use, in bytes.
+    pub(crate) memory_bytes: usize,
 }
 
 impl TestMesh {
@@ -124,6 +126,7 @@
             tables: Arc::default(),
             has_start_pace: false,
             min_retries: 1000.0,
+            memory_bytes: MeshSettings::default().memory_bytes,
         }
     }
 
@@ -207,6 +210,7 @@
             callers_address: at(7000),
             peer: at(PEER_PORT),
             advertise,
+            memory_bytes: self.memory_bytes,
             readiness_address: at(7200),
             control_address: at(7300),
             metrics_address: Some(at(METRICS_PORT)),
--- a/crates/pollenlever/tests/settings.rs
+++ b/crates/pollenlever/tests/settings.rs
@@ -84,3 +84,17 @@
     assert!(matches!(err, SettingsError::Read { .. }), "{err}");
     assert!(err.to_string().contains("/nonexistent/node.ini"));
 }
+
+#[test]
+fn a_memory_that_is_too_small_is_a_fault_with_its_key() {
+    let required = "[node]\nname = a\ncallers = 127.0.0.1:1\npeer = 127.0.0.1:2\n\
+        ready = 127.0.0.1:3\ncontrol = 127.0.0.1:4\nregion = r\nzone = z\n\
+        [target]\naddress = 127.0.0.1:5\nservice = s\n[store]\naddress = 127.0.0.1:6\n";
+    let parse = |mb: u32| {
+        let text = format!("{required}[bounds]\nmemory_mb = {mb}\n");
+        MeshSettings::parse("node.ini", &text).map(|it| it.memory_bytes)
+    };
+    assert_eq!(parse(512).unwrap(), 512_000_000);
+    let Err(SettingsError::Invalid(faults)) = parse(8) else { panic!("8 MB should be refused") };
+    assert!(faults.to_string().contains("memory_mb"), "{faults}");
+}
