Tests of seals: do not depend on how fast the machine is

Traced: the 8,300 seals went one after the other, so that the held run reached its time limit of 15 s, which the test had set. It has 300 s now and no test waits for it; 100 seals go at a time. What is compared is unchanged.

--- a/crates/pollenlever/tests/mesh/attempt_sender.rs
+++ b/crates/pollenlever/tests/mesh/attempt_sender.rs
@@ -11,10 +11,11 @@
 
 use super::test_mesh::TestNode;
 
-/// Time within which the target has to answer.
-const TIME_LEFT: Duration = Duration::from_secs(15);
+/// Time within which the target has to answer; no test waits for it.
+const TIME_LEFT: Duration = Duration::from_secs(300);
 
 /// Sends attempts to one gate, and seals them, as the owner of requests does.
+#[derive(Clone)]
 pub(crate) struct AttemptSender {
     client: PeerClient,
     me: NodeId,
--- a/crates/pollenlever/tests/mesh/seals.rs
+++ b/crates/pollenlever/tests/mesh/seals.rs
@@ -1,4 +1,5 @@
 use pollenlever_core::mesh::AttemptOutcome;
+use tokio::task::JoinSet;
 
 use super::attempt_sender::AttemptSender;
 use super::scripted_target::Action;
@@ -9,9 +10,16 @@
 /// First number of attempts that are sealed to fill the gate's memory.
 const FIRST_OTHER: u64 = 100;
 
+const SEALS_AT_ONCE: usize = 100;
+
 async fn seal_many_others(sender: &AttemptSender) {
-    for seq in FIRST_OTHER..FIRST_OTHER + MANY_ATTEMPTS {
-        assert!(sender.seal(seq).await);
+    for first in (FIRST_OTHER..FIRST_OTHER + MANY_ATTEMPTS).step_by(SEALS_AT_ONCE) {
+        let mut seals = JoinSet::new();
+        for seq in first..first + SEALS_AT_ONCE as u64 {
+            let sender = sender.clone();
+            seals.spawn(async move { sender.seal(seq).await });
+        }
+        assert!(seals.join_all().await.into_iter().all(|is_sealed| is_sealed));
     }
 }
 
