--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -120,7 +120,7 @@
     begin(Path::new("review/7"));
     let store = Store::default();
     store.write("config", "main", &config(3, &[("storico", "idempotent", ROUTE_TIMEOUT_S)]));
-    let how = Service { work: WORK, answer_bytes: ANSWER_BYTES };
+    let how = Service::new(WORK, ANSWER_BYTES);
     let machines: Vec<Arc<Machine>> = (1..=2)
         .map(|it| Arc::new(Machine::start(it, "mi-bicocca", "storico", store.open_access(), how)))
         .collect();
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -19,7 +19,7 @@
     begin(Path::new("review/9"));
     let store = Store::default();
     store.write("config", "main", &config(3, &[("saldo", "idempotent", 4.0)]));
-    let how = Service { work: ms(20), answer_bytes: 400 };
+    let how = Service::new(ms(20), 400);
     let machines: Vec<Arc<Machine>> = (1..=3)
         .map(|it| Arc::new(Machine::start(it, "mi-bicocca", "saldo", store.open_access(), how)))
         .collect();
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
-use std::net::{IpAddr, Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -156,6 +156,12 @@
 
     /// Reads a message with a `Content-Length` or a chunked body.
     pub fn read(&mut self) -> io::Result<Message> {
+        let mut message = self.read_head()?;
+        self.read_body(&mut message)?;
+        Ok(message)
+    }
+
+    pub fn read_head(&mut self) -> io::Result<Message> {
         let head_len = loop {
             if let Some(at) = self.buf.windows(4).position(|it| it == b"\r\n\r\n") {
                 break at + 4;
@@ -170,17 +176,18 @@
             .filter_map(|it| it.split_once(':'))
             .map(|(name, value)| (name.trim().to_owned(), value.trim().to_owned()))
             .collect();
-        let mut message = Message { start, headers, body: Vec::new() };
-        let is_chunked = message
-            .header("transfer-encoding")
-            .is_some_and(|it| it.eq_ignore_ascii_case("chunked"));
-        message.body = if is_chunked {
+        Ok(Message { start, headers, body: Vec::new() })
+    }
+
+    pub fn read_body(&mut self, message: &mut Message) -> io::Result<()> {
+        let coding = message.header("transfer-encoding");
+        message.body = if coding.is_some_and(|it| it.eq_ignore_ascii_case("chunked")) {
             self.read_chunks()?
         } else {
             let len = message.header("content-length").and_then(|it| it.parse().ok());
             self.take(len.unwrap_or(0))?
         };
-        Ok(message)
+        Ok(())
     }
 
     fn read_chunks(&mut self) -> io::Result<Vec<u8>> {
@@ -519,8 +526,22 @@
     pub work: Duration,
     /// Length of the body of an answer.
     pub answer_bytes: usize,
+    /// Time until it begins to read the body of a request.
+    pub read_pause: Duration,
+    /// Time over which it sends an answer.
+    pub send_time: Duration,
+}
+
+impl Service {
+    /// A service whose backends read and send at full speed.
+    pub fn new(work: Duration, answer_bytes: usize) -> Service {
+        Service { work, answer_bytes, read_pause: Duration::ZERO, send_time: Duration::ZERO }
+    }
 }
 
+/// Parts in which a slow backend sends an answer.
+const SLOW_PARTS: u32 = 50;
+
 /// A backend, as `PROTOCOL.md` describes it.
 pub struct Backend {
     pub id: String,
@@ -596,7 +617,13 @@
     let _ = io.set_nodelay(true);
     let Ok(mut out) = io.try_clone() else { return };
     let mut reader = Reader::new(io);
-    while let Ok(request) = reader.read() {
+    while let Ok(mut request) = reader.read_head() {
+        if request.header("content-length").is_some() {
+            thread::sleep(how.read_pause);
+        }
+        if reader.read_body(&mut request).is_err() {
+            return;
+        }
         let id = request.header("request-id").unwrap_or_default().to_owned();
         if request.header("target-instance").is_some_and(|it| it != own) {
             let head = answer_head(421, &[("Instance-Id", own), ("Not-Executed", "1")], 0);
@@ -608,17 +635,32 @@
         let path = request.word(1).to_owned();
         runs.lock().unwrap().push(Run { id: id.clone(), at: Instant::now(), path });
         thread::sleep(how.work);
-        let body = vec![b'x'; how.answer_bytes];
+        // An upload gets a short answer.
+        let len = if request.body.is_empty() { how.answer_bytes } else { 10 };
+        let body = vec![b'x'; len];
         let signature = format!("signed.{own}.{id}");
         let headers = [("Request-Id", id.as_str()), ("Server-Signature", signature.as_str())];
         let head = answer_head(200, &headers, body.len());
-        if out.write_all(head.as_bytes()).is_err() || out.write_all(&body).is_err() {
+        if send_answer(&mut out, &head, &body, how.send_time).is_err() {
             return;
         }
         answered.fetch_add(1, Ordering::Relaxed);
     }
 }
 
+/// Sends an answer at once, or in parts over `time`.
+fn send_answer(out: &mut TcpStream, head: &str, body: &[u8], time: Duration) -> io::Result<()> {
+    if time.is_zero() {
+        return out.write_all(&[head.as_bytes(), body].concat());
+    }
+    out.write_all(head.as_bytes())?;
+    for part in body.chunks(body.len().div_ceil(SLOW_PARTS as usize).max(1)) {
+        out.write_all(part)?;
+        thread::sleep(time / SLOW_PARTS);
+    }
+    Ok(())
+}
+
 // ---------------------------------------------------------------- machines
 
 /// Host of all routes.
@@ -650,9 +692,11 @@
     Ipv4Addr::new(127, 32 + (pid >> 8) as u8 % 200, pid as u8, number)
 }
 
-fn free_port(ip: Ipv4Addr) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("a bound listener has an address").port()
+/// Four different ports that are free at `ip`.
+fn free_addresses(ip: Ipv4Addr) -> [SocketAddr; 4] {
+    let listeners: [TcpListener; 4] =
+        std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|it| it.local_addr().expect("a bound listener has an address"))
 }
 
 impl Machine {
@@ -671,8 +715,7 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let _ = FOLDER.set(folder.clone());
         let settings = folder.join(format!("node-{number}.ini"));
-        let [callers, peer, ready, control] =
-            std::array::from_fn(|_| SocketAddr::from((IpAddr::V4(ip), free_port(ip))));
+        let [callers, peer, ready, control] = free_addresses(ip);
         let name = format!("sidecar-{zone}-{number}");
         let fields = [
             ("node_name", name.clone()),
