Review case 10: a departure that a drill takes from the store is forgotten in a restart

Tried: a drill with a copy some 3 s old, one node killed while the store is away, and a report from before that arrives late.

--- a/review/10/case.rs
+++ b/review/10/case.rs
@@ -1,4 +1,4 @@
-//! A confirmed departure is forgotten: only the memory of other nodes has it, and all nodes are killed.
+//! A confirmed departure is forgotten: the store comes back from an older copy while the node is started again.
 
 #[path = "../standins-2/common.rs"]
 mod common;
@@ -14,8 +14,8 @@
 /// `drain_s` and `stability_window_s` of the deployment.
 const DRAIN: Duration = Duration::from_millis(2500);
 const STABILITY_WINDOW: Duration = Duration::from_secs(3);
-/// Time for which the store is down.
-const STORE_DOWN: Duration = Duration::from_millis(2000);
+/// Time for which the store is away in the drill.
+const STORE_AWAY: Duration = Duration::from_millis(1500);
 /// Time until a process that was killed is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -41,12 +41,9 @@
     // The last heartbeat before the departure is on its way for some seconds.
     leaving.is_heartbeat_on.store(false, Ordering::Relaxed);
     let late_heartbeat = leaving.backend.heartbeat("mi-bicocca", "ready");
-    let down_since = Instant::now();
-    if has_trouble() {
-        machines.iter().for_each(|it| it.store.refuses.store(true, Ordering::Relaxed));
-        note("the store is down: it answers every call 503");
-    }
-    thread::sleep(ms(300));
+    let copy = store.copy();
+    note("the copy is made to which the drill goes back");
+    thread::sleep(ms(1000));
     let status = tell(leaving.control, &leaving.backend.deregistration());
     let confirmed = Instant::now();
     note(&format!("the backend of {} leaves: confirmed with {status}", leaving.name));
@@ -54,16 +51,22 @@
         finish(NOT_RUN);
     }
     note(&format!("departures in the store: {:?}", store.names("pollenlever-departures")));
-    thread::sleep(ms(200));
+    thread::sleep(ms(300));
     if has_trouble() {
-        machines.iter().for_each(|it| it.kill());
-        note("all nodes are killed");
+        machines.iter().for_each(|it| it.store.refuses.store(true, Ordering::Relaxed));
+        note("the drill begins: the store is away");
+        let away_since = Instant::now();
+        thread::sleep(ms(200));
+        leaving.kill();
+        note(&format!("{} is killed", leaving.name));
         thread::sleep(RESTART_DELAY);
-        machines.iter().for_each(|it| it.restart());
+        leaving.restart();
+        thread::sleep(STORE_AWAY.saturating_sub(away_since.elapsed()));
+        store.restore(copy);
+        machines.iter().for_each(|it| it.store.refuses.store(false, Ordering::Relaxed));
+        note("the store is back, from the copy");
+        note(&format!("departures in the store: {:?}", store.names("pollenlever-departures")));
     }
-    thread::sleep(STORE_DOWN.saturating_sub(down_since.elapsed()));
-    machines.iter().for_each(|it| it.store.refuses.store(false, Ordering::Relaxed));
-    note("the store is up");
     let stable_at = Instant::now() + STABILITY_WINDOW + ms(100);
     for machine in &machines {
         wait_until("ready again", ms(10_000), || machine.is_ready());
--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -327,11 +327,19 @@
 
 #[derive(Default)]
 struct StoreState {
+    /// How often the store has come back from an older copy.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), (u64, u64, String)>,
     events: Vec<(u64, String, String, bool)>,
 }
 
+/// What the store comes back from in a drill.
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<(String, String), (u64, u64, String)>,
+}
+
 /// How one machine reaches the store.
 #[derive(Clone)]
 pub struct StoreAccess {
@@ -371,6 +379,22 @@
         self.shared.1.notify_all();
     }
 
+    /// Copies what the store holds.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.shared.0.lock().unwrap();
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out again.
+    pub fn restore(&self, copy: StoreCopy) {
+        let mut state = self.shared.0.lock().unwrap();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        state.events.retain(|it| it.0 <= copy.revision);
+        self.shared.1.notify_all();
+    }
+
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.shared.0.lock().unwrap();
         state.objects.keys().filter(|it| it.0 == kind).map(|it| it.1.clone()).collect()
@@ -403,7 +427,8 @@
                 // A machine that is turned away meanwhile has its waiting watch cut off.
                 if refuses.load(Ordering::Relaxed) { (503, "null".to_owned()) } else { answered }
             };
-            let headers = [("Content-Type", "application/json"), ("Store-Era", "0")];
+            let era = self.shared.0.lock().unwrap().era.to_string();
+            let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
             let head = answer_head(status, &headers, body.len());
             if out.write_all((head + &body).as_bytes()).is_err() {
                 return;
@@ -492,7 +517,11 @@
         let until = Instant::now() + ms(number("wait_ms").unwrap_or_default());
         let (lock, changed) = &*self.shared;
         let mut state = lock.lock().unwrap();
+        let era = state.era;
         loop {
+            if era != state.era {
+                return (503, "null".to_owned());
+            }
             if since > state.revision {
                 return (410, "null".to_owned());
             }
