--- a/crates/pollenlever-core/src/lib.rs
+++ b/crates/pollenlever-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod id;
 pub mod membership;
+pub mod memory;
 pub mod mesh;
 pub mod message;
 pub mod naive;
--- /dev/null
+++ b/crates/pollenlever-core/src/memory/message_lane.rs
@@ -0,0 +1,55 @@
+/// Largest message that counts as small, in bytes.
+pub const SMALL_MESSAGE_BYTES: usize = 64 << 10;
+
+/// What a message is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum MessageKind {
+    /// The body of a request.
+    Body,
+    /// The body of an answer.
+    Answer,
+}
+
+/// Size of a message. Small ones have memory of their own, so that they do not wait for large ones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum MessageSize {
+    /// At most [`SMALL_MESSAGE_BYTES`].
+    Small,
+    /// More than that.
+    Large,
+}
+
+/// Messages that get memory in the order of asking.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct MessageLane {
+    /// What the messages are.
+    pub kind: MessageKind,
+    /// How large they are.
+    pub size: MessageSize,
+}
+
+impl MessageSize {
+    /// Size of a message of `bytes`.
+    ///
+    /// ```
+    /// use pollenlever_core::memory::{MessageSize, SMALL_MESSAGE_BYTES};
+    /// assert_eq!(MessageSize::of(SMALL_MESSAGE_BYTES), MessageSize::Small);
+    /// ```
+    pub fn of(bytes: usize) -> MessageSize {
+        if bytes <= SMALL_MESSAGE_BYTES { MessageSize::Small } else { MessageSize::Large }
+    }
+}
+
+impl MessageLane {
+    /// All lanes; answers come first, since the work for them is done.
+    pub const ALL: [MessageLane; 4] = [
+        MessageLane { kind: MessageKind::Answer, size: MessageSize::Small },
+        MessageLane { kind: MessageKind::Answer, size: MessageSize::Large },
+        MessageLane { kind: MessageKind::Body, size: MessageSize::Small },
+        MessageLane { kind: MessageKind::Body, size: MessageSize::Large },
+    ];
+
+    pub(super) fn index(self) -> usize {
+        MessageLane::ALL.iter().position(|it| *it == self).expect("`ALL` has each lane")
+    }
+}
--- a/crates/pollenlever-core/src/mesh/answer_limits.rs
+++ b/crates/pollenlever-core/src/mesh/answer_limits.rs
@@ -12,19 +12,12 @@
     pub max_head_bytes: usize,
     /// Most bytes that are read of one answer.
     pub max_answer_bytes: usize,
-    /// Most bytes that are held of all answers that are being read.
-    pub max_held_bytes: usize,
     /// Bytes that each part of a body counts besides its own.
     pub part_cost_bytes: usize,
 }
 
 impl Default for AnswerLimits {
     fn default() -> AnswerLimits {
-        AnswerLimits {
-            max_head_bytes: 512 << 10,
-            max_answer_bytes: 64 << 20,
-            max_held_bytes: 128 << 20,
-            part_cost_bytes: 512,
-        }
+        AnswerLimits { max_head_bytes: 512 << 10, max_answer_bytes: 64 << 20, part_cost_bytes: 512 }
     }
 }
--- a/crates/pollenlever-core/src/mesh/mod.rs
+++ b/crates/pollenlever-core/src/mesh/mod.rs
@@ -5,7 +5,7 @@
 //! where the request is sent. The node beside a target (server process) is the gate of that target:
 //! requests reach the target only through it. Owners and gates decide without consensus.
 
-mod answer_buffer;
+mod answer_bytes;
 mod answer_limits;
 mod attempt_in_flight;
 mod attempt_ledger;
@@ -50,7 +50,7 @@
 mod weighted_service;
 mod weighted_split;
 
-pub use answer_buffer::{AnswerBuffer, AnswerBytes, AnswerTooLong};
+pub use answer_bytes::{AnswerBytes, AnswerTooLong};
 pub use answer_limits::AnswerLimits;
 pub use attempt_in_flight::AttemptInFlight;
 pub use attempt_ledger::{AttemptLedger, AttemptStage};
--- a/crates/pollenlever-core/tests/mesh/main.rs
+++ b/crates/pollenlever-core/tests/mesh/main.rs
@@ -1,7 +1,6 @@
 //! Tests of the decision logic for mesh traffic: routes, target identity, attempts, retries,
 //! limits.
 
-mod answer_buffer;
 mod budget;
 mod delivery;
 mod ledger;
--- a/crates/pollenlever-standins/src/measure/control/simulated_fleet.rs
+++ b/crates/pollenlever-standins/src/measure/control/simulated_fleet.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use pollenlever::bounds::{ConnectionLimiter, MessageMemory};
 use pollenlever::control::{ControlHandle, ControlMessage, ControlReply, ControlStatus};
-use pollenlever::node::{BodyMemory, InFlightCounter, PeerRequestHandler, PendingReplies};
+use pollenlever::node::{InFlightCounter, PeerRequestHandler, PendingReplies};
 use pollenlever::peer::{PeerClient, PeerOptions, PeerSender, PeerServer};
 use pollenlever::ring::ring;
 use pollenlever_core::config::ServiceConfig;
@@ -13,6 +14,7 @@
     Change, GossipMessage, Member, Membership, MembershipAction, MembershipEvent,
     MembershipSettings,
 };
+use pollenlever_core::memory::ConnectionLimits;
 use pollenlever_core::message::PeerRequest;
 use pollenlever_core::policy::{Policy, TargetNotice};
 use pollenlever_core::rollout::{
@@ -74,7 +76,8 @@
         let server = PeerServer {
             local_node: simulated_member(0, port).node,
             max_body_bytes: MAX_BODY_BYTES,
-            body_memory: BodyMemory::default(),
+            memory: MessageMemory::default(),
+            connections: ConnectionLimiter::new("peers", ConnectionLimits::default()),
             in_flight_work: InFlightCounter::default(),
             versions: Arc::default(),
             handler: Arc::new(PeerRequestHandler {
--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -1,5 +1,6 @@
 //! Node daemon and operator tool of Pollenlever, an overload control layer for service call graphs.
 
+pub mod bounds;
 pub mod cli;
 pub mod control;
 pub mod entry;
--- a/crates/pollenlever/src/mesh/control_server.rs
+++ b/crates/pollenlever/src/mesh/control_server.rs
@@ -11,8 +11,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::bounds::{ConnectionLimiter, ConnectionSlot};
+
 /// Largest body of a control request, in bytes.
 const MAX_BODY_BYTES: usize = 64 << 10;
+/// Largest head of a control request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Delay before the next `accept` after one failed, for example because file descriptors ran out.
 pub(super) const ACCEPT_RETRY_DELAY: std::time::Duration = std::time::Duration::from_millis(100);
 
@@ -40,11 +44,18 @@
 pub type SharedControlHandler = Arc<dyn ControlHandler>;
 
 /// Accepts connections for as long as the node runs.
-pub(super) async fn serve_control(listener: TcpListener, handler: SharedControlHandler) {
+pub(super) async fn serve_control(
+    listener: TcpListener,
+    handler: SharedControlHandler,
+    connections: ConnectionLimiter,
+) {
     loop {
         match listener.accept().await {
             Ok((io, _)) => {
-                tokio::spawn(serve_connection(io, Arc::clone(&handler)));
+                // A connection for which there is no room is closed.
+                if let Some(slot) = connections.open() {
+                    tokio::spawn(serve_bounded(io, Arc::clone(&handler), Arc::new(slot)));
+                }
             }
             Err(err) => {
                 log::error!("accept failed reason={:?}", err.to_string());
@@ -54,9 +65,23 @@
     }
 }
 
-async fn serve_connection(io: TcpStream, handler: SharedControlHandler) {
-    let service = service_fn(|req| answer(req, Arc::clone(&handler)));
-    if let Err(err) = http1::Builder::new().serve_connection(TokioIo::new(io), service).await {
+/// Serves a connection until it ends, or is closed to make room.
+async fn serve_bounded(io: TcpStream, handler: SharedControlHandler, slot: Arc<ConnectionSlot>) {
+    tokio::select! {
+        () = serve_connection(io, handler, &slot) => {}
+        () = slot.wait_until_closed() => {}
+    }
+}
+
+async fn serve_connection(
+    io: TcpStream,
+    handler: SharedControlHandler,
+    slot: &Arc<ConnectionSlot>,
+) {
+    let service = service_fn(|req| answer(req, Arc::clone(&handler), Arc::clone(slot)));
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    if let Err(err) = builder.serve_connection(TokioIo::new(io), service).await {
         log::debug!("control connection ended reason={:?}", err.to_string());
     }
 }
@@ -64,9 +89,14 @@
 async fn answer(
     req: Request<Incoming>,
     handler: SharedControlHandler,
+    slot: Arc<ConnectionSlot>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (parts, body) = req.into_parts();
-    let answer = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+    slot.set_receiving(true);
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    slot.set_receiving(false);
+    let _running = slot.start_request();
+    let answer = match body {
         Ok(body) => handler.handle(parts.method.as_str(), parts.uri.path(), &body.to_bytes()).await,
         Err(err) => {
             log::warn!("control request refused reason={:?}", err.to_string());
--- a/crates/pollenlever/src/mesh/edge_connection.rs
+++ b/crates/pollenlever/src/mesh/edge_connection.rs
@@ -9,16 +9,25 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout};
 
-use super::MeshShared;
+use super::caller_request::CallerRequest;
 use super::pipeline::Pipeline;
 use super::pipelined_answer::{PipelinedAnswer, max_buf_bytes};
 use super::request_frame::{BodyFrame, RequestFrame};
 use super::stop_phase::StopPhase;
+use super::{MeshShared, hangup_io};
+use crate::bounds::ConnectionSlot;
 
 /// Most requests of one connection that are processed at the same time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
 /// Most bytes buffered beyond the requests that are being processed.
 const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+/// What a connection takes besides its buffer, in bytes: its tasks and their state.
+const CONNECTION_BYTES: usize = 8 << 10;
+/// What a request takes that is not answered, in bytes: the buffers and the task of its HTTP server.
+const REQUEST_BYTES: usize = 32 << 10;
+/// Copies of a head that the HTTP server makes before it refuses it: what is sent to it, and its buffer,
+/// which it doubles as it grows.
+const INVALID_HEAD_COPIES: usize = 3;
 /// Time added to the configured timeouts for idle connections and slow request heads, so that a
 /// caller that stays just within them does not have its connection closed.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
@@ -26,6 +35,9 @@
 /// and the caller could lose answers that are on their way.
 pub(super) const MAX_LINGER: Duration = Duration::from_secs(1);
 
+/// Buffer for what a closed connection still sends, in bytes.
+const LINGER_BUFFER_BYTES: usize = 4 << 10;
+
 /// How serving a connection ended.
 pub(super) enum ConnectionEnd {
     /// The caller or the node closed the connection.
@@ -52,6 +64,7 @@
 /// requests.
 pub(super) struct EdgeConnection {
     shared: Arc<MeshShared>,
+    slot: Arc<ConnectionSlot>,
     io: OwnedReadHalf,
     buf: BytesMut,
     pipeline: Pipeline,
@@ -63,12 +76,17 @@
 
 impl EdgeConnection {
     /// Serves a connection until it ends or a request with a chunked body arrives.
-    pub(super) async fn serve(shared: Arc<MeshShared>, io: TcpStream) -> ConnectionEnd {
+    pub(super) async fn serve(
+        shared: Arc<MeshShared>,
+        io: TcpStream,
+        slot: Arc<ConnectionSlot>,
+    ) -> ConnectionEnd {
         let (io, mut out) = io.into_split();
         let (answers, queue) = mpsc::channel(MAX_PIPELINED_REQUESTS);
         let pipeline = Pipeline::default();
         let mut connection = EdgeConnection {
             shared,
+            slot: Arc::clone(&slot),
             io,
             buf: BytesMut::new(),
             pipeline: pipeline.clone(),
@@ -77,7 +95,7 @@
             waiting_since: Instant::now(),
         };
         let end = {
-            let writer = write_answers(queue, &mut out, &pipeline);
+            let writer = write_answers(queue, &mut out, &pipeline, &slot);
             tokio::pin!(writer);
             tokio::select! {
                 end = connection.read_requests() => end,
@@ -97,6 +115,8 @@
     /// Ends the answers, and drops what the caller still sends until it closes the connection.
     async fn linger(mut self, mut out: OwnedWriteHalf) {
         self.tasks.shutdown().await;
+        self.buf = BytesMut::with_capacity(LINGER_BUFFER_BYTES);
+        self.has_room(0);
         if let Err(err) = out.shutdown().await {
             log::debug!("connection of a caller not shut down reason={:?}", err.to_string());
             return;
@@ -134,6 +154,12 @@
                 self.pipeline.close_after_last();
             }
             let is_idle = self.pipeline.unanswered_count() == 0;
+            if !self.has_room(0) {
+                return ReadEnd::HungUp;
+            }
+            if is_idle {
+                self.slot.set_receiving(!self.buf.is_empty());
+            }
             let is_unused = phase >= StopPhase::Stopped && self.buf.is_empty();
             if is_idle && (self.pipeline.is_closing() || is_unused) {
                 return ReadEnd::Close;
@@ -144,8 +170,11 @@
                     match read {
                         Ok(0) | Err(_) => return ReadEnd::HungUp,
                         // The first bytes of a request head.
-                        Ok(len) if len == self.buf.len() => self.waiting_since = Instant::now(),
-                        Ok(_) => {}
+                        Ok(len) if len == self.buf.len() => {
+                            self.waiting_since = Instant::now();
+                            self.slot.record_progress(len);
+                        }
+                        Ok(len) => self.slot.record_progress(len),
                     }
                 }
                 () = self.pipeline.wait_for_next_answer() => self.waiting_since = Instant::now(),
@@ -179,8 +208,14 @@
                     return None;
                 }
                 RequestFrame::Complete { body: BodyFrame::Chunked, .. } => {
+                    if !self.has_room(chunked_bytes(&self.shared)) {
+                        return Some(self.refuse(PipelinedAnswer::no_room()).await);
+                    }
                     return Some(ReadEnd::Chunked);
                 }
+                RequestFrame::Complete { .. } if !self.has_room(REQUEST_BYTES) => {
+                    return Some(self.refuse(PipelinedAnswer::no_room()).await);
+                }
                 RequestFrame::Complete { head_len, body: BodyFrame::Length(len) } => {
                     // A body over the limit is not read.
                     let is_last = len > self.shared.client_limits().max_body_bytes as u64;
@@ -189,10 +224,12 @@
                     }
                 }
                 RequestFrame::Ambiguous => {
-                    if self.pipeline.add_last_request().is_some() {
-                        self.queue_answer(PipelinedAnswer::ambiguous()).await;
-                    }
-                    return Some(ReadEnd::Close);
+                    return Some(self.refuse(PipelinedAnswer::ambiguous()).await);
+                }
+                RequestFrame::Invalid | RequestFrame::Partial
+                    if !self.has_room(REQUEST_BYTES + INVALID_HEAD_COPIES * self.buf.len()) =>
+                {
+                    return Some(self.refuse(PipelinedAnswer::no_room()).await);
                 }
                 // The HTTP server answers with the specific error.
                 RequestFrame::Invalid | RequestFrame::Partial => {
@@ -204,6 +241,20 @@
         None
     }
 
+    /// Answers a request that is not read. The connection closes after it.
+    async fn refuse(&mut self, answer: PipelinedAnswer) -> ReadEnd {
+        if self.pipeline.add_last_request().is_some() {
+            self.queue_answer(answer).await;
+        }
+        ReadEnd::Close
+    }
+
+    /// Whether there is room for the connection as it is, and for `more` bytes.
+    fn has_room(&self, more: usize) -> bool {
+        let requests = self.pipeline.unanswered_count() as usize * REQUEST_BYTES;
+        self.slot.set_buffers(CONNECTION_BYTES + self.buf.capacity() + requests + more)
+    }
+
     /// Starts a request and forwards its body, unless it is the `is_last` one whose answer closes the
     /// connection in any case. Returns whether the caller is still connected.
     async fn start_request(&mut self, head_len: usize, body_len: u64, is_last: bool) -> bool {
@@ -212,7 +263,8 @@
         // An answer that has begun meanwhile closes the connection.
         let Some(position) = position else { return true };
         let head = self.buf.split_to(head_len);
-        let started = PipelinedAnswer::start(&self.shared, &head, position, &mut self.tasks).await;
+        let caller = CallerRequest { position, slot: Arc::clone(&self.slot) };
+        let started = PipelinedAnswer::start(&self.shared, &head, caller, &mut self.tasks).await;
         let (answer, request) = started;
         self.queue_answer(answer).await;
         let is_connected = is_last || self.forward_body(body_len, request).await;
@@ -268,14 +320,21 @@
     }
 }
 
+/// What a connection with a chunked body takes for the buffers of its HTTP server, in bytes.
+fn chunked_bytes(shared: &MeshShared) -> usize {
+    // The server doubles its buffer as it grows.
+    2 * max_buf_bytes(shared) + hangup_io::MAX_READ_AHEAD_BYTES
+}
+
 /// Writes answers in request order until one closes the connection.
 async fn write_answers(
     mut queue: mpsc::Receiver<PipelinedAnswer>,
     out: &mut OwnedWriteHalf,
     pipeline: &Pipeline,
+    slot: &ConnectionSlot,
 ) -> ReadEnd {
     while let Some(answer) = queue.recv().await {
-        match answer.write_to(out).await {
+        match answer.write_to(out, slot).await {
             Ok(true) => pipeline.record_answered(),
             Ok(false) => return ReadEnd::Close,
             Err(err) => {
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -12,12 +12,14 @@
 use tokio::time::timeout;
 
 use super::MeshShared;
+use super::caller_request::CallerRequest;
 use super::control_server::ACCEPT_RETRY_DELAY;
 use super::edge_connection::{ConnectionEnd, EdgeConnection, MAX_LINGER};
 use super::hangup_io::HangupIo;
 use super::pipeline::PipelinePosition;
 use super::pipelined_answer::{answer, max_buf_bytes};
 use super::stop_phase::StopPhase;
+use crate::bounds::ConnectionSlot;
 
 /// Time added to the configured idle timeout, so that a caller that stays just within it does not
 /// have its connection closed.
@@ -41,7 +43,10 @@
             };
             match accepted {
                 Ok((io, _)) => {
-                    tokio::spawn(Arc::clone(&self).serve_connection(io));
+                    // A connection for which there is no room is closed.
+                    if let Some(slot) = self.shared.callers.open() {
+                        tokio::spawn(Arc::clone(&self).serve_bounded(io, Arc::new(slot)));
+                    }
                 }
                 Err(err) => {
                     log::error!("accept failed reason={:?}", err.to_string());
@@ -51,27 +56,39 @@
         }
     }
 
-    async fn serve_connection(self: Arc<EdgeServer>, io: TcpStream) {
+    /// Serves a connection until it ends, or is closed to make room.
+    async fn serve_bounded(self: Arc<EdgeServer>, io: TcpStream, slot: Arc<ConnectionSlot>) {
+        tokio::select! {
+            () = self.serve_connection(io, Arc::clone(&slot)) => {}
+            () = slot.wait_until_closed() => {}
+        }
+    }
+
+    async fn serve_connection(&self, io: TcpStream, slot: Arc<ConnectionSlot>) {
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
         let _open = self.shared.open_connections.start();
-        match EdgeConnection::serve(Arc::clone(&self.shared), io).await {
+        match EdgeConnection::serve(Arc::clone(&self.shared), io, Arc::clone(&slot)).await {
             ConnectionEnd::Closed => {}
-            ConnectionEnd::Chunked(io, read_ahead) => self.serve_chunked(io, read_ahead).await,
+            ConnectionEnd::Chunked(io, read_ahead) => {
+                self.serve_chunked(io, read_ahead, slot).await;
+            }
         }
     }
 
     /// Serves a connection with chunked request bodies, one request after another.
-    async fn serve_chunked(&self, io: TcpStream, read_ahead: BytesMut) {
-        let io = HangupIo::new(io, read_ahead);
+    async fn serve_chunked(&self, io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) {
+        let io = HangupIo::new(io, read_ahead, Arc::clone(&slot));
         let in_flight = Arc::new(AtomicUsize::new(0));
         let service = service_fn(|req| {
             let shared = Arc::clone(&self.shared);
             let guard = RequestGuard::new(&in_flight);
+            let slot = Arc::clone(&slot);
             async move {
                 let _guard = guard;
-                Ok::<_, Infallible>(answer(shared, PipelinePosition::alone(), req).await)
+                let caller = CallerRequest { position: PipelinePosition::alone(), slot };
+                Ok::<_, Infallible>(answer(shared, caller, req).await)
             }
         });
         let mut builder = http1::Builder::new();
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -21,6 +21,7 @@
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
 use super::target_client::TargetClient;
+use crate::bounds::MessageMemory;
 use crate::node::Clock;
 
 /// Admits requests to the target, the server process beside this node, and runs them there.
@@ -47,11 +48,12 @@
         clock: Clock,
         metrics: MeshMetrics,
         downstream: Arc<Downstream>,
+        memory: MessageMemory,
     ) -> Gate {
         let shared = Arc::new(GateShared::new(clock, Arc::clone(&downstream)));
         Gate {
             clock,
-            client: TargetClient::new(target, names),
+            client: TargetClient::new(target, names, memory),
             log: RequestLog::default(),
             metrics,
             crash_recorded: Notify::new(),
--- a/crates/pollenlever/src/mesh/hangup_io.rs
+++ b/crates/pollenlever/src/mesh/hangup_io.rs
@@ -8,8 +8,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::bounds::ConnectionSlot;
+
 /// Most bytes buffered that the server has not read yet.
-const MAX_READ_AHEAD_BYTES: usize = 64 << 10;
+pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 /// Largest number of bytes taken by one read.
 const READ_BYTES: usize = 4 << 10;
 
@@ -28,12 +30,13 @@
     read_ahead: BytesMut,
     is_closed: bool,
     last_read: Instant,
+    slot: Arc<ConnectionSlot>,
 }
 
 impl HangupIo {
-    /// Wraps a socket; `read_ahead` holds the bytes already read from it.
-    pub(super) fn new(io: TcpStream, read_ahead: BytesMut) -> HangupIo {
-        let state = State { io, read_ahead, is_closed: false, last_read: Instant::now() };
+    /// Wraps the socket of the connection of `slot`; `read_ahead` holds the bytes already read from it.
+    pub(super) fn new(io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) -> HangupIo {
+        let state = State { io, read_ahead, is_closed: false, last_read: Instant::now(), slot };
         HangupIo { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -77,6 +80,13 @@
         }
         Poll::Ready(())
     }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        self.slot.set_sending(written.is_pending());
+        if let Poll::Ready(Ok(len)) = written {
+            self.slot.record_progress(*len);
+        }
+    }
 }
 
 impl AsyncRead for HangupIo {
@@ -102,7 +112,10 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.lock().io).poll_write(cx, buf)
+        let mut state = self.lock();
+        let written = Pin::new(&mut state.io).poll_write(cx, buf);
+        state.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -110,7 +123,10 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.lock().io).poll_write_vectored(cx, bufs)
+        let mut state = self.lock();
+        let written = Pin::new(&mut state.io).poll_write_vectored(cx, bufs);
+        state.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -41,6 +41,7 @@
     QuotaHomeLost,
     RequestEnded,
     CallerHungUp,
+    ConnectionClosed,
     AttemptRepeated,
     AttemptLost,
     AttemptSealed,
@@ -54,7 +55,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 46] = [
+    pub const ALL: [LogEvent; 47] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -92,6 +93,7 @@
         LogEvent::QuotaHomeLost,
         LogEvent::RequestEnded,
         LogEvent::CallerHungUp,
+        LogEvent::ConnectionClosed,
         LogEvent::AttemptRepeated,
         LogEvent::AttemptLost,
         LogEvent::AttemptSealed,
@@ -148,6 +150,7 @@
             LogEvent::QuotaHomeLost => "quota-home-lost",
             LogEvent::RequestEnded => "request-ended",
             LogEvent::CallerHungUp => "caller-hung-up",
+            LogEvent::ConnectionClosed => "connection-closed",
             LogEvent::AttemptRepeated => "attempt-repeated",
             LogEvent::AttemptLost => "attempt-lost",
             LogEvent::AttemptSealed => "attempt-sealed",
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
 
+use pollenlever_core::memory::MessageKind;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -11,6 +12,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::{ControlAnswer, ControlFuture, ControlHandler, MeshShared, SharedControlHandler};
+use crate::bounds::BoundsMetrics;
 use crate::quota::QuotaMetrics;
 use crate::tool::output::to_json;
 
@@ -68,6 +70,7 @@
     unknown_keys: Counter,
     store_calls: Family<OutcomeLabels, Counter>,
     pub(super) quota: QuotaMetrics,
+    pub(super) bounds: BoundsMetrics,
     gauges: Gauges,
 }
 
@@ -93,6 +96,8 @@
     suspects: IntGauge,
     open_requests: IntGauge,
     open_connections: IntGauge,
+    held_body_bytes: IntGauge,
+    held_answer_bytes: IntGauge,
 }
 
 impl Gauges {
@@ -135,6 +140,10 @@
         registry.register("suspects", help, it.suspects);
         registry.register("open_requests", "Requests that are not answered", it.open_requests);
         registry.register("caller_connections", "Open connections", it.open_connections);
+        let help = "Memory held for bodies of requests, in bytes";
+        registry.register("held_body_bytes", help, it.held_body_bytes);
+        let help = "Memory held for bodies of answers, in bytes";
+        registry.register("held_answer_bytes", help, it.held_answer_bytes);
     }
 }
 
@@ -172,6 +181,7 @@
             unknown_keys: Counter::default(),
             store_calls: Family::default(),
             quota: QuotaMetrics::default(),
+            bounds: BoundsMetrics::default(),
             gauges: Gauges::default(),
             registry: Arc::default(),
         };
@@ -193,6 +203,7 @@
         registry.register("unknown_keys", help, it.unknown_keys.clone());
         registry.register("store_calls", "Calls to the store by result", it.store_calls.clone());
         it.quota.register(&mut registry);
+        it.bounds.register(&mut registry);
         it.gauges.register(&mut registry);
         MeshMetrics { registry: Arc::new(registry), ..metrics }
     }
@@ -278,6 +289,8 @@
         it.suspects.set(shared.blocked_request_count() as i64);
         it.open_requests.set(shared.in_flight_work.count() as i64);
         it.open_connections.set(shared.open_connection_count() as i64);
+        it.held_body_bytes.set(shared.memory.held_bytes(MessageKind::Body) as i64);
+        it.held_answer_bytes.set(shared.memory.held_bytes(MessageKind::Answer) as i64);
         shared.quota.update_metrics();
         let mut buf = String::new();
         encode(&mut buf, &self.registry).expect("writing to a string does not fail");
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -16,6 +16,7 @@
 use super::mesh_metrics::MetricsHandler;
 use super::route_watch::RouteWatch;
 use super::{MeshShared, SharedMeshPlatform};
+use crate::bounds::ProcessBounds;
 use crate::gossip::{GossipDriver, SeedPublisher};
 use crate::node::NodeStartError;
 use crate::peer::{PeerClient, PeerOptions, PeerServer};
@@ -67,23 +68,29 @@
         };
         let options = PeerOptions { local_ip: Some(cfg.peer.ip()), max_body_bytes: MAX_BODY_BYTES };
         let peers = PeerClient::new(me, options, Handle::current());
-        let shared = Arc::new(MeshShared::new(cfg, own, platform.headers(), peers));
+        let limits = cfg.process_limits().or(platform.process_limits());
+        let bounds = ProcessBounds::of_process(limits);
+        let shared = Arc::new(MeshShared::new(cfg, own, platform.headers(), peers, bounds));
         let peer_server = PeerServer {
             local_node: me,
             max_body_bytes: MAX_BODY_BYTES,
-            body_memory: shared.body_memory.clone(),
+            memory: shared.memory.clone(),
+            connections: shared.limiter("peers", shared.bounds.peers()),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(shared.peers.versions()),
             handler: Arc::new(MeshHandler { shared: Arc::clone(&shared) }),
         };
         tokio::spawn(Arc::new(peer_server).serve(bind(cfg.peer).await?));
         let control = platform.control(Arc::clone(&shared));
-        for addr in [cfg.readiness_address, cfg.control_address] {
-            tokio::spawn(serve_control(bind(addr).await?, Arc::clone(&control)));
+        let addresses = [("ready", cfg.readiness_address), ("control", cfg.control_address)];
+        for (name, addr) in addresses {
+            let connections = shared.limiter(name, shared.bounds.control());
+            tokio::spawn(serve_control(bind(addr).await?, Arc::clone(&control), connections));
         }
         if let Some(addr) = cfg.metrics_address {
             let handler = MetricsHandler::handler(Arc::clone(&shared));
-            tokio::spawn(serve_control(bind(addr).await?, handler));
+            let connections = shared.limiter("metrics", shared.bounds.control());
+            tokio::spawn(serve_control(bind(addr).await?, handler, connections));
         }
         let edge = Arc::new(EdgeServer { shared: Arc::clone(&shared) });
         tokio::spawn(edge.serve(bind(cfg.callers_address).await?));
@@ -171,6 +178,8 @@
     tokio::spawn(departures.run());
     tokio::spawn(delete_orphaned_departures(Arc::clone(shared), platform.store()));
     tokio::spawn(Arc::clone(&shared.gate).serve_queue());
+    let gate = Arc::clone(&shared.gate);
+    tokio::spawn(async move { gate.client.close_expired_connections().await });
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
--- a/crates/pollenlever/src/mesh/mesh_platform.rs
+++ b/crates/pollenlever/src/mesh/mesh_platform.rs
@@ -5,6 +5,7 @@
 use thiserror::Error;
 
 use super::{HeaderNames, MeshShared, SharedControlHandler};
+use crate::bounds::ProcessLimits;
 use crate::store::SharedObjectApi;
 
 /// Routes that cannot be parsed; the routes in force stay.
@@ -30,6 +31,11 @@
     /// [`RouteError`] that says what is wrong with the value.
     fn routes(&self, value: &Value) -> Result<RouteTable, RouteError>;
 
+    /// What the platform allows the process; the settings go before it.
+    fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits::default()
+    }
+
     /// Returns the handler for control requests of the target and the platform.
     fn control(&self, node: Arc<MeshShared>) -> SharedControlHandler;
 }
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -7,6 +7,7 @@
 use pollenlever_core::config::ServiceConfig;
 use pollenlever_core::id::{ChainId, NodeId, RegionName, ServiceName, WorkspaceName};
 use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
+use pollenlever_core::memory::ConnectionLimits;
 use pollenlever_core::mesh::{
     CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteFreshness,
     RouteTable, RouteVersion, WATCHERS_PER_REGION, WeightedSplit,
@@ -24,8 +25,9 @@
 use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
 use super::stop_phase::StopPhase;
+use crate::bounds::{ConnectionLimiter, MessageMemory, ProcessBounds};
 use crate::gossip::{SharedMachine, SharedMembership};
-use crate::node::{BodyMemory, Clock, InFlightCounter};
+use crate::node::{Clock, InFlightCounter};
 use crate::peer::PeerClient;
 use crate::quota::Quota;
 use crate::settings::MeshSettings;
@@ -58,8 +60,12 @@
     pub(super) peers: PeerClient,
     /// Counts requests that are not answered yet.
     pub(super) in_flight_work: InFlightCounter,
-    /// Memory for the bodies of requests.
-    pub(super) body_memory: BodyMemory,
+    /// Memory for the bodies of requests and answers.
+    pub(super) memory: MessageMemory,
+    /// Limits the connections of callers.
+    pub(super) callers: ConnectionLimiter,
+    /// What the process may take in all.
+    pub(super) bounds: ProcessBounds,
     /// Counts open connections of callers.
     pub(super) open_connections: InFlightCounter,
     /// Limits log lines about single requests.
@@ -114,6 +120,7 @@
         own: Member,
         names: HeaderNames,
         peers: PeerClient,
+        bounds: ProcessBounds,
     ) -> MeshShared {
         let clock = Clock::default();
         let metrics = MeshMetrics::new();
@@ -140,8 +147,22 @@
             ..MembershipSettings::default()
         };
         let membership = Membership::new(membership, own, me.incarnation);
-        let gate =
-            Gate::new(cfg.target, names.clone(), clock, metrics.clone(), Arc::clone(&downstream));
+        let callers =
+            ConnectionLimiter::with_metrics("callers", bounds.callers(), metrics.bounds.clone());
+        let memory = MessageMemory::with_callers(
+            bounds.memory(),
+            Some(callers.clone()),
+            metrics.bounds.clone(),
+        );
+        let peers = peers.with_memory(memory.clone());
+        let gate = Gate::new(
+            cfg.target,
+            names.clone(),
+            clock,
+            metrics.clone(),
+            Arc::clone(&downstream),
+            memory.clone(),
+        );
         let quota = Quota::new(me, clock, peers.clone(), metrics.quota.clone());
         gate.set_start_pace(cfg.has_start_pace);
         MeshShared {
@@ -154,7 +175,9 @@
             clock,
             peers,
             in_flight_work: InFlightCounter::default(),
-            body_memory: BodyMemory::new(cfg.memory_bytes),
+            memory,
+            callers,
+            bounds,
             open_connections: InFlightCounter::default(),
             request_log: RequestLog::default(),
             metrics,
@@ -378,6 +401,15 @@
         *self.stop_phase.borrow() >= StopPhase::Stopped
     }
 
+    /// Creates the limiter of the connections of a listening address.
+    pub(super) fn limiter(
+        &self,
+        address: &'static str,
+        limits: ConnectionLimits,
+    ) -> ConnectionLimiter {
+        ConnectionLimiter::with_metrics(address, limits, self.metrics.bounds.clone())
+    }
+
     /// Number of open connections of callers.
     pub fn open_connection_count(&self) -> usize {
         self.open_connections.count()
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -7,6 +7,7 @@
 mod answer_statement;
 mod attempt_exchange;
 mod attempt_seal;
+mod caller_request;
 mod control_server;
 mod departure_object;
 mod departure_records;
--- a/crates/pollenlever/src/mesh/pipelined_answer.rs
+++ b/crates/pollenlever/src/mesh/pipelined_answer.rs
@@ -12,9 +12,10 @@
 use tokio::task::JoinSet;
 
 use super::MeshShared;
+use super::caller_request::CallerRequest;
 use super::edge_answer::EdgeResponse;
-use super::pipeline::PipelinePosition;
 use super::request_dispatcher::RequestDispatcher;
+use crate::bounds::ConnectionSlot;
 
 /// Buffer between a request's HTTP server and its connection, in bytes.
 const DUPLEX_BYTES: usize = 16 << 10;
@@ -26,6 +27,13 @@
 /// places.
 const AMBIGUOUS_ANSWER: &[u8] =
     b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+/// Answer to a request for which the node has no memory, as [`ErrorKind::QueueFull`] has it. Nothing of
+/// the request is read.
+///
+/// [`ErrorKind::QueueFull`]: pollenlever_core::answer::ErrorKind::QueueFull
+const NO_ROOM_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\n\
+    pollenlever-outcome: not-run\r\npollenlever-error: queue-full\r\nretry-after: 0.500\r\n\
+    content-length: 0\r\n\r\n";
 
 /// The answer to one request of a connection, read while it is produced.
 pub(super) struct PipelinedAnswer {
@@ -38,12 +46,12 @@
     pub(super) async fn start(
         shared: &Arc<MeshShared>,
         head: &[u8],
-        position: PipelinePosition,
+        caller: CallerRequest,
         tasks: &mut JoinSet<()>,
     ) -> (PipelinedAnswer, WriteHalf<DuplexStream>) {
         let (server, ours) = tokio::io::duplex(DUPLEX_BYTES.max(head.len()));
         let (bytes, mut request) = tokio::io::split(ours);
-        tasks.spawn(serve_one(Arc::clone(shared), server, position));
+        tasks.spawn(serve_one(Arc::clone(shared), server, caller));
         if let Err(err) = request.write_all(head).await {
             log::debug!("request head not accepted reason={:?}", err.to_string());
         }
@@ -55,8 +63,17 @@
         PipelinedAnswer { bytes: Box::new(AMBIGUOUS_ANSWER) }
     }
 
-    /// Writes the answer to `io`. Returns whether there was one.
-    pub(super) async fn write_to(mut self, io: &mut (impl AsyncWrite + Unpin)) -> io::Result<bool> {
+    /// Refuses a request for which the node has no memory.
+    pub(super) fn no_room() -> PipelinedAnswer {
+        PipelinedAnswer { bytes: Box::new(NO_ROOM_ANSWER) }
+    }
+
+    /// Writes the answer to `io`, the connection of `slot`. Returns whether there was one.
+    pub(super) async fn write_to(
+        mut self,
+        io: &mut (impl AsyncWrite + Unpin),
+        slot: &ConnectionSlot,
+    ) -> io::Result<bool> {
         let mut buf = vec![0; COPY_BYTES];
         let mut is_empty = true;
         loop {
@@ -65,23 +82,27 @@
                 return Ok(!is_empty);
             }
             is_empty = false;
-            io.write_all(&buf[..len]).await?;
+            slot.set_sending(true);
+            let written = io.write_all(&buf[..len]).await;
+            slot.set_sending(false);
+            slot.record_progress(len);
+            written?;
         }
     }
 }
 
 /// Serves the single request of a stream; the writer closes the stream after the request.
-async fn serve_one(shared: Arc<MeshShared>, io: DuplexStream, position: PipelinePosition) {
+async fn serve_one(shared: Arc<MeshShared>, io: DuplexStream, caller: CallerRequest) {
     let max_buf = max_buf_bytes(&shared);
     let service = service_fn(|req| {
-        let (shared, position) = (Arc::clone(&shared), position.clone());
-        async move { Ok::<_, Infallible>(answer(shared, position, req).await) }
+        let (shared, caller) = (Arc::clone(&shared), caller.clone());
+        async move { Ok::<_, Infallible>(answer(shared, caller, req).await) }
     });
     let mut builder = http1::Builder::new();
     builder.half_close(true).max_buf_size(max_buf);
     if let Err(err) = builder.serve_connection(TokioIo::new(io), service).await {
         log::debug!("request of a caller not answered reason={:?}", err.to_string());
-        position.close();
+        caller.position.close();
     }
 }
 
@@ -93,15 +114,15 @@
 /// Answers a request and sets `Connection: close` if the connection closes after it.
 pub(super) async fn answer(
     shared: Arc<MeshShared>,
-    position: PipelinePosition,
+    caller: CallerRequest,
     req: Request<Incoming>,
 ) -> EdgeResponse {
     let asks_to_close = req.version() != Version::HTTP_11 || has_connection_close(req.headers());
-    let mut response = RequestDispatcher::new(Arc::clone(&shared)).answer(req, &position).await;
+    let mut response = RequestDispatcher::new(Arc::clone(&shared)).answer(req, &caller).await;
     if asks_to_close {
-        position.close();
+        caller.position.close();
     }
-    if position.begin_answer(shared.is_leaving()) {
+    if caller.position.begin_answer(shared.is_leaving()) {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/pollenlever/src/mesh/request_dispatcher.rs
+++ b/crates/pollenlever/src/mesh/request_dispatcher.rs
@@ -9,12 +9,12 @@
 use pollenlever_core::message::GateLoad;
 use pollenlever_core::routing::RouteRequest;
 
+use super::caller_request::CallerRequest;
 use super::edge_answer::{EdgeResponse, error_answer, target_answer};
 use super::gate_calls::EndedCall;
 use super::log_event::{LogEvent, log_event};
 use super::mesh_shared::MeshShared;
 use super::pending_request::PendingRequest;
-use super::pipeline::PipelinePosition;
 use super::request_result::{RequestResult, final_result, record_answer};
 use super::routed_request::RoutedRequest;
 use super::stop_phase::StopPhase;
@@ -33,26 +33,27 @@
         RequestDispatcher { shared }
     }
 
-    /// Answers a request that has the given `position` on its connection. Dropping the future, as
+    /// Answers a request of `caller`. Dropping the future, as
     /// happens when the caller hangs up, cancels the work.
     pub(super) async fn answer(
         &self,
         req: Request<Incoming>,
-        position: &PipelinePosition,
+        caller: &CallerRequest,
     ) -> EdgeResponse {
         let _open = self.shared.in_flight_work.start();
-        match RoutedRequest::read(&self.shared, req).await {
+        let _running = caller.slot.start_request();
+        match RoutedRequest::read(&self.shared, req, &caller.slot).await {
             Ok(req) => {
-                if !req.route.is_idempotent && !position.wait_for_earlier_answers().await {
+                if !req.route.is_idempotent && !caller.position.wait_for_earlier_answers().await {
                     return error_answer(ErrorKind::Leaving, None);
                 }
-                self.deliver(req).await
+                self.deliver(req, caller).await
             }
             Err(kind) => error_answer(kind, None),
         }
     }
 
-    async fn deliver(&self, req: RoutedRequest) -> EdgeResponse {
+    async fn deliver(&self, req: RoutedRequest, caller: &CallerRequest) -> EdgeResponse {
         let left = req.deadline.saturating_sub(self.shared.clock.now());
         let mut delivery =
             Delivery::new(req.route.is_idempotent, req.route.max_attempts, req.is_urgent());
@@ -73,7 +74,8 @@
                 let downstream_calls = f64::from(answer.load.calls_per_100_runs) / 100.0;
                 self.record_call(&req, downstream_calls, answer.failed_downstream);
                 pending.record_answer(answer.status, &delivery);
-                target_answer(answer.status, &answer.headers, answer.body)
+                let body = caller.slot.hold_body(answer.body);
+                target_answer(answer.status, &answer.headers, body)
             }
             RequestResult::Error(kind, retry_after) => {
                 self.record_call(&req, 0.0, is_overload(kind));
--- a/crates/pollenlever/src/mesh/routed_request.rs
+++ b/crates/pollenlever/src/mesh/routed_request.rs
@@ -1,3 +1,4 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,10 +12,11 @@
 };
 
 use super::log_event::{LogEvent, log_event};
-use super::request_body::read_request_body;
+use super::request_body::BodyReader;
 use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
 use super::{MeshShared, forwarded_headers};
+use crate::bounds::ConnectionSlot;
 
 /// A request waits at a gate for at most the latency objective of its route divided by this.
 const MAX_WAIT_LATENCY_DIVISOR: u32 = 8;
@@ -48,7 +50,7 @@
 }
 
 impl RoutedRequest {
-    /// Reads a request with its body and finds its route.
+    /// Reads a request with its body and finds its route. `slot` is the connection of the caller.
     ///
     /// # Errors
     ///
@@ -56,6 +58,7 @@
     pub(super) async fn read(
         shared: &MeshShared,
         req: Request<Incoming>,
+        slot: &Arc<ConnectionSlot>,
     ) -> Result<RoutedRequest, ErrorKind> {
         let arrived = shared.clock.now();
         let routes = shared.routes_in_force().ok_or(ErrorKind::NoConfiguration)?;
@@ -74,8 +77,13 @@
         let service = shared.choose_service(&route).ok_or(ErrorKind::NoTarget)?;
         let (lineage, workspace) = shared.lineage(&id, &route, expires, &sender);
         let max_wait = time_budget.min(route.timeout);
-        let limit = table.limits.max_body_bytes;
-        let body = read_request_body(&shared.body_memory, body, limit, max_wait).await?;
+        let reader = BodyReader {
+            memory: &shared.memory,
+            slot,
+            max_bytes: table.limits.max_body_bytes,
+            max_time: max_wait,
+        };
+        let body = reader.read(body).await?;
         let deadline = arrived + max_wait;
         let deadline = deadline.min(shared.latest_deadline());
         Ok(RoutedRequest {
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use pollenlever_core::mesh::{AnswerBuffer, InstanceId, MeshAttempt};
+use pollenlever_core::mesh::{InstanceId, MeshAttempt};
 
 use super::answer_body::BodyError;
 use super::answer_statement::AnswerStatement;
@@ -18,6 +18,7 @@
 use super::target_result::TargetResult;
 use super::target_run::TargetRun;
 use super::{HeaderNames, forwarded_headers};
+use crate::bounds::MessageMemory;
 use crate::node::InFlightCounter;
 
 /// Most idle connections that are kept open.
@@ -25,6 +26,8 @@
 /// Longest idle time of a connection on which a non-idempotent request is sent: if the target is
 /// just closing the connection, the outcome would be unknown.
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_secs(1);
+/// Interval at which idle connections are closed that are no longer used.
+const EXPIRY_CHECK_INTERVAL: Duration = Duration::from_secs(5);
 /// Connections that are tried if the target closes them before the request is sent.
 const MAX_CONNECTION_TRIES: usize = 3;
 
@@ -35,7 +38,8 @@
     names: HeaderNames,
     idle: Mutex<Vec<TargetConnection>>,
     idle_limit: IdleLimit,
-    answers: AnswerBuffer,
+    /// Memory for the bodies of answers.
+    memory: MessageMemory,
     /// Counts open connections, in use or idle.
     open: InFlightCounter,
     /// Number of connections that the target accepts; 0 means unlimited.
@@ -51,13 +55,13 @@
 }
 
 impl TargetClient {
-    pub(super) fn new(addr: SocketAddr, names: HeaderNames) -> TargetClient {
+    pub(super) fn new(addr: SocketAddr, names: HeaderNames, memory: MessageMemory) -> TargetClient {
         TargetClient {
             addr,
             names,
             idle: Mutex::default(),
             idle_limit: IdleLimit::default(),
-            answers: AnswerBuffer::default(),
+            memory,
             open: InFlightCounter::default(),
             max_open: AtomicUsize::new(0),
         }
@@ -113,6 +117,14 @@
         self.idle_connections().clear();
     }
 
+    /// Closes idle connections that are no longer used, for as long as the node runs.
+    pub(super) async fn close_expired_connections(&self) {
+        loop {
+            tokio::time::sleep(EXPIRY_CHECK_INTERVAL).await;
+            self.idle_connections().retain(|it| it.is_reusable(Duration::MAX));
+        }
+    }
+
     /// Sets the number of connections that the target accepts; 0 means unlimited.
     pub(super) fn set_max_connections(&self, max: u32) {
         self.max_open.store(max as usize, Ordering::Relaxed);
@@ -123,7 +135,7 @@
             return Ok(connection);
         }
         self.make_room()?;
-        let opened = TargetConnection::open(self.addr, self.open.start(), &self.answers).await;
+        let opened = TargetConnection::open(self.addr, self.open.start()).await;
         opened.map_err(ConnectError::Failed)
     }
 
@@ -198,7 +210,7 @@
     ) -> TargetResult {
         let (parts, body) = response.into_parts();
         let status = parts.status.as_u16();
-        let body = match connection.read_body(body).await {
+        let body = match connection.read_body(body, &self.memory).await {
             Ok(body) => body,
             Err(err) => return TargetResult::Unknown(broken_answer(&err)),
         };
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -8,12 +8,13 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use pollenlever_core::mesh::{AnswerBuffer, AnswerBytes, RequestId};
+use pollenlever_core::mesh::{AnswerBytes, AnswerLimits, RequestId};
 use tokio::net::{TcpSocket, TcpStream};
 
 use super::answer_body::{BodyError, read_body};
+use crate::bounds::MessageMemory;
 use crate::net::{ObservedIo, ReadObserver};
 use crate::node::InFlightGuard;
 
@@ -22,6 +23,8 @@
 /// Receive buffer of a connection, in bytes. The kernel doubles it; without a size it may grow to tens
 /// of megabytes for a target that sends faster than the node reads.
 const RECV_BUFFER_BYTES: u32 = 1 << 20;
+/// Most bytes that a connection buffers, and so the longest head of an answer.
+const MAX_BUF_BYTES: usize = 64 << 10;
 /// Time for which an idle connection is kept if the target does not announce its own limit.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Time before the target's announced limit at which an idle connection is no longer used.
@@ -50,7 +53,6 @@
     pub(super) async fn open(
         addr: SocketAddr,
         open: InFlightGuard,
-        buffer: &AnswerBuffer,
     ) -> Result<TargetConnection, String> {
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, connect(addr)).await;
         let io = connect.map_err(|_| "connect timed out".to_owned())?;
@@ -58,9 +60,12 @@
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
-        let bytes = Arc::new(buffer.new_connection());
+        let bytes = Arc::new(AnswerBytes::new(AnswerLimits::default()));
         let io = ObservedIo::new(io, bytes.clone());
-        let (sender, driver) = handshake(TokioIo::new(io)).await.map_err(|err| err.to_string())?;
+        let mut builder = Builder::new();
+        builder.max_buf_size(MAX_BUF_BYTES);
+        let handshake = builder.handshake(TokioIo::new(io)).await;
+        let (sender, driver) = handshake.map_err(|err| err.to_string())?;
         tokio::spawn(async move {
             if let Err(err) = driver.await {
                 log::debug!("connection to the target ended reason={:?}", err.to_string());
@@ -112,13 +117,16 @@
     }
 
     /// Reads the body of the answer whose head [`send`](TargetConnection::send) returned.
-    pub(super) async fn read_body(&self, body: Incoming) -> Result<Bytes, BodyError> {
-        read_body(body, &self.bytes).await
+    pub(super) async fn read_body(
+        &self,
+        body: Incoming,
+        memory: &MessageMemory,
+    ) -> Result<Bytes, BodyError> {
+        read_body(body, &self.bytes, memory).await
     }
 
     /// Records that an answer was read to its end. Returns whether the connection can be reused.
     pub(super) async fn finish_exchange(&mut self, headers: &HeaderMap) -> bool {
-        self.bytes.release();
         self.idle_since = Some(Instant::now());
         if let Some(timeout) = keep_alive_timeout(headers) {
             self.idle_limit = timeout.saturating_sub(IDLE_MARGIN);
--- a/crates/pollenlever/src/node/mod.rs
+++ b/crates/pollenlever/src/node/mod.rs
@@ -4,7 +4,6 @@
 //! other nodes and the target thread sends requests to the target, the back end process beside
 //! this node.
 
-mod body_memory;
 mod build_policy;
 mod clock;
 mod decision_thread;
@@ -23,7 +22,6 @@
 mod target_thread;
 mod wait_for_signal;
 
-pub use body_memory::{BodyMemory, BodyMemoryError, BodyReservation, SMALL_BODY_BYTES};
 pub use clock::Clock;
 pub use decision_thread::{CallReply, DecisionThread};
 pub use in_flight_counter::{InFlightCounter, InFlightGuard};
--- a/crates/pollenlever/src/node/peer_thread.rs
+++ b/crates/pollenlever/src/node/peer_thread.rs
@@ -4,10 +4,10 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 
-use super::body_memory::BodyMemory;
 use super::network_thread::NetworkThread;
 use super::shared_state::SharedState;
 use super::{NodeStartError, PeerRequestHandler};
+use crate::bounds::{ConnectionLimiter, MessageMemory, ProcessBounds, ProcessLimits};
 use crate::control::{Control, SharedControl};
 use crate::peer::{PeerClient, PeerCommand, PeerOptions, PeerServer, run_exchanges};
 use crate::settings::Settings;
@@ -41,10 +41,12 @@
             streams: Arc::clone(&shared.streams),
             control: Arc::clone(&control),
         };
+        let bounds = ProcessBounds::of_process(ProcessLimits::default());
         let server = PeerServer {
             local_node: shared.local_node,
             max_body_bytes: options.max_body_bytes,
-            body_memory: BodyMemory::default(),
+            memory: MessageMemory::default(),
+            connections: ConnectionLimiter::new("peers", bounds.peers()),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(client.versions()),
             handler: Arc::new(handler),
--- a/crates/pollenlever/src/peer/connection.rs
+++ b/crates/pollenlever/src/peer/connection.rs
@@ -15,7 +15,7 @@
 /// Timeout for opening a TCP connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Flow-control window of one stream, in bytes.
-pub(super) const STREAM_WINDOW_BYTES: u32 = 1 << 20;
+pub(super) const STREAM_WINDOW_BYTES: u32 = 256 << 10;
 /// Flow-control window of one connection, in bytes.
 pub(super) const CONNECTION_WINDOW_BYTES: u32 = 16 << 20;
 
--- a/crates/pollenlever/src/peer/message_io.rs
+++ b/crates/pollenlever/src/peer/message_io.rs
@@ -3,17 +3,30 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use h2::{RecvStream, SendStream};
+use pollenlever_core::memory::MessageKind;
 
 use super::WireError;
 use super::codec::MAX_HEAD_BYTES;
-use crate::node::BodyMemory;
+use crate::bounds::{MemoryError, MessageMemory, Reservation};
 
-/// Longest wait for the memory of a body. Its stream is not read meanwhile, which takes up part of the
-/// window of its connection.
-const MAX_MEMORY_WAIT: Duration = Duration::from_millis(300);
+/// Longest wait for the memory of a request's body. Its stream is not read meanwhile, which takes up part
+/// of the window of its connection.
+const MAX_BODY_WAIT: Duration = Duration::from_millis(300);
+/// Longest wait for the memory of an answer, whose request has run.
+const MAX_ANSWER_WAIT: Duration = Duration::from_secs(60);
+/// Most answers of other nodes that wait for memory. Each may take up a stream's window, and together they
+/// leave room in the window of a connection.
+const MAX_WAITING_ANSWERS: usize = 32;
 /// Bytes before the head: the lengths of head and body, as big-endian `u32`.
 const PREFIX_BYTES: usize = 8;
 
+/// What the body of a received message is, and where it takes its memory.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct MessageSource<'a> {
+    pub(super) memory: &'a MessageMemory,
+    pub(super) kind: MessageKind,
+}
+
 /// Sends the lengths, the head and the body, and ends the stream.
 pub(super) async fn send_message(
     stream: &mut SendStream<Bytes>,
@@ -47,11 +60,11 @@
 }
 
 /// Reads a whole message, checks it against its declared lengths and returns head and body. With
-/// `memory`, the body takes its memory there before it is read.
+/// `source`, the body takes its memory there before it is read.
 pub(super) async fn recv_message(
     stream: &mut RecvStream,
     max_body_bytes: usize,
-    memory: Option<&BodyMemory>,
+    source: Option<MessageSource<'_>>,
 ) -> Result<(Bytes, Bytes), WireError> {
     let mut buf = BytesMut::new();
     let mut lengths = None;
@@ -63,8 +76,8 @@
         if lengths.is_none() && buf.len() >= PREFIX_BYTES {
             let (head, body) = read_lengths(&mut buf, max_body_bytes)?;
             lengths = Some((head, body));
-            if let Some(memory) = memory.filter(|_| body > 0) {
-                reservation = Some(memory.reserve(body, MAX_MEMORY_WAIT).await?);
+            if let Some(source) = source.filter(|_| body > 0) {
+                reservation = Some(source.reserve(body).await?);
             }
             buf.reserve((head + body).saturating_sub(buf.len()));
         }
@@ -88,6 +101,21 @@
     Ok((head, body))
 }
 
+impl MessageSource<'_> {
+    async fn reserve(&self, bytes: usize) -> Result<Reservation, MemoryError> {
+        let max_wait = match self.kind {
+            MessageKind::Body => MAX_BODY_WAIT,
+            MessageKind::Answer if self.is_crowded(bytes) => Duration::ZERO,
+            MessageKind::Answer => MAX_ANSWER_WAIT,
+        };
+        self.memory.reserve(self.kind, bytes, max_wait).await
+    }
+
+    fn is_crowded(&self, bytes: usize) -> bool {
+        self.memory.waiting_count(self.kind, bytes) >= MAX_WAITING_ANSWERS
+    }
+}
+
 fn read_lengths(buf: &mut BytesMut, max_body_bytes: usize) -> Result<(usize, usize), WireError> {
     let head = buf.get_u32() as usize;
     let body = buf.get_u32() as usize;
--- a/crates/pollenlever/src/peer/peer_client.rs
+++ b/crates/pollenlever/src/peer/peer_client.rs
@@ -7,6 +7,7 @@
 use http::Request;
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::NodeId;
+use pollenlever_core::memory::MessageKind;
 use pollenlever_core::message::{PeerReply, PeerRequest};
 use pollenlever_core::policy::SendFailure;
 use tokio::runtime::Handle;
@@ -14,12 +15,13 @@
 
 use super::build_info::{add_own_build, read_build};
 use super::connection::Connection;
-use super::message_io::{recv_message, send_message, stream_error};
+use super::message_io::{MessageSource, recv_message, send_message, stream_error};
 use super::pool::Pool;
 use super::{
     OLDEST_PROTOCOL_VERSION, PeerError, PeerFuture, PeerOptions, PeerSender, PeerVersions,
     ReplyFrame, RequestFrame, WireError, decode_reply, encode_request,
 };
+use crate::bounds::MessageMemory;
 
 /// Sends requests to peers, one stream each, over pooled connections.
 #[derive(Debug, Clone)]
@@ -28,6 +30,8 @@
     options: PeerOptions,
     pool: Arc<Pool>,
     versions: Arc<PeerVersions>,
+    /// Memory for the bodies of replies; `None` if they are not counted.
+    memory: Option<MessageMemory>,
     runtime: Handle,
 }
 
@@ -41,7 +45,12 @@
     /// Creates the client of `local_node`; its connections run on `runtime`.
     pub fn new(local_node: NodeId, options: PeerOptions, runtime: Handle) -> PeerClient {
         let pool = Arc::new(Pool::new(options.local_ip));
-        PeerClient { local_node, options, pool, versions: Arc::default(), runtime }
+        PeerClient { local_node, options, pool, versions: Arc::default(), memory: None, runtime }
+    }
+
+    /// Takes the memory for the bodies of replies from `memory`.
+    pub fn with_memory(self, memory: MessageMemory) -> PeerClient {
+        PeerClient { memory: Some(memory), ..self }
     }
 
     /// Protocol versions and builds of the peers that have replied.
@@ -131,8 +140,10 @@
             Err(err) => return Err(lost(sent.err().unwrap_or(stream_error(err)))),
         };
         let (parts, mut reply) = response.into_parts();
-        let (head, body) =
-            recv_message(&mut reply, self.options.max_body_bytes, None).await.map_err(lost)?;
+        let memory = self.memory.as_ref();
+        let source = memory.map(|memory| MessageSource { memory, kind: MessageKind::Answer });
+        let max_bytes = self.options.max_body_bytes;
+        let (head, body) = recv_message(&mut reply, max_bytes, source).await.map_err(lost)?;
         let frame = decode_reply(&head).map_err(|err| match err {
             // A peer replies in the version of the request if it can read it.
             WireError::Version { .. } => (SendFailure::NotSent, err),
--- a/crates/pollenlever/src/peer/peer_server.rs
+++ b/crates/pollenlever/src/peer/peer_server.rs
@@ -9,7 +9,8 @@
 use super::liveness::Liveness;
 use super::serve_stream::serve_stream;
 use super::{PeerVersions, SharedPeerHandler};
-use crate::node::{BodyMemory, InFlightCounter};
+use crate::bounds::{ConnectionLimiter, ConnectionSlot, MessageMemory};
+use crate::node::InFlightCounter;
 
 /// Open streams that a peer may have on one connection.
 const MAX_CONCURRENT_STREAMS: u32 = 4096;
@@ -21,7 +22,9 @@
     /// Largest body of a request, in bytes.
     pub max_body_bytes: usize,
     /// Memory for the bodies of requests.
-    pub body_memory: BodyMemory,
+    pub memory: MessageMemory,
+    /// Limits the connections of peers.
+    pub connections: ConnectionLimiter,
     /// Handles the requests.
     pub handler: SharedPeerHandler,
     /// Where the versions and builds of the peers are recorded.
@@ -36,9 +39,10 @@
         loop {
             match listener.accept().await {
                 Ok((io, peer)) => {
+                    let Some(slot) = self.connections.open().map(Arc::new) else { continue };
                     let server = Arc::clone(&self);
                     tokio::spawn(async move {
-                        if let Err(err) = server.serve_connection(io, peer).await {
+                        if let Err(err) = server.serve_connection(io, peer, slot).await {
                             log::warn!(
                                 "connection of a peer failed peer={peer} reason={:?}",
                                 err.to_string()
@@ -58,6 +62,7 @@
         self: Arc<PeerServer>,
         io: TcpStream,
         peer: SocketAddr,
+        slot: Arc<ConnectionSlot>,
     ) -> Result<(), h2::Error> {
         let _ = io.set_nodelay(true);
         let liveness = Liveness::new();
@@ -66,7 +71,10 @@
             .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
             .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
             .handshake(liveness.watch(io));
-        let mut connection = handshake.await?;
+        let mut connection = tokio::select! {
+            connection = handshake => connection?,
+            () = slot.wait_until_closed() => return Ok(()),
+        };
         let pings = connection.ping_pong();
         let idle_or_silent = async {
             match pings {
@@ -83,6 +91,7 @@
                     log::log!(close_reason.log_level(), "connection closed peer={peer} reason={close_reason:?}");
                     return Ok(());
                 }
+                () = slot.wait_until_closed() => return Ok(()),
             };
             let Some(accepted) = accepted else { return Ok(()) };
             let (req, respond) = accepted?;
@@ -90,10 +99,12 @@
             let tells_build = !std::mem::replace(&mut has_told_build, true);
             let server = Arc::clone(&self);
             let in_flight_guard = self.in_flight_work.start();
+            let request_guard = slot.start_request();
             tokio::spawn(async move {
                 let _in_flight_guard = in_flight_guard;
                 serve_stream(&server, req, respond, tells_build).await;
                 drop(stream_guard);
+                drop(request_guard);
             });
         }
     }
--- a/crates/pollenlever/src/peer/serve_stream.rs
+++ b/crates/pollenlever/src/peer/serve_stream.rs
@@ -1,4 +1,5 @@
 use std::future::poll_fn;
+use std::time::Duration;
 
 use bytes::Bytes;
 use h2::RecvStream;
@@ -6,14 +7,18 @@
 use http::{Request, Response};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::ANY_INCARNATION;
+use pollenlever_core::memory::MessageKind;
 use pollenlever_core::mesh::MeshRequest;
 use pollenlever_core::message::{PROTOCOL_VERSION, PeerReply, PeerRequest};
 
 use super::build_info::{add_own_build, read_build};
-use super::message_io::{recv_message, send_message, stream_error};
+use super::message_io::{MessageSource, recv_message, send_message, stream_error};
 use super::{PeerServer, ReplyFrame, RequestFrame, WireError};
 use super::{decode_request, encode_reply};
 
+/// Longest time for reading a request.
+const MAX_REQUEST_TIME: Duration = Duration::from_secs(30);
+
 /// Reads the request on a stream, passes it to the handler and writes the reply.
 pub(super) async fn serve_stream(
     server: &PeerServer,
@@ -22,7 +27,13 @@
     tells_build: bool,
 ) {
     let (parts, mut stream) = req.into_parts();
-    let read = recv_message(&mut stream, server.max_body_bytes, Some(&server.body_memory)).await;
+    let memory = MessageSource { memory: &server.memory, kind: MessageKind::Body };
+    let read = recv_message(&mut stream, server.max_body_bytes, Some(memory));
+    // A peer sends a request whole, as fast as its connection goes.
+    let Ok(read) = tokio::time::timeout(MAX_REQUEST_TIME, read).await else {
+        log::warn!("request of a peer dropped reason=\"not whole in time\"");
+        return;
+    };
     let decoded = read.and_then(|(head, body)| Ok((decode_request(&head)?, body)));
     let mut version = PROTOCOL_VERSION;
     let (reply, body) = match decoded {
--- a/crates/pollenlever/src/peer/wire_error.rs
+++ b/crates/pollenlever/src/peer/wire_error.rs
@@ -1,7 +1,7 @@
 use pollenlever_core::answer::ErrorKind;
 use thiserror::Error;
 
-use crate::node::BodyMemoryError;
+use crate::bounds::MemoryError;
 
 /// Why a message between nodes cannot be sent or read.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
@@ -41,7 +41,7 @@
     },
     /// There is no memory for the body.
     #[error("{0}")]
-    Memory(#[from] BodyMemoryError),
+    Memory(#[from] MemoryError),
     /// The peer uses another version of the protocol.
     #[error("the peer uses protocol version {found}, this node {oldest} to {expected}", oldest = super::OLDEST_PROTOCOL_VERSION)]
     Version {
@@ -67,8 +67,8 @@
         match self {
             WireError::HeadTooLarge { .. } => ErrorKind::HeaderTooLarge,
             WireError::BodyTooLarge { .. } => ErrorKind::BodyTooLarge,
-            WireError::Memory(BodyMemoryError::Taken) => ErrorKind::QueueFull,
-            WireError::Memory(BodyMemoryError::TooLarge { .. }) => ErrorKind::BodyTooLarge,
+            WireError::Memory(MemoryError::Taken) => ErrorKind::QueueFull,
+            WireError::Memory(MemoryError::TooLarge { .. }) => ErrorKind::BodyTooLarge,
             WireError::Version { .. } => ErrorKind::WrongProtocolVersion,
             _ => ErrorKind::MalformedRequest,
         }
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -6,6 +6,7 @@
 
 use super::SettingsError;
 use super::ini::{Document, Expected, Faults, SectionReader, values};
+use crate::bounds::ProcessLimits;
 
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
 /// Values of a setting that is on or off.
@@ -14,6 +15,8 @@
 const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
 /// The process needs the lowest of these for itself and for answers, and a body of 4 MB.
 const MEMORY_MB_RANGE: std::ops::RangeInclusive<usize> = 16..=1_000_000;
+/// The node itself needs about the lowest of these.
+const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 128..=10_000_000;
 const BYTES_PER_MB: usize = 1_000_000;
 const QUOTA_SHARDS_RANGE: std::ops::RangeInclusive<u32> = 1..=256;
 
@@ -57,8 +60,12 @@
     pub retry_budget: RetryBudgetSettings,
     /// `[bounds] stop_grace_s`: time from SIGTERM until the platform kills the process.
     pub stop_grace_period: Duration,
-    /// `[bounds] memory_mb`: memory that the process may use, in bytes here.
-    pub memory_bytes: usize,
+    /// `[bounds] memory_mb`: memory that the process may use, in bytes here; `None` for as much as the
+    /// platform says.
+    pub memory_bytes: Option<usize>,
+    /// `[bounds] max_descriptors`: descriptors that the process may open; `None` for as many as the platform
+    /// says.
+    pub max_descriptors: Option<usize>,
     /// `[quota] shards`: number of shards into which workspaces with quotas are divided. Only the node
     /// that creates the share table uses it; all others take the number from the table.
     pub quota_shards: u32,
@@ -102,6 +109,11 @@
         faults.into_result(cfg).map_err(SettingsError::Invalid)
     }
 
+    /// What the settings allow the process.
+    pub fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits { memory_bytes: self.memory_bytes, max_descriptors: self.max_descriptors }
+    }
+
     fn read_node(&mut self, doc: &Document, faults: &mut Faults) {
         let mut reader = SectionReader::new(doc, "node", faults);
         set(&mut self.name, reader.required("name", values::unicode_name));
@@ -141,7 +153,9 @@
         set(&mut self.retry_budget.window, reader.optional("retry_window_s", seconds));
         set(&mut self.stop_grace_period, reader.optional("stop_grace_s", seconds));
         let memory_mb = reader.optional("memory_mb", values::number(MEMORY_MB_RANGE));
-        set(&mut self.memory_bytes, memory_mb.map(|it| it * BYTES_PER_MB));
+        self.memory_bytes = memory_mb.map(|it| it * BYTES_PER_MB);
+        self.max_descriptors =
+            reader.optional("max_descriptors", values::number(DESCRIPTORS_RANGE));
     }
 
     fn read_quota(&mut self, doc: &Document, faults: &mut Faults) {
@@ -170,7 +184,8 @@
             store: loopback(7300),
             retry_budget: RetryBudgetSettings::default(),
             stop_grace_period: Duration::from_secs(6),
-            memory_bytes: 256 * BYTES_PER_MB,
+            memory_bytes: None,
+            max_descriptors: None,
             quota_shards: 8,
             log_level: "info".to_owned(),
         }
--- a/crates/pollenlever/tests/mesh/body_memory.rs
+++ b/crates/pollenlever/tests/mesh/body_memory.rs
@@ -13,7 +13,7 @@
 /// Starts two nodes with little memory, the second one with a target that holds its first request.
 async fn start_nodes() -> TestMesh {
     let mut mesh = TestMesh::new();
-    mesh.memory_bytes = MEMORY_BYTES;
+    mesh.memory_bytes = Some(MEMORY_BYTES);
     mesh.publish(table(1));
     mesh.add_node("other", &[Action::Close]).await;
     mesh.add_node("charge", &[Action::Hold, Action::Answer(200, "ran")]).await;
@@ -61,7 +61,7 @@
     let mut mesh = TestMesh::new();
     mesh.publish(table(1));
     mesh.add_node("other", &[Action::Close]).await;
-    mesh.memory_bytes = MEMORY_BYTES / 2;
+    mesh.memory_bytes = Some(MEMORY_BYTES / 2);
     mesh.add_node("charge", &[Action::Answer(200, "ran")]).await;
     for node in &mesh.nodes {
         node.report_ready(1);
--- a/crates/pollenlever/tests/mesh/gossip_peer.rs
+++ b/crates/pollenlever/tests/mesh/gossip_peer.rs
@@ -2,10 +2,12 @@
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
-use pollenlever::node::{BodyMemory, InFlightCounter};
+use pollenlever::bounds::{ConnectionLimiter, MessageMemory};
+use pollenlever::node::InFlightCounter;
 use pollenlever::peer::{PeerClient, PeerHandler, PeerOptions, PeerReplyFuture, PeerServer};
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::GossipMessage;
+use pollenlever_core::memory::ConnectionLimits;
 use pollenlever_core::message::{PeerReply, PeerRequest};
 use tokio::net::TcpListener;
 use tokio::runtime::Handle;
@@ -39,7 +41,8 @@
         let server = PeerServer {
             local_node: me,
             max_body_bytes: MAX_BODY_BYTES,
-            body_memory: BodyMemory::default(),
+            memory: MessageMemory::default(),
+            connections: ConnectionLimiter::new("peers", ConnectionLimits::default()),
             handler: Arc::new(Recorder(Arc::clone(&contacts))),
             in_flight_work: InFlightCounter::default(),
             versions: Arc::default(),
--- a/crates/pollenlever/tests/mesh/test_mesh.rs
+++ b/crates/pollenlever/tests/mesh/test_mesh.rs
@@ -97,7 +97,7 @@
     /// Retries that all nodes together may send whatever the number of requests.
     pub(crate) min_retries: f64,
     /// Memory that each node may use, in bytes.
-    pub(crate) memory_bytes: usize,
+    pub(crate) memory_bytes: Option<usize>,
 }
 
 impl TestMesh {
--- a/crates/pollenlever/tests/body_memory.rs
+++ b/crates/pollenlever/tests/message_memory.rs
@@ -1,14 +1,16 @@
-//! Memory for the bodies of requests.
+//! Memory for messages: bodies of requests and of answers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use pollenlever::node::{BodyMemory, BodyMemoryError, InFlightCounter, SMALL_BODY_BYTES};
+use pollenlever::bounds::{ConnectionLimiter, MemoryError, MessageMemory};
+use pollenlever::node::InFlightCounter;
 use pollenlever::peer::{PeerClient, PeerHandler, PeerOptions, PeerReplyFuture, PeerServer};
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::NodeId;
+use pollenlever_core::memory::{ConnectionLimits, MessageKind, SMALL_MESSAGE_BYTES};
 use pollenlever_core::mesh::{MeshReply, MeshRequest};
 use pollenlever_core::message::{PeerReply, PeerRequest};
 use tokio::net::TcpListener;
@@ -21,23 +23,26 @@
 
 #[tokio::test]
 async fn memory_is_given_back_with_the_last_reference_to_the_body() {
-    let memory = BodyMemory::new(PROCESS_BYTES);
-    let reservation = memory.reserve(LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
+    let memory = MessageMemory::new(PROCESS_BYTES);
+    let reservation =
+        memory.reserve(MessageKind::Body, LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
     let body = reservation.bind(Bytes::from_static(b"body"));
     let part = body.slice(1..2);
     drop(body);
-    let taken = memory.reserve(LARGE_BODY_BYTES, Duration::ZERO).await;
-    assert_eq!(taken.unwrap_err(), BodyMemoryError::Taken);
+    let taken = memory.reserve(MessageKind::Body, LARGE_BODY_BYTES, Duration::ZERO).await;
+    assert_eq!(taken.unwrap_err(), MemoryError::Taken);
     drop(part);
-    assert!(memory.reserve(LARGE_BODY_BYTES, Duration::ZERO).await.is_ok());
+    assert!(memory.reserve(MessageKind::Body, LARGE_BODY_BYTES, Duration::ZERO).await.is_ok());
 }
 
 #[tokio::test]
 async fn a_body_that_waits_gets_the_memory_that_becomes_free() {
-    let memory = BodyMemory::new(PROCESS_BYTES);
-    let first = memory.reserve(LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
+    let memory = MessageMemory::new(PROCESS_BYTES);
+    let first = memory.reserve(MessageKind::Body, LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
     let waiting = memory.clone();
-    let second = tokio::spawn(async move { waiting.reserve(LARGE_BODY_BYTES, LONG_WAIT).await });
+    let second = tokio::spawn(async move {
+        waiting.reserve(MessageKind::Body, LARGE_BODY_BYTES, LONG_WAIT).await
+    });
     tokio::task::yield_now().await;
     drop(first);
     assert!(second.await.unwrap().is_ok());
@@ -45,28 +50,35 @@
 
 #[tokio::test]
 async fn small_bodies_do_not_wait_for_large_ones() {
-    let memory = BodyMemory::new(PROCESS_BYTES);
-    let _large = memory.reserve(LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
+    let memory = MessageMemory::new(PROCESS_BYTES);
+    let _large = memory.reserve(MessageKind::Body, LARGE_BODY_BYTES, Duration::ZERO).await.unwrap();
     let waiting = memory.clone();
-    let _second = tokio::spawn(async move { waiting.reserve(LARGE_BODY_BYTES, LONG_WAIT).await });
+    let _second = tokio::spawn(async move {
+        waiting.reserve(MessageKind::Body, LARGE_BODY_BYTES, LONG_WAIT).await
+    });
     tokio::task::yield_now().await;
     let mut small = Vec::new();
     for _ in 0..100 {
-        small.push(memory.reserve(SMALL_BODY_BYTES, Duration::ZERO).await.unwrap());
+        small.push(
+            memory.reserve(MessageKind::Body, SMALL_MESSAGE_BYTES, Duration::ZERO).await.unwrap(),
+        );
     }
 }
 
 #[tokio::test]
 async fn a_body_larger_than_the_memory_never_waits() {
-    let memory = BodyMemory::new(PROCESS_BYTES);
-    let too_large = memory.max_body_bytes() + 1;
-    let refused = memory.reserve(too_large, LONG_WAIT).await.unwrap_err();
-    assert_eq!(refused, BodyMemoryError::TooLarge { available: memory.max_body_bytes() });
+    let memory = MessageMemory::new(PROCESS_BYTES);
+    let too_large = memory.max_message_bytes(MessageKind::Body) + 1;
+    let refused = memory.reserve(MessageKind::Body, too_large, LONG_WAIT).await.unwrap_err();
+    assert_eq!(
+        refused,
+        MemoryError::TooLarge { available: memory.max_message_bytes(MessageKind::Body) }
+    );
 }
 
 #[test]
 fn a_body_of_the_largest_size_fits_into_the_default_memory() {
-    assert!(BodyMemory::default().max_body_bytes() >= 64 << 20);
+    assert!(MessageMemory::default().max_message_bytes(MessageKind::Body) >= 64 << 20);
 }
 
 /// Holds the body of each request until the test adds a permit, then replies.
@@ -100,7 +112,8 @@
     let server = PeerServer {
         local_node: node,
         max_body_bytes: PROCESS_BYTES,
-        body_memory: BodyMemory::new(SMALL_PROCESS_BYTES),
+        memory: MessageMemory::new(SMALL_PROCESS_BYTES),
+        connections: ConnectionLimiter::new("peers", ConnectionLimits::default()),
         handler: Arc::new(handler),
         versions: Arc::default(),
         in_flight_work: InFlightCounter::default(),
@@ -115,7 +128,7 @@
     let first = tokio::spawn(send(BODY_BYTES));
     received.acquire().await.unwrap().forget();
     assert_eq!(send(BODY_BYTES).await, PeerReply::Refused(ErrorKind::QueueFull));
-    let small = tokio::spawn(send(SMALL_BODY_BYTES));
+    let small = tokio::spawn(send(SMALL_MESSAGE_BYTES));
     received.acquire().await.unwrap().forget();
     released.add_permits(2);
     let served = PeerReply::Mesh(MeshReply::Acknowledged);
--- a/crates/pollenlever/tests/settings.rs
+++ b/crates/pollenlever/tests/settings.rs
@@ -94,7 +94,7 @@
         let text = format!("{required}[bounds]\nmemory_mb = {mb}\n");
         MeshSettings::parse("node.ini", &text).map(|it| it.memory_bytes)
     };
-    assert_eq!(parse(512).unwrap(), 512_000_000);
+    assert_eq!(parse(512).unwrap(), Some(512_000_000));
     let Err(SettingsError::Invalid(faults)) = parse(8) else { panic!("8 MB should be refused") };
     assert!(faults.to_string().contains("memory_mb"), "{faults}");
 }
