--- a/crates/pollenlever/src/entry/answer_response.rs
+++ b/crates/pollenlever/src/entry/answer_response.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pollenlever_core::answer::{Answer, ErrorKind, RetryAdvice};
+use pollenlever_core::answer::{Answer, ErrorKind, RetryAdvice, is_final_status};
 use pollenlever_core::id::ChainId;
 use rocket::Response;
 use rocket::http::{ContentType, Header, Status};
@@ -21,6 +21,10 @@
     answer: Answer,
     body: Bytes,
 ) -> Response<'static> {
+    if !is_final_status(answer.status) {
+        // A gate of an earlier build passes it on.
+        return error_response(ErrorKind::OutcomeUnknown);
+    }
     let mut builder = Response::build();
     builder.status(Status::new(answer.status));
     for (name, value) in answer.headers {
--- a/crates/pollenlever/src/gate/target_client.rs
+++ b/crates/pollenlever/src/gate/target_client.rs
@@ -1,8 +1,10 @@
+use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use pollenlever_core::answer::is_final_status;
 use pollenlever_core::id::AttemptId;
 use pollenlever_core::policy::RunResult;
 use reqwest::{Client, Method, Response, StatusCode};
@@ -99,6 +101,7 @@
         match builder.send().await {
             Ok(response) => self.read_answer(response, is_head).await,
             Err(err) if err.is_connect() || err.is_builder() => RunResult::Unreachable,
+            Err(err) if is_malformed(&err) => RunResult::Truncated,
             Err(err) => {
                 log::debug!("run failed attempt={} reason={err:?}", req.attempt);
                 RunResult::Crashed
@@ -108,6 +111,9 @@
 
     async fn read_answer(&self, mut response: Response, is_head: bool) -> RunResult {
         let status = response.status();
+        if !is_final_status(status.as_u16()) {
+            return RunResult::Truncated;
+        }
         let headers = answer_headers(&response);
         if is_head || has_no_body(status) {
             return RunResult::Answered { status: status.as_u16(), headers, body: Bytes::new() };
@@ -141,6 +147,18 @@
     }
 }
 
+/// Whether the target sent something that is no answer, which is no crash.
+fn is_malformed(err: &reqwest::Error) -> bool {
+    let mut cause = err.source();
+    while let Some(err) = cause {
+        if err.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse) {
+            return true;
+        }
+        cause = err.source();
+    }
+    false
+}
+
 fn answer_headers(response: &Response) -> Vec<(String, String)> {
     let headers = response.headers().iter();
     let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
--- a/crates/pollenlever/src/mesh/edge_answer.rs
+++ b/crates/pollenlever/src/mesh/edge_answer.rs
@@ -4,7 +4,7 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body_util::Full;
-use pollenlever_core::answer::{ErrorKind, Outcome, RetryAdvice};
+use pollenlever_core::answer::{ErrorKind, Outcome, RetryAdvice, is_final_status};
 
 use super::forwarded_headers;
 
@@ -17,7 +17,8 @@
 /// Response to a caller.
 pub(super) type EdgeResponse = Response<Full<Bytes>>;
 
-/// Response that carries the target's answer unchanged.
+/// Response that carries the target's answer unchanged. A gate of an earlier build may pass on a status
+/// that HTTP does not have; such an answer is none.
 pub(super) fn target_answer(
     status: u16,
     headers: &[(String, Vec<u8>)],
@@ -25,8 +26,8 @@
 ) -> EdgeResponse {
     let mut response = Response::new(Full::new(body));
     match StatusCode::from_u16(status) {
-        Ok(status) => *response.status_mut() = status,
-        Err(_) => return error_answer(ErrorKind::OutcomeUnknown, None),
+        Ok(code) if is_final_status(status) => *response.status_mut() = code,
+        _ => return error_answer(ErrorKind::OutcomeUnknown, None),
     }
     forwarded_headers::append_headers(response.headers_mut(), headers);
     response
--- a/crates/pollenlever/src/mesh/target_client.rs
+++ b/crates/pollenlever/src/mesh/target_client.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use pollenlever_core::answer::is_final_status;
 use pollenlever_core::mesh::{InstanceId, MeshAttempt};
 
 use super::answer_body::BodyError;
@@ -248,6 +249,9 @@
         status: u16,
         is_first: bool,
     ) -> Option<String> {
+        if !is_final_status(status) {
+            return Some(format!("status {status}, which HTTP does not have"));
+        }
         match headers.get(&self.names.request_id).map(HeaderValue::as_bytes) {
             Some(id) if id == head.request_id.as_bytes() => {}
             None if is_first && self.says_not_run(status, headers) => {}
--- a/crates/pollenlever/tests/mesh/answers.rs
+++ b/crates/pollenlever/tests/mesh/answers.rs
@@ -17,6 +17,14 @@
     "HTTP/1.1 200 X\r\nPollenlever-Request-Id: {id}\r\nContent-Length: 5\r\n\r\nother";
 const CONTENT_ENCODED: &str = "HTTP/1.1 200 X\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
     Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nother";
+const STATUS_000: &str = "HTTP/1.1 000 X\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
+    Content-Length: 5\r\n\r\nother";
+const STATUS_101: &str = "HTTP/1.1 101 X\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
+    Content-Length: 5\r\n\r\nother";
+const STATUS_600: &str = "HTTP/1.1 600 X\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
+    Content-Length: 5\r\n\r\nother";
+const STATUS_999: &str = "HTTP/1.1 999 X\r\nPollenlever-Request-Id: {id}\r\nPollenlever-Proof: p\r\n\
+    Content-Length: 5\r\n\r\nother";
 const NOT_HTTP: &str = "this is no answer\r\n\r\n";
 
 #[tokio::test]
@@ -96,6 +104,10 @@
     Action::Write(NO_ID) => an_answer_without_id_is_retried, an_answer_without_id_is_unknown;
     Action::Write(NO_PROOF) => an_answer_without_proof_is_retried, an_answer_without_proof_is_unknown;
     Action::Write(CONTENT_ENCODED) => an_encoded_answer_is_retried, an_encoded_answer_is_unknown;
+    Action::Write(STATUS_000) => an_answer_with_status_000_is_retried, an_answer_with_status_000_is_unknown;
+    Action::Write(STATUS_101) => an_answer_with_status_101_is_retried, an_answer_with_status_101_is_unknown;
+    Action::Write(STATUS_600) => an_answer_with_status_600_is_retried, an_answer_with_status_600_is_unknown;
+    Action::Write(STATUS_999) => an_answer_with_status_999_is_retried, an_answer_with_status_999_is_unknown;
     Action::Write(NOT_HTTP) => bytes_that_are_not_http_are_retried, bytes_that_are_not_http_are_unknown;
 }
 
--- a/crates/pollenlever/tests/node_answers.rs
+++ b/crates/pollenlever/tests/node_answers.rs
@@ -24,6 +24,10 @@
     connection_closed_between_chunks: "cut-chunk" => "502 answer-cut unknown";
     body_of_unknown_length: "unmarked" => "502 answer-cut unknown";
     body_over_the_limit: "large" => "502 answer-cut unknown";
+    answer_with_status_000: "status-000" => "502 answer-cut unknown";
+    answer_with_status_101: "status-101" => "502 answer-cut unknown";
+    answer_with_status_600: "status-600" => "502 answer-cut unknown";
+    answer_with_status_999: "status-999" => "502 answer-cut unknown";
     connection_closed_before_an_answer: "crash" => "502 target-crashed unknown";
 }
 
--- a/crates/pollenlever/tests/support/stub_target.rs
+++ b/crates/pollenlever/tests/support/stub_target.rs
@@ -64,6 +64,10 @@
                 "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n0\r\n\r\n"
             ),
             "large" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", 1 << 30),
+            status if status.starts_with("status-") => {
+                let status = status.trim_start_matches("status-");
+                format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{BODY}")
+            }
             "crash" => String::new(),
             "slow" => {
                 if is_closed_within(io, Duration::from_millis(1500)) {
