--- a/crates/pollenlever/src/mesh/edge_connection.rs
+++ b/crates/pollenlever/src/mesh/edge_connection.rs
@@ -10,12 +10,14 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use super::caller_request::CallerRequest;
+use super::linger::wait_until_taken;
 use super::pipeline::Pipeline;
 use super::pipelined_answer::{PipelinedAnswer, max_buf_bytes};
 use super::request_frame::{BodyFrame, RequestFrame};
 use super::stop_phase::StopPhase;
 use super::{MeshShared, hangup_io};
 use crate::bounds::ConnectionSlot;
+use crate::net::unsent_bytes;
 
 /// Most requests of one connection that are processed at the same time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -31,9 +33,6 @@
 /// Time added to the configured timeouts for idle connections and slow request heads, so that a
 /// caller that stays just within them does not have its connection closed.
 const TIMEOUT_MARGIN: Duration = Duration::from_secs(2);
-/// Longest time for which a closed connection is still read. Closing it with unread bytes would reset it,
-/// and the caller could lose answers that are on their way.
-pub(super) const MAX_LINGER: Duration = Duration::from_secs(1);
 
 /// Buffer for what a closed connection still sends, in bytes.
 const LINGER_BUFFER_BYTES: usize = 4 << 10;
@@ -112,7 +111,8 @@
         }
     }
 
-    /// Ends the answers, and drops what the caller still sends until it closes the connection.
+    /// Ends the answers, and drops what the caller still sends until it has taken them or closes the
+    /// connection.
     async fn linger(mut self, mut out: OwnedWriteHalf) {
         self.tasks.shutdown().await;
         self.buf = BytesMut::with_capacity(LINGER_BUFFER_BYTES);
@@ -121,13 +121,17 @@
             log::debug!("connection of a caller not shut down reason={:?}", err.to_string());
             return;
         }
+        let max_stall = self.shared.client_limits().idle_timeout + TIMEOUT_MARGIN;
+        let taken = wait_until_taken(|| unsent_bytes(out.as_ref()), max_stall);
         let drained = async {
             while self.io.read_buf(&mut self.buf).await.is_ok_and(|it| it > 0) {
                 self.buf.clear();
             }
         };
-        // A caller that keeps the connection open for longer has it reset.
-        let _ = timeout(MAX_LINGER, drained).await;
+        tokio::select! {
+            () = drained => {}
+            () = taken => {}
+        }
     }
 
     fn into_chunked(self, out: OwnedWriteHalf) -> ConnectionEnd {
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -1,5 +1,6 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -8,14 +9,15 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWrite;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
 
 use super::MeshShared;
 use super::caller_request::CallerRequest;
 use super::control_server::ACCEPT_RETRY_DELAY;
-use super::edge_connection::{ConnectionEnd, EdgeConnection, MAX_LINGER};
+use super::edge_connection::{ConnectionEnd, EdgeConnection};
 use super::hangup_io::HangupIo;
+use super::linger::wait_until_taken;
 use super::pipeline::PipelinePosition;
 use super::pipelined_answer::{answer, max_buf_bytes};
 use super::stop_phase::StopPhase;
@@ -104,13 +106,10 @@
                 // Returning drops the connection's unfinished requests.
                 () = poll_fn(|cx| io.poll_hangup(cx)) => return,
                 res = connection.as_mut() => {
-                    match res {
-                        Ok(()) => linger(&io).await,
-                        Err(err) => {
-                            log::debug!("connection of a caller ended reason={:?}", err.to_string());
-                        }
+                    if let Err(err) = res {
+                        log::debug!("connection of a caller ended reason={:?}", err.to_string());
                     }
-                    return;
+                    return self.linger(&io).await;
                 }
                 () = &mut idle, if !is_closing => {
                     is_closing = true;
@@ -120,6 +119,22 @@
         }
     }
 
+    /// Drops what the caller still sends until it has taken the answers, which have ended, or closes the
+    /// connection.
+    async fn linger(&self, io: &HangupIo) {
+        let max_stall = self.shared.client_limits().idle_timeout + IDLE_MARGIN;
+        // The server has ended the answers, unless the request could not be read.
+        let ended = poll_fn(|cx| Pin::new(&mut io.clone()).poll_shutdown(cx)).await;
+        if let Err(err) = ended {
+            log::debug!("connection of a caller not shut down reason={:?}", err.to_string());
+            return;
+        }
+        tokio::select! {
+            () = poll_fn(|cx| io.poll_drained(cx)) => {}
+            () = wait_until_taken(|| io.unsent_bytes(), max_stall) => {}
+        }
+    }
+
     /// Resolves once the connection has been idle for the idle timeout, or the node stops.
     async fn wait_until_idle(&self, io: &HangupIo, in_flight: &AtomicUsize) {
         let stopped = self.shared.wait_for_stop_phase(StopPhase::Stopped);
@@ -140,12 +155,6 @@
     }
 }
 
-/// Reads what the caller still sends until it closes the connection, whose answers have ended.
-async fn linger(io: &HangupIo) {
-    // A caller that keeps the connection open for longer has it reset.
-    let _ = timeout(MAX_LINGER, poll_fn(|cx| io.poll_hangup(cx))).await;
-}
-
 /// Counts a request as in flight until it is dropped.
 struct RequestGuard(Arc<AtomicUsize>);
 
--- a/crates/pollenlever/src/mesh/hangup_io.rs
+++ b/crates/pollenlever/src/mesh/hangup_io.rs
@@ -9,6 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::bounds::ConnectionSlot;
+use crate::net::unsent_bytes;
 
 /// Most bytes buffered that the server has not read yet.
 pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
@@ -55,6 +56,23 @@
         Poll::Ready(())
     }
 
+    /// Ready once the caller has closed the connection; drops what it sends until then.
+    pub(super) fn poll_drained(&self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut state = self.lock();
+        while !state.is_closed {
+            state.read_ahead.clear();
+            if state.poll_fill(cx).is_pending() {
+                return Poll::Pending;
+            }
+        }
+        Poll::Ready(())
+    }
+
+    /// Bytes written that the caller's system has not taken yet, if that is known.
+    pub(super) fn unsent_bytes(&self) -> Option<usize> {
+        unsent_bytes(&self.lock().io)
+    }
+
     /// When bytes last arrived from the caller.
     pub(super) fn last_read(&self) -> Instant {
         self.lock().last_read
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -30,6 +30,7 @@
 mod hangup_io;
 mod header_names;
 mod idle_limit;
+mod linger;
 mod log_event;
 mod member_changes;
 mod member_versions;
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 use super::test_mesh::DEADLINE_MS;
 
@@ -37,6 +37,14 @@
         RawCaller { io: TcpStream::connect(addr).await.unwrap(), buf: Vec::new() }
     }
 
+    /// Connects with a small receive buffer, so that what is not read stays with the node.
+    pub(crate) async fn connect_slow_reader(addr: SocketAddr) -> RawCaller {
+        const RECV_BUFFER_BYTES: u32 = 4 << 10;
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_recv_buffer_size(RECV_BUFFER_BYTES).unwrap();
+        RawCaller { io: socket.connect(addr).await.unwrap(), buf: Vec::new() }
+    }
+
     pub(crate) async fn write(&mut self, text: &str) {
         self.io.write_all(text.as_bytes()).await.unwrap();
     }
--- a/crates/pollenlever/tests/mesh/stop.rs
+++ b/crates/pollenlever/tests/mesh/stop.rs
@@ -167,3 +167,51 @@
     let refused = async { while TcpStream::connect(addr).await.is_ok() {} };
     tokio::time::timeout(super::test_mesh::WAIT, refused).await.expect("the node should stop");
 }
+
+/// Length of an answer that does not fit into the buffers of a slow reader's socket, in bytes.
+const LONG_ANSWER_BYTES: usize = 60_000;
+/// Time for which a caller does not read: longer than a node lingers behind answers that were taken.
+const READ_PAUSE: Duration = Duration::from_millis(2500);
+
+/// A caller sends `lines` with its request, pauses while it reads the answer, sends once more, and reads on.
+async fn check_whole_after_pause(lines: &str, body: &str, is_stopped: bool) {
+    let text: &'static str = Box::leak("x".repeat(LONG_ANSWER_BYTES).into_boxed_str());
+    let mesh = TestMesh::start(&[("read", &[Action::Answer(200, text)])]).await;
+    let mut caller = RawCaller::connect_slow_reader(mesh.nodes[0].callers).await;
+    caller.request_with("GET", "/read/1", "r1", DEADLINE_MS, lines).await;
+    caller.write(body).await;
+    mesh.nodes[0].target.wait_for_arrivals(1).await;
+    let left = async {
+        if is_stopped {
+            mesh.nodes[0].node.leave().await;
+        }
+    };
+    let read = async {
+        tokio::time::sleep(READ_PAUSE).await;
+        caller.request("GET", "/read/1", "r2", DEADLINE_MS).await;
+        tokio::time::sleep(READ_PAUSE / 10).await;
+        caller.answer().await
+    };
+    let ((), answer) = tokio::join!(left, read);
+    assert_eq!(answer.map(|it| it.body.len()), Some(LONG_ANSWER_BYTES));
+}
+
+/// Each line is a test: its name, the header lines of the request, its body, and whether the node stops.
+macro_rules! reading_cases {
+    ($($name:ident: $lines:literal, $body:literal, $is_stopped:literal;)+) => {$(
+        #[tokio::test]
+        async fn $name() {
+            check_whole_after_pause($lines, $body, $is_stopped).await;
+        }
+    )+};
+}
+
+// LOST: connections were reset a second after the kernel had taken the answer, though callers still read.
+reading_cases! {
+    an_answer_that_is_read_slowly_is_cut_by_a_close: "Connection: close\r\n", "", false;
+    an_answer_that_is_read_slowly_is_cut_by_a_stop: "", "", true;
+    an_answer_to_a_chunked_body_that_is_read_slowly_is_cut_by_a_close:
+        "Connection: close\r\nTransfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n\r\n", false;
+    an_answer_to_a_chunked_body_that_is_read_slowly_is_cut_by_a_stop:
+        "Transfer-Encoding: chunked\r\n", "1\r\nx\r\n0\r\n\r\n", true;
+}
