--- a/crates/pollenlever/src/mesh/departure_records.rs
+++ b/crates/pollenlever/src/mesh/departure_records.rs
@@ -4,20 +4,22 @@
 
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::NodeId;
+use pollenlever_core::membership::Member;
 use pollenlever_core::mesh::{
     DepartedTarget, KeptDepartures, MeshReply, MeshRequest, RegistryChange,
 };
 use rand::seq::IteratorRandom;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use super::MeshShared;
 use super::log_event::{LogEvent, log_event};
 
 /// Longest wait before a departure is confirmed; targets give up a second after their call.
 const MAX_CONFIRM_TIME: Duration = Duration::from_millis(800);
-/// Time for which the store alone is waited for, as it takes most departures at once.
-const STORE_TIME: Duration = Duration::from_millis(100);
+/// Time for which both the store and other nodes are waited for. One of them is enough afterwards.
+const MAX_BOTH_TIME: Duration = Duration::from_millis(400);
 /// Nodes that are asked at a time to keep a departure.
 const ASKED_NODES: usize = 3;
 /// Nodes that have to keep a departure, as far as there are so many.
@@ -55,33 +57,59 @@
     }
 }
 
+/// Who knows of a departure besides this process.
+#[derive(Debug, Clone, Copy, Default)]
+struct Recorded {
+    in_store: bool,
+    elsewhere: bool,
+}
+
 /// Confirms departures of the target beside this node only once they outlive this process: in the store
-/// or, while it refuses this node, at other nodes.
+/// and at other nodes. The store may refuse the next process, or come back from a copy that lacks the
+/// departure; the other nodes may restart as well. While one of the two is not to be had, the other is
+/// enough.
 impl MeshShared {
     /// Waits until the departure of this node's target outlives this process. Returns `false` if that
     /// takes too long; the target must not be told that its departure is known then. Returns `true`
     /// at once while a target is in use.
     pub async fn confirm_departure(self: &Arc<MeshShared>) -> bool {
         let Some(departed) = self.gate.departed_target() else { return true };
-        let recorded = async {
-            tokio::select! {
-                () = self.departures.wait_until_stored(&departed) => {}
-                () = self.keep_elsewhere(&departed) => {}
-            }
-        };
-        let is_confirmed = tokio::time::timeout(MAX_CONFIRM_TIME, recorded).await.is_ok();
+        let is_confirmed = self.record_departure(&departed).await;
         if !is_confirmed {
             log_event!(LogEvent::DepartureNotConfirmed, "instance={}", departed.instance);
         }
         is_confirmed
     }
 
+    /// Waits until the store and other nodes know of a departure, or for long enough for one of them.
+    /// Returns whether any does.
+    async fn record_departure(self: &Arc<MeshShared>, departed: &DepartedTarget) -> bool {
+        let mut recorded = Recorded::default();
+        let stored = self.departures.wait_until_stored(departed);
+        let kept = self.keep_elsewhere(departed);
+        let tried_both = sleep(MAX_BOTH_TIME);
+        let timed_out = sleep(MAX_CONFIRM_TIME);
+        tokio::pin!(stored, kept, tried_both, timed_out);
+        let mut is_one_enough = self.possible_keepers().is_empty();
+        loop {
+            let has_one = recorded.in_store || recorded.elsewhere;
+            if (recorded.in_store && recorded.elsewhere) || (is_one_enough && has_one) {
+                return true;
+            }
+            tokio::select! {
+                () = &mut stored, if !recorded.in_store => recorded.in_store = true,
+                () = &mut kept, if !recorded.elsewhere => recorded.elsewhere = true,
+                () = &mut tried_both, if !is_one_enough => is_one_enough = true,
+                () = &mut timed_out => return has_one,
+            }
+        }
+    }
+
     /// Resolves once enough other nodes keep a departure.
     async fn keep_elsewhere(self: &Arc<MeshShared>, departed: &DepartedTarget) {
         if self.departures.kept_elsewhere.borrow().as_ref() == Some(departed) {
             return;
         }
-        tokio::time::sleep(STORE_TIME).await;
         let mut keepers = Vec::new();
         loop {
             let others = self.possible_keepers();
@@ -96,16 +124,23 @@
                 self.departures.kept_elsewhere.send_replace(Some(departed.clone()));
                 return;
             }
-            tokio::time::sleep(RETRY_INTERVAL).await;
+            sleep(RETRY_INTERVAL).await;
         }
     }
 
-    /// Addresses of the other nodes in use that can keep departures.
+    /// Addresses of the other nodes in use that can keep departures: those of this region if there are
+    /// enough, as bytes between regions are dear, or else all.
     fn possible_keepers(&self) -> Vec<SocketAddr> {
-        let members: Vec<NodeId> =
-            self.members.read(|it| it.table().live().map(|member| member.node).collect());
-        let is_possible = |it: &NodeId| *it != self.me && self.keeps_departures(*it);
-        members.into_iter().filter(is_possible).map(|it| it.addr).collect()
+        let members: Vec<Member> = self.members.read(|it| it.table().live().cloned().collect());
+        let is_possible = |it: &Member| it.node != self.me && self.keeps_departures(it.node);
+        let possible: Vec<Member> = members.into_iter().filter(is_possible).collect();
+        let is_near = |it: &&Member| it.region == self.region;
+        let near: Vec<SocketAddr> =
+            possible.iter().filter(is_near).map(|it| it.node.addr).collect();
+        if near.len() >= MIN_KEEPERS {
+            return near;
+        }
+        possible.into_iter().map(|it| it.node.addr).collect()
     }
 
     /// Asks nodes to keep a departure. Returns those that do.
@@ -152,7 +187,7 @@
                 if shared.call_peer(node.addr, req).await == Some(MeshReply::Acknowledged) {
                     return;
                 }
-                tokio::time::sleep(RECALL_INTERVAL).await;
+                sleep(RECALL_INTERVAL).await;
             }
         });
     }
--- a/crates/pollenlever/src/mesh/target_state.rs
+++ b/crates/pollenlever/src/mesh/target_state.rs
@@ -18,8 +18,13 @@
             "instance={} started={} sequence={}",
             report.instance, report.started, report.sequence
         );
+        let is_draining = report.is_draining;
         let change = self.gate.handle_report(report);
         self.log_target_change(change, &text);
+        if is_draining {
+            // The first that a restarted node hears changes nothing for others, but has to be stored.
+            self.departure_changed.notify_one();
+        }
     }
 
     /// Handles a notice of the target that it is shutting down.
