--- a/crates/pollenlever-core/src/mesh/answer_limits.rs
+++ b/crates/pollenlever-core/src/mesh/answer_limits.rs
@@ -7,8 +7,8 @@
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AnswerLimits {
-    /// Most bytes that are read before the head of an answer is complete, those of interim answers
-    /// included.
+    /// Most bytes that are read before the head of an answer is taken: interim answers, the head, and what
+    /// the connection buffers of the body.
     pub max_head_bytes: usize,
     /// Most bytes that are read of one answer.
     pub max_answer_bytes: usize,
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -23,7 +23,9 @@
 /// Receive buffer of a connection, in bytes. The kernel doubles it; without a size it may grow to tens
 /// of megabytes for a target that sends faster than the node reads.
 const RECV_BUFFER_BYTES: u32 = 1 << 20;
-/// Most bytes that a connection buffers, and so the longest head of an answer.
+/// Most bytes that a connection buffers, and so the longest head of an answer. What is read of a body before
+/// [`TargetConnection::send`] returns is a few such buffers, and stays below the limit for what may come
+/// before a body.
 const MAX_BUF_BYTES: usize = 64 << 10;
 /// Time for which an idle connection is kept if the target does not announce its own limit.
 const DEFAULT_IDLE: Duration = Duration::from_secs(4);
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod endless_answers;
 mod gossip_peer;
 mod hangup;
+mod large_answers;
 mod log_lines;
 mod memory_store;
 mod once;
