--- a/platform/tests/support/crowd.rs
+++ b/crates/pollenlever-standins/src/crowd/crowd.rs
@@ -6,6 +6,8 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+use super::{Client, Reading};
+
 /// Receive buffer of a client, in bytes. A small one leaves unread answers with the node.
 const RECV_BUFFER_BYTES: u32 = 4 << 10;
 /// A write that takes longer counts as blocked: the node has stopped reading.
@@ -18,40 +20,25 @@
 /// Connections that are opened at the same time.
 const OPENED_AT_ONCE: usize = 50;
 
-/// Whether a client reads what the node sends.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Reading {
-    Never,
-    Slowly,
-}
-
-/// How a client behaves.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Client {
-    /// What it sends first, this number of times.
-    pub(crate) opening: (&'static str, usize),
-    /// What it then repeats until the node no longer reads, closes the connection, or has got
-    /// [`MAX_TAIL_BYTES`].
-    pub(crate) tail: &'static str,
-    /// What it sends last.
-    pub(crate) ending: &'static str,
-    pub(crate) reading: Reading,
-}
-
-impl Default for Client {
-    fn default() -> Client {
-        Client { opening: ("", 1), tail: "", ending: "", reading: Reading::Never }
-    }
-}
-
 /// Open connections of clients that behave alike. Dropping it closes them.
-pub(crate) struct Crowd {
+///
+/// ```
+/// use pollenlever_standins::crowd::{Client, Crowd};
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+/// let crowd = Crowd::open(3, listener.local_addr().unwrap(), Client::default()).await;
+/// drop(crowd);
+/// # });
+/// ```
+#[derive(Debug)]
+pub struct Crowd {
     _clients: JoinSet<()>,
 }
 
 impl Crowd {
-    /// Connects `count` clients to `addr`. Returns once each of them has sent what it is going to send.
-    pub(crate) async fn open(count: usize, addr: SocketAddr, client: Client) -> Crowd {
+    /// Connects `count` clients to `addr`. Returns once each of them has sent what it is going to send, or the
+    /// node no longer reads.
+    pub async fn open(count: usize, addr: SocketAddr, client: Client) -> Crowd {
         let mut clients = JoinSet::new();
         for first in (0..count).step_by(OPENED_AT_ONCE) {
             let opened = (first..count.min(first + OPENED_AT_ONCE))
--- a/crates/pollenlever-standins/src/lib.rs
+++ b/crates/pollenlever-standins/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod cluster;
+pub mod crowd;
 pub mod demo;
 pub mod load;
 pub mod measure;
--- a/crates/pollenlever/src/bounds/connection_slot.rs
+++ b/crates/pollenlever/src/bounds/connection_slot.rs
@@ -92,6 +92,13 @@
     }
 }
 
+impl MessageHold {
+    /// Bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
 impl Drop for MessageHold {
     fn drop(&mut self) {
         let (size, bytes) = (self.size, self.bytes);
--- a/crates/pollenlever/src/entry/call_route.rs
+++ b/crates/pollenlever/src/entry/call_route.rs
@@ -1,11 +1,10 @@
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use pollenlever_core::answer::ErrorKind;
 use pollenlever_core::id::CallId;
 use pollenlever_core::policy::{Call, Event};
-use rocket::data::{ByteUnit, Data};
+use rocket::data::Data;
 use rocket::http::Method;
 use rocket::route::{Handler, Outcome, Route};
 use rocket::{Request, Response};
@@ -17,6 +16,7 @@
 use super::call_headers::CallHeaders;
 use super::call_path::CallPath;
 use super::header_limit::is_within_header_limit;
+use super::read_body::ReadBody;
 use crate::node::CallReply;
 
 /// HTTP methods that callers may use.
@@ -30,9 +30,6 @@
     Method::Patch,
 ];
 
-/// Timeout for reading the body of a call.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// HTTP handler of calls.
 #[derive(Clone)]
 struct CallHandler {
@@ -50,9 +47,9 @@
 
 #[rocket::async_trait]
 impl Handler for CallHandler {
-    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+    async fn handle<'r>(&self, req: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
         let _in_flight_work = self.state.in_flight_work.start();
-        let response = match self.state.handle_call(req, data).await {
+        let response = match self.state.handle_call(req).await {
             Ok(response) => response,
             Err(kind) => error_response(kind),
         };
@@ -65,9 +62,8 @@
     async fn handle_call(
         self: &Arc<EntryState>,
         req: &Request<'_>,
-        data: Data<'_>,
     ) -> Result<Response<'static>, ErrorKind> {
-        let call = self.read_call(req, data).await?;
+        let call = self.read_call(req)?;
         let is_resend = call.key.is_some() || call.chain.is_some();
         let (id, reply) = self.calls.register();
         if self.events.push(Event::Call(id, call)).is_err() {
@@ -95,14 +91,19 @@
         reply.await.map_err(|_| ErrorKind::Internal)
     }
 
-    async fn read_call(&self, req: &Request<'_>, data: Data<'_>) -> Result<Call, ErrorKind> {
+    fn read_call(&self, req: &Request<'_>) -> Result<Call, ErrorKind> {
         if !is_within_header_limit(req.headers(), self.max_header_bytes) {
             return Err(ErrorKind::HeaderTooLarge);
         }
         let uri = req.uri().to_string();
         let path = CallPath::parse(&uri).ok_or(ErrorKind::MalformedRequest)?;
         let headers = CallHeaders::parse(req.headers())?;
-        let body = self.read_body(req, data).await?;
+        let is_resend = headers.key.is_some() || headers.chain.is_some();
+        let body = self.read_body(req).map_err(|err| match err {
+            // An earlier send may have run.
+            ErrorKind::QueueFull if is_resend => ErrorKind::OutcomeUnknown,
+            err => err,
+        })?;
         Ok(Call {
             service: path.service.into(),
             method: req.method().as_str().to_owned(),
@@ -117,27 +118,12 @@
         })
     }
 
-    /// Reads the complete body of a request, up to `max_body_bytes`.
-    pub(super) async fn read_body(
-        &self,
-        req: &Request<'_>,
-        data: Data<'_>,
-    ) -> Result<Bytes, ErrorKind> {
-        let declared_len = req.headers().get_one("content-length");
-        let declared_len = declared_len.and_then(|it| it.parse::<usize>().ok());
-        if declared_len.is_some_and(|it| it > self.max_body_bytes) {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        let limit = ByteUnit::Byte(self.max_body_bytes as u64);
-        let body = tokio::time::timeout(BODY_TIMEOUT, data.open(limit).into_bytes()).await;
-        let body = body.map_err(|_| ErrorKind::MalformedRequest)?;
-        let body = body.map_err(|_| ErrorKind::MalformedRequest)?;
-        if !body.is_complete() {
-            return Err(ErrorKind::BodyTooLarge);
-        }
-        if declared_len.is_some_and(|it| it != body.len()) {
-            return Err(ErrorKind::MalformedRequest);
-        }
-        Ok(Bytes::from(body.into_inner()))
+    /// The body of a request, which has been read.
+    ///
+    /// # Errors
+    ///
+    /// The kind of error to answer the request with if it could not be read.
+    pub(super) fn read_body(&self, req: &Request<'_>) -> Result<Bytes, ErrorKind> {
+        req.local_cache(|| ReadBody(Err(ErrorKind::Internal))).0.clone()
     }
 }
--- a/crates/pollenlever/src/entry/entry_state.rs
+++ b/crates/pollenlever/src/entry/entry_state.rs
@@ -4,6 +4,7 @@
 
 use super::DisconnectWatch;
 use super::disconnect_watch::CHECK_INTERVAL;
+use crate::bounds::{ConnectionLimiter, MessageMemory};
 use crate::control::SharedControl;
 use crate::gate::TargetWatch;
 use crate::node::{CallReply, InFlightCounter, PendingReplies, push_event};
@@ -24,6 +25,10 @@
     pub target: Arc<TargetWatch>,
     /// Notices callers that disconnect.
     pub disconnects: DisconnectWatch,
+    /// Limits the connections of callers.
+    pub connections: ConnectionLimiter,
+    /// Memory for the bodies of requests and answers.
+    pub memory: MessageMemory,
     /// Counts requests that are not yet answered.
     pub in_flight_work: InFlightCounter,
     /// Maximum size of a request body.
--- a/crates/pollenlever/src/entry/key_route.rs
+++ b/crates/pollenlever/src/entry/key_route.rs
@@ -41,9 +41,9 @@
 
 #[rocket::async_trait]
 impl Handler for KeyHandler {
-    async fn handle<'r>(&self, req: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+    async fn handle<'r>(&self, req: &'r Request<'_>, _: Data<'r>) -> Outcome<'r> {
         let _in_flight_work = self.state.in_flight_work.start();
-        let response = match self.state.issue_keys(req, data).await {
+        let response = match self.state.issue_keys(req).await {
             Ok(response) => response,
             Err(kind) => error_response(kind),
         };
@@ -55,9 +55,8 @@
     async fn issue_keys(
         self: &Arc<EntryState>,
         req: &Request<'_>,
-        data: Data<'_>,
     ) -> Result<Response<'static>, ErrorKind> {
-        let body = self.read_body(req, data).await?;
+        let body = self.read_body(req)?;
         let request: KeysRequest =
             serde_json::from_slice(&body).map_err(|_| ErrorKind::MalformedRequest)?;
         if request.count == 0 || request.count > MAX_KEYS_PER_REQUEST {
--- a/crates/pollenlever/src/gate/target_client.rs
+++ b/crates/pollenlever/src/gate/target_client.rs
@@ -2,14 +2,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use pollenlever_core::answer::is_final_status;
 use pollenlever_core::id::AttemptId;
+use pollenlever_core::memory::MessageKind;
 use pollenlever_core::policy::RunResult;
 use reqwest::{Client, Method, Response, StatusCode};
 
 use super::headers::is_end_to_end;
+use crate::bounds::{CountedBody, MemoryError, MessageMemory};
 
 /// Header with the id of the attempt. The target copies it to the calls that it makes, so that
 /// these are linked to the attempt.
@@ -22,6 +24,9 @@
 /// Timeout for a new connection to the target.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest wait for more memory while an answer is read.
+const MAX_MEMORY_WAIT: Duration = Duration::from_secs(5);
+
 /// An HTTP request to the target.
 #[derive(Debug, Clone)]
 pub struct TargetRequest {
@@ -45,6 +50,7 @@
     client: Client,
     target: SocketAddr,
     max_body_bytes: usize,
+    memory: MessageMemory,
 }
 
 impl TargetClient {
@@ -68,7 +74,12 @@
             .connect_timeout(CONNECT_TIMEOUT)
             .pool_idle_timeout(IDLE_TIMEOUT)
             .build()?;
-        Ok(TargetClient { client, target, max_body_bytes })
+        Ok(TargetClient { client, target, max_body_bytes, memory: MessageMemory::default() })
+    }
+
+    /// Takes the memory for the bodies of answers from `memory`.
+    pub fn with_memory(self, memory: MessageMemory) -> TargetClient {
+        TargetClient { memory, ..self }
     }
 
     /// Address of the target.
@@ -129,21 +140,31 @@
         if declared_len.is_some_and(|it| it > self.max_body_bytes) {
             return RunResult::TooLarge;
         }
-        let mut body = BytesMut::with_capacity(declared_len.unwrap_or_default());
-        loop {
-            match response.chunk().await {
-                Ok(Some(chunk)) if body.len() + chunk.len() > self.max_body_bytes => {
-                    return RunResult::TooLarge;
-                }
-                Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-                Ok(None) => break,
-                Err(_) => return RunResult::Truncated,
+        match self.read_body(&mut response, declared_len).await {
+            Ok(body) => RunResult::Answered { status: status.as_u16(), headers, body },
+            Err(result) => result,
+        }
+    }
+
+    /// Reads the body of an answer, which takes its memory before. The target is not read while it waits.
+    async fn read_body(
+        &self,
+        response: &mut Response,
+        declared_len: Option<usize>,
+    ) -> Result<Bytes, RunResult> {
+        let kind = MessageKind::Answer;
+        let started = CountedBody::start(&self.memory, kind, declared_len, MAX_MEMORY_WAIT).await;
+        let mut body = started.map_err(no_memory)?;
+        while let Some(chunk) = response.chunk().await.map_err(|_| RunResult::Truncated)? {
+            if body.len() + chunk.len() > self.max_body_bytes {
+                return Err(RunResult::TooLarge);
             }
+            body.push(&chunk, self.max_body_bytes).await.map_err(no_memory)?;
         }
         if declared_len.is_some_and(|it| it != body.len()) {
-            return RunResult::Truncated;
+            return Err(RunResult::Truncated);
         }
-        RunResult::Answered { status: status.as_u16(), headers, body: body.freeze() }
+        Ok(body.finish())
     }
 }
 
@@ -159,6 +180,12 @@
     false
 }
 
+/// Result of a run whose answer got no memory.
+fn no_memory(err: MemoryError) -> RunResult {
+    log::warn!("answer of the target not read reason={:?}", err.to_string());
+    RunResult::TooLarge
+}
+
 fn answer_headers(response: &Response) -> Vec<(String, String)> {
     let headers = response.headers().iter();
     let headers = headers.filter(|(name, _)| is_end_to_end(name.as_str()));
--- a/crates/pollenlever/src/mesh/edge_connection.rs
+++ b/crates/pollenlever/src/mesh/edge_connection.rs
@@ -9,15 +9,16 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use super::MeshShared;
 use super::caller_request::CallerRequest;
-use super::linger::wait_until_taken;
 use super::pipeline::Pipeline;
 use super::pipelined_answer::{PipelinedAnswer, max_buf_bytes};
 use super::request_frame::{BodyFrame, RequestFrame};
 use super::stop_phase::StopPhase;
-use super::{MeshShared, hangup_io};
 use crate::bounds::ConnectionSlot;
-use crate::net::unsent_bytes;
+use crate::net::{
+    MAX_READ_AHEAD_BYTES as MAX_CHUNKED_READ_AHEAD_BYTES, unsent_bytes, wait_until_taken,
+};
 
 /// Most requests of one connection that are processed at the same time.
 const MAX_PIPELINED_REQUESTS: usize = 16;
@@ -327,7 +328,7 @@
 /// What a connection with a chunked body takes for the buffers of its HTTP server, in bytes.
 fn chunked_bytes(shared: &MeshShared) -> usize {
     // The server doubles its buffer as it grows.
-    2 * max_buf_bytes(shared) + hangup_io::MAX_READ_AHEAD_BYTES
+    2 * max_buf_bytes(shared) + MAX_CHUNKED_READ_AHEAD_BYTES
 }
 
 /// Writes answers in request order until one closes the connection.
--- a/crates/pollenlever/src/mesh/edge_server.rs
+++ b/crates/pollenlever/src/mesh/edge_server.rs
@@ -1,33 +1,22 @@
-use std::convert::Infallible;
-use std::future::poll_fn;
-use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::BytesMut;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use tokio::io::AsyncWrite;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::MeshShared;
 use super::caller_request::CallerRequest;
 use super::control_server::ACCEPT_RETRY_DELAY;
 use super::edge_connection::{ConnectionEnd, EdgeConnection};
-use super::hangup_io::HangupIo;
-use super::linger::wait_until_taken;
 use super::pipeline::PipelinePosition;
 use super::pipelined_answer::{answer, max_buf_bytes};
 use super::stop_phase::StopPhase;
 use crate::bounds::ConnectionSlot;
+use crate::net::{HangupIo, HttpConnection};
 
 /// Time added to the configured idle timeout, so that a caller that stays just within it does not
 /// have its connection closed.
 const IDLE_MARGIN: Duration = Duration::from_secs(2);
-/// Shortest time between two checks whether a connection is idle.
-const MIN_IDLE_CHECK: Duration = Duration::from_millis(500);
 
 /// Accepts requests from callers on this VM (the machine beside which the node runs) and from the
 /// target, the server process beside the node.
@@ -82,91 +71,14 @@
     /// Serves a connection with chunked request bodies, one request after another.
     async fn serve_chunked(&self, io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) {
         let io = HangupIo::new(io, read_ahead, Arc::clone(&slot));
-        let in_flight = Arc::new(AtomicUsize::new(0));
-        let service = service_fn(|req| {
-            let shared = Arc::clone(&self.shared);
-            let guard = RequestGuard::new(&in_flight);
-            let slot = Arc::clone(&slot);
-            async move {
-                let _guard = guard;
-                let caller = CallerRequest { position: PipelinePosition::alone(), slot };
-                Ok::<_, Infallible>(answer(shared, caller, req).await)
-            }
-        });
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(max_buf_bytes(&self.shared));
-        let connection = builder.serve_connection(TokioIo::new(io.clone()), service);
-        tokio::pin!(connection);
-        let idle = self.wait_until_idle(&io, &in_flight);
-        tokio::pin!(idle);
-        let mut is_closing = false;
-        loop {
-            tokio::select! {
-                biased;
-                // Returning drops the connection's unfinished requests.
-                () = poll_fn(|cx| io.poll_hangup(cx)) => return,
-                res = connection.as_mut() => {
-                    if let Err(err) = res {
-                        log::debug!("connection of a caller ended reason={:?}", err.to_string());
-                    }
-                    return self.linger(&io).await;
-                }
-                () = &mut idle, if !is_closing => {
-                    is_closing = true;
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
-        }
-    }
-
-    /// Drops what the caller still sends until it has taken the answers, which have ended, or closes the
-    /// connection.
-    async fn linger(&self, io: &HangupIo) {
-        let max_stall = self.shared.client_limits().idle_timeout + IDLE_MARGIN;
-        // The server has ended the answers, unless the request could not be read.
-        let ended = poll_fn(|cx| Pin::new(&mut io.clone()).poll_shutdown(cx)).await;
-        if let Err(err) = ended {
-            log::debug!("connection of a caller not shut down reason={:?}", err.to_string());
-            return;
-        }
-        tokio::select! {
-            () = poll_fn(|cx| io.poll_drained(cx)) => {}
-            () = wait_until_taken(|| io.unsent_bytes(), max_stall) => {}
-        }
-    }
-
-    /// Resolves once the connection has been idle for the idle timeout, or the node stops.
-    async fn wait_until_idle(&self, io: &HangupIo, in_flight: &AtomicUsize) {
+        let connection = HttpConnection::new(io, max_buf_bytes(&self.shared));
+        let service = |req| {
+            let caller =
+                CallerRequest { position: PipelinePosition::alone(), slot: Arc::clone(&slot) };
+            answer(Arc::clone(&self.shared), caller, req)
+        };
+        let idle_timeout = || self.shared.client_limits().idle_timeout + IDLE_MARGIN;
         let stopped = self.shared.wait_for_stop_phase(StopPhase::Stopped);
-        tokio::pin!(stopped);
-        loop {
-            let limit = self.shared.client_limits().idle_timeout + IDLE_MARGIN;
-            let idle = Instant::now().saturating_duration_since(io.last_read());
-            let is_busy = in_flight.load(Ordering::Relaxed) > 0;
-            if !is_busy && idle >= limit {
-                return;
-            }
-            let wait = if is_busy { limit } else { limit.saturating_sub(idle) };
-            tokio::select! {
-                () = tokio::time::sleep(wait.max(MIN_IDLE_CHECK)) => {}
-                () = &mut stopped => return,
-            }
-        }
-    }
-}
-
-/// Counts a request as in flight until it is dropped.
-struct RequestGuard(Arc<AtomicUsize>);
-
-impl RequestGuard {
-    fn new(in_flight: &Arc<AtomicUsize>) -> RequestGuard {
-        in_flight.fetch_add(1, Ordering::Relaxed);
-        RequestGuard(Arc::clone(in_flight))
-    }
-}
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        connection.serve(service, idle_timeout, stopped).await;
     }
 }
--- a/crates/pollenlever/src/mesh/request_body.rs
+++ b/crates/pollenlever/src/mesh/request_body.rs
@@ -1,19 +1,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use pollenlever_core::answer::ErrorKind;
-use pollenlever_core::memory::{MessageKind, SMALL_MESSAGE_BYTES};
+use pollenlever_core::memory::MessageKind;
 use tokio::time::timeout;
 
-use crate::bounds::{ConnectionSlot, MemoryError, MessageMemory, Reservation};
+use crate::bounds::{ConnectionSlot, CountedBody, MemoryError, MessageMemory};
 
 /// A body waits for its memory for at most the time in which it is to be read, divided by this.
 const MEMORY_WAIT_DIVISOR: u32 = 2;
-/// A body of unknown length takes memory in steps, each larger than the one before by this factor.
-const GROWTH_FACTOR: usize = 4;
 
 /// Reads the bodies of requests. A body takes its memory before it is read.
 pub(super) struct BodyReader<'a> {
@@ -51,29 +49,26 @@
         mut body: Incoming,
         len: Option<usize>,
     ) -> Result<Bytes, ErrorKind> {
-        let first_bytes = len.unwrap_or(SMALL_MESSAGE_BYTES.min(self.max_bytes));
-        let reserved = self.memory.reserve(MessageKind::Body, first_bytes, self.max_wait()).await;
-        let mut reservation = reserved.map_err(memory_error)?;
-        let mut held = self.slot.hold(reservation.bytes());
-        let mut buf = BytesMut::with_capacity(len.unwrap_or_default());
+        let max_wait = self.max_time / MEMORY_WAIT_DIVISOR;
+        let started = CountedBody::start(self.memory, MessageKind::Body, len, max_wait).await;
+        let mut read = started.map_err(memory_error)?;
+        let mut held = self.slot.hold(read.reserved_bytes());
         while let Some(frame) = self.next_frame(&mut body).await {
             let frame = frame.map_err(|err| {
                 log::debug!("body of a request not read reason={:?}", err.to_string());
                 ErrorKind::MalformedRequest
             })?;
             let Ok(data) = frame.into_data() else { continue };
-            let read = buf.len() + data.len();
-            if read > self.max_bytes {
+            if read.len() + data.len() > self.max_bytes {
                 return Err(ErrorKind::BodyTooLarge);
             }
-            if read > reservation.bytes() {
-                self.grow(&mut reservation, read).await?;
-                held = self.slot.hold(reservation.bytes());
+            read.push(&data, self.max_bytes).await.map_err(memory_error)?;
+            if read.reserved_bytes() > held.bytes() {
+                held = self.slot.hold(read.reserved_bytes());
             }
-            buf.extend_from_slice(&data);
         }
         drop(held);
-        Ok(reservation.bind(buf.freeze()))
+        Ok(read.finish())
     }
 
     /// Reads on, as soon as the caller has sent more.
@@ -86,18 +81,6 @@
         }
         frame
     }
-
-    /// Takes memory for a body of which `read` bytes have come.
-    async fn grow(&self, reservation: &mut Reservation, read: usize) -> Result<(), ErrorKind> {
-        let available = self.memory.max_message_bytes(MessageKind::Body);
-        let next = reservation.bytes().max(read).saturating_mul(GROWTH_FACTOR);
-        let bytes = next.min(self.max_bytes).min(available).max(read);
-        reservation.grow(bytes, self.max_wait()).await.map_err(memory_error)
-    }
-
-    fn max_wait(&self) -> Duration {
-        self.max_time / MEMORY_WAIT_DIVISOR
-    }
 }
 
 fn memory_error(err: MemoryError) -> ErrorKind {
--- a/crates/pollenlever/src/mesh/hangup_io.rs
+++ b/crates/pollenlever/src/net/hangup_io.rs
@@ -8,11 +8,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use super::unsent_bytes;
 use crate::bounds::ConnectionSlot;
-use crate::net::unsent_bytes;
 
 /// Most bytes buffered that the server has not read yet.
-pub(super) const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
+pub(crate) const MAX_READ_AHEAD_BYTES: usize = 16 << 10;
 /// Largest number of bytes taken by one read.
 const READ_BYTES: usize = 4 << 10;
 
@@ -21,7 +21,7 @@
 /// The HTTP server does not read while it answers; this reads ahead of it, up to
 /// [`MAX_READ_AHEAD_BYTES`].
 #[derive(Debug, Clone)]
-pub(super) struct HangupIo {
+pub(crate) struct HangupIo {
     state: Arc<Mutex<State>>,
 }
 
@@ -36,7 +36,7 @@
 
 impl HangupIo {
     /// Wraps the socket of the connection of `slot`; `read_ahead` holds the bytes already read from it.
-    pub(super) fn new(io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) -> HangupIo {
+    pub(crate) fn new(io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) -> HangupIo {
         let state = State { io, read_ahead, is_closed: false, last_read: Instant::now(), slot };
         HangupIo { state: Arc::new(Mutex::new(state)) }
     }
--- a/crates/pollenlever/src/mesh/linger.rs
+++ b/crates/pollenlever/src/net/linger.rs
@@ -11,7 +11,7 @@
 /// Waits until the caller has taken the answers that were written to its connection, and a moment longer,
 /// or until it has taken nothing for `max_stall`. `unsent` returns the bytes that it has not taken; `None`
 /// if that is not known, which counts as none.
-pub(super) async fn wait_until_taken(unsent: impl Fn() -> Option<usize>, max_stall: Duration) {
+pub(crate) async fn wait_until_taken(unsent: impl Fn() -> Option<usize>, max_stall: Duration) {
     let mut left = unsent().unwrap_or_default();
     let (mut last_progress, mut last_unsent) = (Instant::now(), Instant::now());
     loop {
--- a/crates/pollenlever/src/node/entry_thread.rs
+++ b/crates/pollenlever/src/node/entry_thread.rs
@@ -8,13 +8,13 @@
 use super::shared_state::SharedState;
 use super::target_thread::TargetThread;
 use crate::control::SharedControl;
-use crate::entry::{DisconnectWatch, EntryServer, EntryState};
+use crate::entry::{DisconnectWatch, EntryServer, EntryShutdown, EntryState};
 use crate::settings::Settings;
 
 /// The thread that serves callers, the target and operators over HTTP.
 pub(super) struct EntryThread {
     addr: SocketAddr,
-    shutdown: rocket::Shutdown,
+    shutdown: EntryShutdown,
     /// Result of the HTTP server; `None` while it serves.
     ended: watch::Receiver<Option<Result<(), String>>>,
     thread: NetworkThread,
@@ -36,6 +36,8 @@
             telemetry: Arc::clone(&shared.telemetry),
             target: Arc::clone(&target.watch),
             disconnects: DisconnectWatch::new(cfg.entry),
+            connections: shared.connections.clone(),
+            memory: shared.memory.clone(),
             in_flight_work: shared.in_flight_work.clone(),
             max_body_bytes: cfg.max_body_bytes,
             max_header_bytes: cfg.max_header_bytes,
--- a/crates/pollenlever/src/node/peer_thread.rs
+++ b/crates/pollenlever/src/node/peer_thread.rs
@@ -7,7 +7,7 @@
 use super::network_thread::NetworkThread;
 use super::shared_state::SharedState;
 use super::{NodeStartError, PeerRequestHandler};
-use crate::bounds::{ConnectionLimiter, MessageMemory, ProcessBounds, ProcessLimits};
+use crate::bounds::ConnectionLimiter;
 use crate::control::{Control, SharedControl};
 use crate::peer::{PeerClient, PeerCommand, PeerOptions, PeerServer, run_exchanges};
 use crate::settings::Settings;
@@ -33,7 +33,8 @@
     ) -> Result<PeerThread, NodeStartError> {
         let thread = NetworkThread::start("peer")?;
         let options = peer_options(cfg);
-        let client = PeerClient::new(shared.local_node, options, thread.handle().clone());
+        let client = PeerClient::new(shared.local_node, options, thread.handle().clone())
+            .with_memory(shared.memory.clone());
         let sender = Arc::new(client.clone());
         let control = Control::spawn(cfg, shared.local_node, sender, shared.events.clone())?;
         let handler = PeerRequestHandler {
@@ -41,12 +42,11 @@
             streams: Arc::clone(&shared.streams),
             control: Arc::clone(&control),
         };
-        let bounds = ProcessBounds::of_process(ProcessLimits::default());
         let server = PeerServer {
             local_node: shared.local_node,
             max_body_bytes: options.max_body_bytes,
-            memory: MessageMemory::default(),
-            connections: ConnectionLimiter::new("peers", bounds.peers()),
+            memory: shared.memory.clone(),
+            connections: ConnectionLimiter::new("peers", shared.bounds.peers()),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(client.versions()),
             handler: Arc::new(handler),
--- a/crates/pollenlever/src/node/shared_state.rs
+++ b/crates/pollenlever/src/node/shared_state.rs
@@ -7,6 +7,7 @@
 use pollenlever_core::policy::Event;
 
 use super::{CallReply, InFlightCounter, PendingReplies};
+use crate::bounds::{BoundsMetrics, ConnectionLimiter, MessageMemory, ProcessBounds};
 use crate::ring::{RingSender, ring};
 use crate::settings::Settings;
 use crate::telemetry::{NodeTelemetry, SharedTelemetry};
@@ -22,6 +23,12 @@
     pub(super) calls: Arc<PendingReplies<CallReply>>,
     /// Replies that peers wait for, by stream.
     pub(super) streams: Arc<PendingReplies<(PeerReply, Bytes)>>,
+    /// What the process may take in all.
+    pub(super) bounds: ProcessBounds,
+    /// Limits the connections of callers.
+    pub(super) connections: ConnectionLimiter,
+    /// Memory for the bodies of requests and answers.
+    pub(super) memory: MessageMemory,
     /// Replies that are not yet written.
     pub(super) in_flight_work: InFlightCounter,
     /// Metrics and the error budget burn report.
@@ -33,7 +40,17 @@
     pub(super) fn new(cfg: &Settings) -> (SharedState, Receiver<Event>) {
         let local_node = NodeId { addr: cfg.peer_address(), incarnation: random_incarnation() };
         let (events, rx) = ring(cfg.ring_capacity);
+        let bounds = ProcessBounds::of_process(cfg.process_limits());
+        let connections = ConnectionLimiter::new("callers", bounds.callers());
+        let memory = MessageMemory::with_callers(
+            bounds.memory(),
+            Some(connections.clone()),
+            BoundsMetrics::default(),
+        );
         let shared = SharedState {
+            bounds,
+            connections,
+            memory,
             local_node,
             events,
             calls: Arc::default(),
--- a/crates/pollenlever/src/settings/mesh_settings.rs
+++ b/crates/pollenlever/src/settings/mesh_settings.rs
@@ -4,8 +4,8 @@
 
 use pollenlever_core::mesh::RetryBudgetSettings;
 
-use super::SettingsError;
 use super::ini::{Document, Expected, Faults, SectionReader, values};
+use super::{BYTES_PER_MB, DESCRIPTORS_RANGE, MEMORY_MB_RANGE, SettingsError};
 use crate::bounds::ProcessLimits;
 
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
@@ -13,11 +13,6 @@
 const SWITCH: &[&str] = &["on", "off"];
 const RETRY_SLACK_RANGE: std::ops::RangeInclusive<f64> = 0.0..=1e6;
 const SECONDS_RANGE: std::ops::RangeInclusive<f64> = 0.1..=3600.0;
-/// The process needs the lowest of these for itself and for answers, and a body of 4 MB.
-const MEMORY_MB_RANGE: std::ops::RangeInclusive<usize> = 16..=1_000_000;
-/// The node itself needs about the lowest of these.
-const DESCRIPTORS_RANGE: std::ops::RangeInclusive<usize> = 128..=10_000_000;
-const BYTES_PER_MB: usize = 1_000_000;
 const QUOTA_SHARDS_RANGE: std::ops::RangeInclusive<u32> = 1..=256;
 
 /// Settings of a node in a service mesh. Unknown sections and keys are ignored, because the platform
--- a/crates/pollenlever/src/settings/parse.rs
+++ b/crates/pollenlever/src/settings/parse.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use super::ini::{Document, Expected, Faults, SectionReader, values};
-use super::{PolicyName, Settings};
+use super::{BYTES_PER_MB, DESCRIPTORS_RANGE, MEMORY_MB_RANGE, PolicyName, Settings};
 
 const SECTIONS: [&str; 7] = ["node", "target", "store", "peers", "limits", "policy", "log"];
 const LOG_LEVELS: &[&str] = &["error", "warn", "info", "debug", "trace"];
@@ -79,6 +79,10 @@
         &mut cfg.ring_capacity,
         reader.optional("ring_capacity", values::number(RING_CAPACITY_RANGE)),
     );
+    let memory_mb = reader.optional("memory_mb", values::number(MEMORY_MB_RANGE));
+    cfg.memory_bytes = memory_mb.map(|it| it * BYTES_PER_MB);
+    let max_descriptors = reader.optional("max_descriptors", values::number(DESCRIPTORS_RANGE));
+    cfg.max_descriptors = max_descriptors;
     set(
         &mut cfg.drain_timeout,
         reader.optional("drain_timeout_ms", values::millis(DRAIN_TIMEOUT_MS_RANGE)),
--- a/crates/pollenlever/src/settings/settings.rs
+++ b/crates/pollenlever/src/settings/settings.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::ini::Document;
-use super::{PolicyName, SettingsError, parse};
+use super::{BYTES_PER_MB, PolicyName, SettingsError, parse};
+use crate::bounds::ProcessLimits;
 
 /// Settings of one node of `pollenleverd`.
 ///
@@ -38,6 +39,11 @@
     /// `[limits] ring_capacity`: capacity of the event queue of the decision thread, and of the
     /// command queues of the peer and target threads.
     pub ring_capacity: usize,
+    /// `[limits] memory_mb`: memory that the process may use, in bytes here; `None` for 256 MB.
+    pub memory_bytes: Option<usize>,
+    /// `[limits] max_descriptors`: descriptors that the process may open; `None` for as many as the system
+    /// allows.
+    pub max_descriptors: Option<usize>,
     /// `[limits] drain_timeout_ms`: maximum wait for requests in flight after SIGTERM.
     pub drain_timeout: Duration,
     /// `[policy] name`: `pollenlever` or `naive`.
@@ -90,6 +96,11 @@
         parse::parse(file, text).map_err(SettingsError::Invalid)
     }
 
+    /// What the settings allow the process.
+    pub fn process_limits(&self) -> ProcessLimits {
+        ProcessLimits { memory_bytes: self.memory_bytes, max_descriptors: self.max_descriptors }
+    }
+
     /// The address at which other nodes reach this one.
     pub fn peer_address(&self) -> SocketAddr {
         self.advertise.unwrap_or(self.peer)
@@ -123,6 +134,12 @@
         line(format!("[limits]\nmax_body_bytes = {}", self.max_body_bytes));
         line(format!("max_header_bytes = {}", self.max_header_bytes));
         line(format!("ring_capacity = {}", self.ring_capacity));
+        if let Some(bytes) = self.memory_bytes {
+            line(format!("memory_mb = {}", bytes / BYTES_PER_MB));
+        }
+        if let Some(count) = self.max_descriptors {
+            line(format!("max_descriptors = {count}"));
+        }
         line(format!("drain_timeout_ms = {}", self.drain_timeout.as_millis()));
         line(format!("[policy]\nname = {}", self.policy.as_str()));
         if let Some(seed) = self.seed {
@@ -148,6 +165,8 @@
             max_body_bytes: 1 << 20,
             max_header_bytes: 16 << 10,
             ring_capacity: 4096,
+            memory_bytes: None,
+            max_descriptors: None,
             drain_timeout: Duration::from_secs(30),
             policy: PolicyName::Pollenlever,
             seed: None,
--- a/crates/pollenlever/tests/support/stub_target.rs
+++ b/crates/pollenlever/tests/support/stub_target.rs
@@ -7,6 +7,9 @@
 /// Body of the answers of the target.
 pub(crate) const BODY: &str = "the whole answer";
 
+/// Length of the body of a long answer, in bytes.
+const LONG_BODY_BYTES: usize = 900_000;
+
 /// A target that selects its answer, or the way in which it fails, by the last segment of the path.
 #[derive(Debug, Clone)]
 pub(crate) struct StubTarget {
@@ -68,6 +71,10 @@
                 let status = status.trim_start_matches("status-");
                 format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{BODY}")
             }
+            "long" => {
+                let body = "x".repeat(LONG_BODY_BYTES);
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {LONG_BODY_BYTES}\r\n\r\n{body}")
+            }
             "crash" => String::new(),
             "slow" => {
                 if is_closed_within(io, Duration::from_millis(1500)) {
@@ -78,7 +85,8 @@
             }
             _ => complete_answer(),
         };
-        let keeps_connection = text == complete_answer() || path.ends_with("/chunked");
+        let keeps_connection =
+            text == complete_answer() || path.ends_with("/chunked") || path.ends_with("/long");
         io.write_all(text.as_bytes()).is_ok() && keeps_connection
     }
 }
--- a/crates/pollenlever/tests/support/test_node.rs
+++ b/crates/pollenlever/tests/support/test_node.rs
@@ -50,10 +50,15 @@
 impl TestNode {
     /// Starts a node beside a target that has announced itself for the service `balance`.
     pub(crate) fn start() -> TestNode {
+        TestNode::start_with(|_| {})
+    }
+
+    /// Starts a node like [`start`](TestNode::start), with other settings.
+    pub(crate) fn start_with(change: impl FnOnce(&mut Settings)) -> TestNode {
         let target = StubTarget::start();
         let index = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
         let addr = |port| SocketAddr::from((unique_loopback_ip(index), port));
-        let cfg = Settings {
+        let mut cfg = Settings {
             entry: addr(7000),
             peer: addr(7100),
             target: target.addr,
@@ -64,6 +69,7 @@
             log_level: "debug".to_owned(),
             ..Settings::default()
         };
+        change(&mut cfg);
         let name = format!("pollenlever-node-{}-{index}.ini", std::process::id());
         let settings_file = std::env::temp_dir().join(name);
         std::fs::write(&settings_file, cfg.to_ini()).unwrap();
@@ -91,6 +97,11 @@
         peer.send_config(self.cfg.peer, config());
     }
 
+    /// Id of the process.
+    pub(crate) fn pid(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Id of the node, as its status page states it.
     pub(crate) fn id(&self) -> NodeId {
         self.status().node.parse().unwrap()
