--- a/crates/pollenlever-core/src/memory/memory_ledger.rs
+++ b/crates/pollenlever-core/src/memory/memory_ledger.rs
@@ -1,6 +1,6 @@
 use std::collections::{HashMap, VecDeque};
 
-use super::{HoldId, MemoryShares, MessageLane, MessageSize};
+use super::{HoldId, MemoryShares, MessageKind, MessageLane, MessageSize};
 
 /// What comes of a request for memory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -26,7 +26,7 @@
 /// let lane = MessageLane::ALL[1];
 /// let mut ledger = MemoryLedger::new(MemoryShares::of_process(64_000_000));
 /// assert_eq!(ledger.request(1, lane, 20_000_000), Grant::Held);
-/// assert_eq!(ledger.request(2, lane, 20_000_000), Grant::Waiting);
+/// assert_eq!(ledger.request(2, lane, 1_000_000), Grant::Waiting);
 /// assert_eq!(ledger.release(1), [2]);
 /// ```
 #[derive(Debug)]
@@ -34,9 +34,9 @@
     shares: MemoryShares,
     holds: HashMap<HoldId, Hold>,
     /// Bytes held in each lane, in the order of [`MessageLane::ALL`].
-    held: [usize; 4],
+    held: [usize; MessageLane::ALL.len()],
     /// Requests that wait in each lane, in the order of asking.
-    waiting: [VecDeque<(HoldId, usize)>; 4],
+    waiting: [VecDeque<(HoldId, usize)>; MessageLane::ALL.len()],
 }
 
 #[derive(Debug)]
@@ -48,7 +48,12 @@
 impl MemoryLedger {
     /// Creates a ledger in which nothing is held.
     pub fn new(shares: MemoryShares) -> MemoryLedger {
-        MemoryLedger { shares, holds: HashMap::new(), held: [0; 4], waiting: Default::default() }
+        MemoryLedger {
+            shares,
+            holds: HashMap::new(),
+            held: [0; MessageLane::ALL.len()],
+            waiting: Default::default(),
+        }
     }
 
     /// Asks for memory under a new `id`.
@@ -95,15 +100,23 @@
 
     /// Bytes of the largest message for which a lane has memory.
     pub fn available(&self, lane: MessageLane) -> usize {
-        let share = self.shares.of_lane(lane);
-        if lane.size == MessageSize::Large { share.min(self.shares.large) } else { share }
+        match (lane.kind, lane.size) {
+            (_, MessageSize::Small) => self.shares.of_lane(lane),
+            (MessageKind::Body, MessageSize::Large) => {
+                self.shares.of_lane(lane).min(self.shares.large)
+            }
+            // An answer that is the only one of its kind may take all.
+            (_, MessageSize::Large) => self.shares.large,
+        }
     }
 
     fn fits(&self, lane: MessageLane, bytes: usize) -> bool {
-        if self.held(lane) + bytes > self.shares.of_lane(lane) {
-            return false;
+        let is_within_share = self.held(lane) + bytes <= self.shares.of_lane(lane);
+        if lane.size == MessageSize::Small {
+            return is_within_share;
         }
-        lane.size == MessageSize::Small || self.held_large() + bytes <= self.shares.large
+        let is_alone = self.held(lane) == 0 && bytes <= self.available(lane);
+        (is_within_share || is_alone) && self.held_large() + bytes <= self.shares.large
     }
 
     fn held_large(&self) -> usize {
--- a/crates/pollenlever-core/src/memory/memory_shares.rs
+++ b/crates/pollenlever-core/src/memory/memory_shares.rs
@@ -9,8 +9,9 @@
 
 /// How the memory of a process is divided among what it holds for others, in bytes.
 ///
-/// Bodies and answers share the memory for large messages, and each of them may take most of it, so
-/// that one message of the largest size fits also on a small machine.
+/// All kinds share the memory for large messages. What the others may take together leaves some to the
+/// answers of other nodes, on which answers that those nodes hold depend. A single message of a kind may
+/// take more than the share of its kind, so that one of the largest size fits also on a small machine.
 ///
 /// ```
 /// use pollenlever_core::memory::MemoryShares;
@@ -24,14 +25,16 @@
     pub connections: usize,
     /// Small bodies together.
     pub small_bodies: usize,
-    /// Small answers together.
+    /// Small answers of each of the two kinds together.
     pub small_answers: usize,
     /// All large messages together.
     pub large: usize,
     /// Part of [`large`](MemoryShares::large) that bodies may take.
     pub large_bodies: usize,
-    /// Part of [`large`](MemoryShares::large) that answers may take.
-    pub large_answers: usize,
+    /// Part of [`large`](MemoryShares::large) that answers of the target may take.
+    pub large_target_answers: usize,
+    /// Part of [`large`](MemoryShares::large) that answers of other nodes may take.
+    pub large_peer_answers: usize,
 }
 
 impl MemoryShares {
@@ -40,7 +43,7 @@
         let own = OWN_BYTES.min(bytes / 4) + bytes / 8;
         let connections = bytes / 8;
         let small = bytes / 32;
-        let large = bytes - own - connections - 2 * small;
+        let large = bytes - own - connections - 3 * small;
         let large_bodies = match bytes {
             USUAL_PROCESS_BYTES.. => (bytes / 32 * 9).max(LARGEST_BODY_BYTES),
             _ => bytes / 32 * 9,
@@ -51,22 +54,24 @@
             small_answers: small,
             large,
             large_bodies,
-            large_answers: large / 4 * 3,
+            large_target_answers: large / 8 * 3,
+            large_peer_answers: large / 2,
         }
     }
 
     /// Bytes that others can make the process hold.
     pub fn sum(&self) -> usize {
-        self.connections + self.small_bodies + self.small_answers + self.large
+        self.connections + self.small_bodies + 2 * self.small_answers + self.large
     }
 
     /// Bytes that the messages of a lane may take together.
     pub fn of_lane(&self, lane: MessageLane) -> usize {
         match (lane.kind, lane.size) {
             (MessageKind::Body, MessageSize::Small) => self.small_bodies,
-            (MessageKind::Answer, MessageSize::Small) => self.small_answers,
+            (_, MessageSize::Small) => self.small_answers,
             (MessageKind::Body, MessageSize::Large) => self.large_bodies,
-            (MessageKind::Answer, MessageSize::Large) => self.large_answers,
+            (MessageKind::TargetAnswer, MessageSize::Large) => self.large_target_answers,
+            (MessageKind::PeerAnswer, MessageSize::Large) => self.large_peer_answers,
         }
     }
 }
--- a/crates/pollenlever-core/src/memory/message_lane.rs
+++ b/crates/pollenlever-core/src/memory/message_lane.rs
@@ -6,8 +6,12 @@
 pub enum MessageKind {
     /// The body of a request.
     Body,
-    /// The body of an answer.
-    Answer,
+    /// The body of an answer of the target, which the node holds until the caller or the node that asked
+    /// has taken it.
+    TargetAnswer,
+    /// The body of an answer that another node sends. Two nodes may hold answers for each other, so that
+    /// these must not wait for those of the target.
+    PeerAnswer,
 }
 
 /// Size of a message. Small ones have memory of their own, so that they do not wait for large ones.
@@ -42,9 +46,11 @@
 
 impl MessageLane {
     /// All lanes; answers come first, since the work for them is done.
-    pub const ALL: [MessageLane; 4] = [
-        MessageLane { kind: MessageKind::Answer, size: MessageSize::Small },
-        MessageLane { kind: MessageKind::Answer, size: MessageSize::Large },
+    pub const ALL: [MessageLane; 6] = [
+        MessageLane { kind: MessageKind::PeerAnswer, size: MessageSize::Small },
+        MessageLane { kind: MessageKind::PeerAnswer, size: MessageSize::Large },
+        MessageLane { kind: MessageKind::TargetAnswer, size: MessageSize::Small },
+        MessageLane { kind: MessageKind::TargetAnswer, size: MessageSize::Large },
         MessageLane { kind: MessageKind::Body, size: MessageSize::Small },
         MessageLane { kind: MessageKind::Body, size: MessageSize::Large },
     ];
--- a/crates/pollenlever/src/gate/target_client.rs
+++ b/crates/pollenlever/src/gate/target_client.rs
@@ -152,7 +152,7 @@
         response: &mut Response,
         declared_len: Option<usize>,
     ) -> Result<Bytes, RunResult> {
-        let kind = MessageKind::Answer;
+        let kind = MessageKind::TargetAnswer;
         let started = CountedBody::start(&self.memory, kind, declared_len, MAX_MEMORY_WAIT).await;
         let mut body = started.map_err(no_memory)?;
         while let Some(chunk) = response.chunk().await.map_err(|_| RunResult::Truncated)? {
--- a/crates/pollenlever/src/mesh/answer_body.rs
+++ b/crates/pollenlever/src/mesh/answer_body.rs
@@ -36,7 +36,7 @@
         return Ok(Bytes::new());
     }
     bytes.check_length(len.unwrap_or_default())?;
-    let kind = MessageKind::Answer;
+    let kind = MessageKind::TargetAnswer;
     let mut read = CountedBody::start(memory, kind, len, MAX_MEMORY_WAIT).await?;
     while let Some(part) = next_part(&mut body, bytes).await? {
         read.push(&part, usize::MAX).await?;
--- a/crates/pollenlever/src/mesh/mesh_metrics.rs
+++ b/crates/pollenlever/src/mesh/mesh_metrics.rs
@@ -290,7 +290,9 @@
         it.open_requests.set(shared.in_flight_work.count() as i64);
         it.open_connections.set(shared.open_connection_count() as i64);
         it.held_body_bytes.set(shared.memory.held_bytes(MessageKind::Body) as i64);
-        it.held_answer_bytes.set(shared.memory.held_bytes(MessageKind::Answer) as i64);
+        let answers = [MessageKind::TargetAnswer, MessageKind::PeerAnswer];
+        let held: usize = answers.iter().map(|it| shared.memory.held_bytes(*it)).sum();
+        it.held_answer_bytes.set(held as i64);
         shared.quota.update_metrics();
         let mut buf = String::new();
         encode(&mut buf, &self.registry).expect("writing to a string does not fail");
--- a/crates/pollenlever/src/peer/message_io.rs
+++ b/crates/pollenlever/src/peer/message_io.rs
@@ -105,8 +105,8 @@
     async fn reserve(&self, bytes: usize) -> Result<Reservation, MemoryError> {
         let max_wait = match self.kind {
             MessageKind::Body => MAX_BODY_WAIT,
-            MessageKind::Answer if self.is_crowded(bytes) => Duration::ZERO,
-            MessageKind::Answer => MAX_ANSWER_WAIT,
+            _ if self.is_crowded(bytes) => Duration::ZERO,
+            MessageKind::TargetAnswer | MessageKind::PeerAnswer => MAX_ANSWER_WAIT,
         };
         self.memory.reserve(self.kind, bytes, max_wait).await
     }
--- a/crates/pollenlever/src/peer/peer_client.rs
+++ b/crates/pollenlever/src/peer/peer_client.rs
@@ -141,7 +141,7 @@
         };
         let (parts, mut reply) = response.into_parts();
         let memory = self.memory.as_ref();
-        let source = memory.map(|memory| MessageSource { memory, kind: MessageKind::Answer });
+        let source = memory.map(|memory| MessageSource { memory, kind: MessageKind::PeerAnswer });
         let max_bytes = self.options.max_body_bytes;
         let (head, body) = recv_message(&mut reply, max_bytes, source).await.map_err(lost)?;
         let frame = decode_reply(&head).map_err(|err| match err {
