--- a/crates/pollenlever-core/tests/memory/messages.rs
+++ b/crates/pollenlever-core/tests/memory/messages.rs
@@ -129,7 +129,9 @@
     let mut nodes = [ledger(256), ledger(256)];
     let mut delivered = [0; 2];
     for id in 0..ANSWERS {
-        nodes.iter_mut().for_each(|it| drop(it.request(id, LARGE_ANSWERS, ANSWER_BYTES)));
+        for gate in &mut nodes {
+            gate.request(id, LARGE_ANSWERS, ANSWER_BYTES);
+        }
     }
     for id in 0..ANSWERS {
         for (gate, owner) in [(0, 1), (1, 0)] {
