--- a/crates/pollenlever-core/src/memory/connection_table.rs
+++ b/crates/pollenlever-core/src/memory/connection_table.rs
@@ -79,11 +79,6 @@
         self.connections.get_mut(&id)
     }
 
-    /// The limits.
-    pub fn limits(&self) -> &ConnectionLimits {
-        &self.limits
-    }
-
     /// Number of open connections.
     pub fn len(&self) -> usize {
         self.connections.len()
--- a/crates/pollenlever/src/bounds/connection_limiter.rs
+++ b/crates/pollenlever/src/bounds/connection_limiter.rs
@@ -32,6 +32,8 @@
 struct Shared {
     /// Name of the address in logs and metrics.
     address: &'static str,
+    /// Time over which rates are determined.
+    rate_window: Duration,
     clock: Clock,
     log: RequestLog,
     metrics: BoundsMetrics,
@@ -57,10 +59,12 @@
         limits: ConnectionLimits,
         metrics: BoundsMetrics,
     ) -> ConnectionLimiter {
+        let rate_window = limits.rate_window;
         let table = ConnectionTable::new(limits);
         let state = State { table, close_signals: HashMap::new(), last_id: 0 };
         let shared = Shared {
             address,
+            rate_window,
             clock: Clock::default(),
             log: RequestLog::default(),
             metrics,
@@ -128,7 +132,7 @@
 
     /// Time over which rates are determined.
     pub(super) fn rate_window(&self) -> Duration {
-        self.lock().table.limits().rate_window
+        self.shared.rate_window
     }
 
     pub(super) fn remove(&self, id: ConnectionId) {
