--- a/crates/pollenlever-core/src/mesh/target_registry.rs
+++ b/crates/pollenlever-core/src/mesh/target_registry.rs
@@ -33,7 +33,10 @@
     current: Option<TargetReport>,
     reported_at: Timestamp,
     is_unreachable: bool,
+    /// Departures that this process of the node has heard of itself, oldest first.
     departed: VecDeque<DepartedTarget>,
+    /// Departures that were recorded before this process started.
+    past: Vec<DepartedTarget>,
 }
 
 impl TargetRegistry {
@@ -51,6 +54,9 @@
             is_same_process && self.current.as_ref().is_some_and(|it| it.is_draining);
         let is_draining = report.is_draining || was_draining;
         let is_unchanged = is_same_process && was_open && self.has_same_service_and_slots(&report);
+        if !is_same_process {
+            self.remember_drained();
+        }
         self.current = Some(TargetReport { is_draining, ..report });
         self.reported_at = now;
         self.is_unreachable = false;
@@ -94,8 +100,8 @@
         if let Some(current) = current {
             current.is_draining = true;
         }
-        if !self.departed.contains(&departed) && self.departed.len() < MAX_DEPARTED {
-            self.departed.push_front(departed);
+        if !self.past.contains(&departed) && self.past.len() < MAX_DEPARTED {
+            self.past.push(departed);
         }
         if closes { RegistryChange::Closed } else { RegistryChange::Refreshed }
     }
@@ -104,12 +110,18 @@
     pub fn close_current(&mut self) -> RegistryChange {
         let Some(current) = &mut self.current else { return RegistryChange::Stale };
         let was_draining = std::mem::replace(&mut current.is_draining, true);
-        let departed =
-            DepartedTarget { instance: current.instance.clone(), started: current.started };
-        self.record_departure(departed);
+        self.remember_drained();
         if was_draining { RegistryChange::Refreshed } else { RegistryChange::Closed }
     }
 
+    /// Records the departure of the present process, if it drains.
+    fn remember_drained(&mut self) {
+        if let Some(it) = self.current.as_ref().filter(|it| it.is_draining) {
+            let departed = DepartedTarget { instance: it.instance.clone(), started: it.started };
+            self.record_departure(departed);
+        }
+    }
+
     /// Records that the processes of a target up to a start time are gone.
     fn record_departure(&mut self, target: DepartedTarget) {
         if self.departed.contains(&target) {
@@ -123,15 +135,25 @@
 
     /// The target that has left; `None` while one is in use or none is known to have left.
     pub fn departed(&self) -> Option<DepartedTarget> {
-        let Some(current) = &self.current else { return self.departed.back().cloned() };
+        let Some(current) = &self.current else { return self.last_departed().cloned() };
         if !current.is_draining {
             return None;
         }
-        let recorded = self.departed.iter().find(|it| it.includes(current)).cloned();
+        let recorded = self.all_departed().find(|it| it.includes(current)).cloned();
         let TargetReport { instance, started, .. } = current;
         recorded.or_else(|| Some(DepartedTarget { instance: instance.clone(), started: *started }))
     }
 
+    /// The last departure. Of those from before this process, which may come in any order, the one of
+    /// the latest start.
+    fn last_departed(&self) -> Option<&DepartedTarget> {
+        self.departed.back().or_else(|| self.past.iter().max_by_key(|it| it.started))
+    }
+
+    fn all_departed(&self) -> impl Iterator<Item = &DepartedTarget> {
+        self.departed.iter().chain(&self.past)
+    }
+
     /// Records that the target refused a connection or answered under another identity. It gets no
     /// requests until its next report.
     pub fn mark_unreachable(&mut self) {
@@ -154,7 +176,7 @@
     }
 
     fn has_departed(&self, report: &TargetReport) -> bool {
-        self.departed.iter().any(|it| it.includes(report))
+        self.all_departed().any(|it| it.includes(report))
     }
 
     fn is_stale(&self, now: Timestamp, report: &TargetReport) -> bool {
--- a/crates/pollenlever-core/tests/mesh/registry.rs
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -136,3 +136,28 @@
     let later = NOW + Duration::from_secs(60);
     assert_eq!(registry.handle_report(later, ready("a", 1000, 10)), RegistryChange::Stale);
 }
+
+// DRAIN: a late report of a predecessor, which is taken once the target is silent, made the node forget that
+// the target drains (found by tests/departures).
+#[test]
+fn a_late_report_of_a_predecessor_makes_a_drain_forgotten() {
+    const LATER: Duration = Duration::from_secs(20);
+    let mut registry = TargetRegistry::default();
+    registry.handle_report(NOW, draining("a", 11, 2));
+    registry.handle_report(LATER, ready("a", 10, 1));
+    assert_eq!(registry.handle_report(LATER, ready("a", 11, 1)), RegistryChange::Stale);
+}
+
+// DRAIN: of two departures from before a restart, the older one was written in place of the later one (found
+// by tests/departures).
+#[test]
+fn an_older_past_departure_comes_before_a_later_one() {
+    let past = |started| DepartedTarget { instance: "a".into(), started };
+    for order in [[1, 2], [2, 1]] {
+        let mut registry = TargetRegistry::default();
+        for started in order {
+            registry.handle_past_departure(past(started));
+        }
+        assert_eq!(registry.departed(), Some(past(2)));
+    }
+}
