--- a/crates/pollenlever-core/tests/mesh/registry.rs
+++ b/crates/pollenlever-core/tests/mesh/registry.rs
@@ -1,6 +1,9 @@
 use std::time::Duration;
 
-use pollenlever_core::mesh::{DepartedTarget, RegistryChange, TargetRegistry, TargetReport};
+use pollenlever_core::id::NodeId;
+use pollenlever_core::mesh::{
+    DepartedTarget, KeptDepartures, RegistryChange, TargetRegistry, TargetReport,
+};
 
 use crate::cases;
 
@@ -161,3 +164,19 @@
         assert_eq!(registry.departed(), Some(past(2)));
     }
 }
+
+// DRAIN: a restarted node that knew an older departure alone replaced the later one at its keepers (found by
+// tests/departures).
+#[test]
+fn an_older_departure_replaces_a_later_one_at_its_keeper() {
+    let node = |incarnation| NodeId { addr: ([127, 0, 0, 1], 7101).into(), incarnation };
+    let departed = |started| DepartedTarget { instance: "a".into(), started };
+    let mut kept = KeptDepartures::default();
+    assert!(kept.keep(node(1), departed(2)));
+    assert!(kept.keep(node(2), departed(1)));
+    assert_eq!(kept.begin_recall(node(2)), [departed(2)]);
+    for started in 3..8 {
+        assert!(kept.keep(node(3), departed(started)));
+    }
+    assert_eq!(kept.begin_recall(node(4)).len(), 4);
+}
--- a/crates/pollenlever/src/mesh/departure_records.rs
+++ b/crates/pollenlever/src/mesh/departure_records.rs
@@ -177,19 +177,25 @@
         if is_kept { Ok(()) } else { Err(ErrorKind::Overloaded) }
     }
 
-    /// Tells a restarted node of the departure that its earlier process asked this node to keep.
-    pub(super) fn recall_departure(self: &Arc<MeshShared>, node: NodeId) {
-        let Some(departed) = self.departures.kept_for_others().begin_recall(node) else { return };
-        let shared = Arc::clone(self);
-        tokio::spawn(async move {
-            while shared.members.read(|it| it.table().is_live(node)) {
-                let req = MeshRequest::RecallDeparture(departed.clone());
-                if shared.call_peer(node.addr, req).await == Some(MeshReply::Acknowledged) {
-                    return;
-                }
-                sleep(RECALL_INTERVAL).await;
+    /// Tells a restarted node of the departures that its earlier processes asked this node to keep.
+    pub(super) fn recall_departures(self: &Arc<MeshShared>, node: NodeId) {
+        for departed in self.departures.kept_for_others().begin_recall(node) {
+            tokio::spawn(Arc::clone(self).recall_until_acknowledged(node, departed));
+        }
+    }
+
+    async fn recall_until_acknowledged(
+        self: Arc<MeshShared>,
+        node: NodeId,
+        departed: DepartedTarget,
+    ) {
+        while self.members.read(|it| it.table().is_live(node)) {
+            let req = MeshRequest::RecallDeparture(departed.clone());
+            if self.call_peer(node.addr, req).await == Some(MeshReply::Acknowledged) {
+                return;
             }
-        });
+            sleep(RECALL_INTERVAL).await;
+        }
     }
 
     /// Takes the target out of use if it has left, as another node or the store remembers.
--- a/crates/pollenlever/src/mesh/member_changes.rs
+++ b/crates/pollenlever/src/mesh/member_changes.rs
@@ -58,7 +58,7 @@
             state.routing.update_members(now, &[member]);
         }
         self.quota.on_members_changed();
-        self.recall_departure(node);
+        self.recall_departures(node);
         if is_same_service && node != self.me {
             self.send_suspicions(node);
         }
