--- a/crates/pollenlever/src/mesh/departure_records.rs
+++ b/crates/pollenlever/src/mesh/departure_records.rs
@@ -1,4 +1,3 @@
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -6,26 +5,23 @@
 use pollenlever_core::id::NodeId;
 use pollenlever_core::membership::Member;
 use pollenlever_core::mesh::{
-    DepartedTarget, KeptDepartures, MeshReply, MeshRequest, RegistryChange,
+    ConfirmationState, DepartedTarget, DepartureConfirmation, DepartureKeepers, KeptDepartures,
+    MIN_KEEPERS, MeshReply, MeshRequest, RegistryChange,
 };
 use rand::seq::IteratorRandom;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::MeshShared;
 use super::log_event::{LogEvent, log_event};
 
-/// Longest wait before a departure is confirmed; targets give up a second after their call.
-const MAX_CONFIRM_TIME: Duration = Duration::from_millis(800);
-/// Time for which both the store and other nodes are waited for. One of them is enough afterwards.
-const MAX_BOTH_TIME: Duration = Duration::from_millis(400);
 /// Nodes that are asked at a time to keep a departure.
 const ASKED_NODES: usize = 3;
-/// Nodes that have to keep a departure, as far as there are so many.
-const MIN_KEEPERS: usize = 2;
 /// Wait before other nodes are asked, or the same ones again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after which a node whose target has left checks that the nodes that keep its departure still run.
+const KEEPERS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Wait between two tries to tell a restarted node what was kept for it.
 const RECALL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -36,6 +32,8 @@
     stored: watch::Sender<Option<DepartedTarget>>,
     /// The departure of this node's target that other nodes keep.
     kept_elsewhere: watch::Sender<Option<DepartedTarget>>,
+    /// Signalled when another departure of this node's target may have to be kept elsewhere.
+    changed: Notify,
     /// Departures that this node keeps for others.
     kept_for_others: Mutex<KeptDepartures>,
 }
@@ -46,35 +44,20 @@
         self.stored.send_replace(stored);
     }
 
-    async fn wait_until_stored(&self, departed: &DepartedTarget) {
-        let mut stored = self.stored.subscribe();
-        // The sender lives as long as the records, so waiting cannot fail.
-        let _ = stored.wait_for(|it| it.as_ref() == Some(departed)).await;
-    }
-
     fn kept_for_others(&self) -> MutexGuard<'_, KeptDepartures> {
         self.kept_for_others.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Who knows of a departure besides this process.
-#[derive(Debug, Clone, Copy, Default)]
-struct Recorded {
-    in_store: bool,
-    elsewhere: bool,
-}
-
-/// Confirms departures of the target beside this node only once they outlive this process: in the store
-/// and at other nodes. The store may refuse the next process, or come back from a copy that lacks the
-/// departure; the other nodes may restart as well. While one of the two is not to be had, the other is
-/// enough.
+/// Confirms departures of the target beside this node only once they outlive this process, and sees to it
+/// that other nodes keep them.
 impl MeshShared {
     /// Waits until the departure of this node's target outlives this process. Returns `false` if that
     /// takes too long; the target must not be told that its departure is known then. Returns `true`
     /// at once while a target is in use.
     pub async fn confirm_departure(self: &Arc<MeshShared>) -> bool {
         let Some(departed) = self.gate.departed_target() else { return true };
-        let is_confirmed = self.record_departure(&departed).await;
+        let is_confirmed = self.wait_until_recorded(&departed).await;
         if !is_confirmed {
             log_event!(LogEvent::DepartureNotConfirmed, "instance={}", departed.instance);
         }
@@ -83,77 +66,95 @@
 
     /// Waits until the store and other nodes know of a departure, or for long enough for one of them.
     /// Returns whether any does.
-    async fn record_departure(self: &Arc<MeshShared>, departed: &DepartedTarget) -> bool {
-        let mut recorded = Recorded::default();
-        let stored = self.departures.wait_until_stored(departed);
-        let kept = self.keep_elsewhere(departed);
-        let tried_both = sleep(MAX_BOTH_TIME);
-        let timed_out = sleep(MAX_CONFIRM_TIME);
-        tokio::pin!(stored, kept, tried_both, timed_out);
-        let mut is_one_enough = self.possible_keepers().is_empty();
+    async fn wait_until_recorded(&self, departed: &DepartedTarget) -> bool {
+        let has_other_nodes = !self.possible_keepers().is_empty();
+        let mut confirmation = DepartureConfirmation::new(self.clock.now(), has_other_nodes);
+        let stored = wait_until_known(&self.departures.stored, departed);
+        let kept = wait_until_known(&self.departures.kept_elsewhere, departed);
+        tokio::pin!(stored, kept);
+        let (mut is_stored, mut is_kept) = (false, false);
         loop {
-            let has_one = recorded.in_store || recorded.elsewhere;
-            if (recorded.in_store && recorded.elsewhere) || (is_one_enough && has_one) {
-                return true;
-            }
+            let now = self.clock.now();
+            let until = match confirmation.state(now) {
+                ConfirmationState::Confirmed => return true,
+                ConfirmationState::Failed => return false,
+                ConfirmationState::WaitingUntil(until) => until,
+            };
             tokio::select! {
-                () = &mut stored, if !recorded.in_store => recorded.in_store = true,
-                () = &mut kept, if !recorded.elsewhere => recorded.elsewhere = true,
-                () = &mut tried_both, if !is_one_enough => is_one_enough = true,
-                () = &mut timed_out => return has_one,
+                () = &mut stored, if !is_stored => {
+                    is_stored = true;
+                    confirmation.record_stored();
+                }
+                () = &mut kept, if !is_kept => {
+                    is_kept = true;
+                    confirmation.record_kept();
+                }
+                () = sleep(until.saturating_sub(now)) => {}
             }
         }
     }
 
-    /// Resolves once enough other nodes keep a departure.
-    async fn keep_elsewhere(self: &Arc<MeshShared>, departed: &DepartedTarget) {
-        if self.departures.kept_elsewhere.borrow().as_ref() == Some(departed) {
-            return;
-        }
-        let mut keepers = Vec::new();
+    /// Sees to it that enough other nodes keep the departure of this node's target, for as long as the
+    /// node runs.
+    pub(super) async fn keep_departures_elsewhere(self: Arc<MeshShared>) {
+        let mut keepers = DepartureKeepers::default();
         loop {
-            let others = self.possible_keepers();
-            let needed = MIN_KEEPERS.min(others.len()).max(1);
-            let asked = others.into_iter().filter(|it| !keepers.contains(it));
-            let asked = asked.choose_multiple(&mut rand::rng(), ASKED_NODES);
-            keepers.extend(self.ask_to_keep(asked, departed).await);
-            if keepers.len() >= needed {
-                let nodes = keepers.len();
-                let instance = &departed.instance;
+            let Some(departed) = self.gate.departed_target() else {
+                self.departures.changed.notified().await;
+                continue;
+            };
+            let possible = self.possible_keepers();
+            let to_ask = keepers.to_ask(&departed, &possible);
+            if to_ask.is_empty() {
+                let check = self.departures.changed.notified();
+                let _ = timeout(KEEPERS_CHECK_INTERVAL, check).await;
+                continue;
+            }
+            let asked = to_ask.into_iter().choose_multiple(&mut rand::rng(), ASKED_NODES);
+            for keeper in self.ask_to_keep(asked, &departed).await {
+                keepers.record(&departed, keeper);
+            }
+            if keepers.are_enough(&departed, &possible) {
+                let (instance, nodes) = (&departed.instance, keepers.count());
                 log_event!(LogEvent::DepartureKeptElsewhere, "instance={instance} nodes={nodes}");
-                self.departures.kept_elsewhere.send_replace(Some(departed.clone()));
-                return;
+                self.departures.kept_elsewhere.send_replace(Some(departed));
+            } else {
+                sleep(RETRY_INTERVAL).await;
             }
-            sleep(RETRY_INTERVAL).await;
         }
     }
 
-    /// Addresses of the other nodes in use that can keep departures: those of this region if there are
-    /// enough, as bytes between regions are dear, or else all.
-    fn possible_keepers(&self) -> Vec<SocketAddr> {
+    /// Has the departure of the target beside this node written down, if it has left.
+    pub(super) fn record_departure(&self) {
+        self.departure_changed.notify_one();
+        self.departures.changed.notify_one();
+    }
+
+    /// The other nodes in use that can keep departures: those of this region if there are enough, as
+    /// bytes between regions are dear, or else all.
+    fn possible_keepers(&self) -> Vec<NodeId> {
         let members: Vec<Member> = self.members.read(|it| it.table().live().cloned().collect());
         let is_possible = |it: &Member| it.node != self.me && self.keeps_departures(it.node);
         let possible: Vec<Member> = members.into_iter().filter(is_possible).collect();
         let is_near = |it: &&Member| it.region == self.region;
-        let near: Vec<SocketAddr> =
-            possible.iter().filter(is_near).map(|it| it.node.addr).collect();
+        let near: Vec<NodeId> = possible.iter().filter(is_near).map(|it| it.node).collect();
         if near.len() >= MIN_KEEPERS {
             return near;
         }
-        possible.into_iter().map(|it| it.node.addr).collect()
+        possible.into_iter().map(|it| it.node).collect()
     }
 
     /// Asks nodes to keep a departure. Returns those that do.
     async fn ask_to_keep(
         self: &Arc<MeshShared>,
-        nodes: Vec<SocketAddr>,
+        nodes: Vec<NodeId>,
         departed: &DepartedTarget,
-    ) -> Vec<SocketAddr> {
+    ) -> Vec<NodeId> {
         let mut calls = JoinSet::new();
         for node in nodes {
             let (shared, departed) = (Arc::clone(self), departed.clone());
             calls.spawn(async move {
-                let reply = shared.call_peer(node, MeshRequest::KeepDeparture(departed)).await;
+                let reply = shared.call_peer(node.addr, MeshRequest::KeepDeparture(departed)).await;
                 (reply == Some(MeshReply::Acknowledged)).then_some(node)
             });
         }
@@ -204,6 +205,15 @@
         if self.gate.handle_past_departure(departed) == RegistryChange::Closed {
             self.announce_target();
         }
-        self.departure_changed.notify_one();
+        self.record_departure();
     }
 }
+
+/// Resolves once `records` hold a departure.
+async fn wait_until_known(
+    records: &watch::Sender<Option<DepartedTarget>>,
+    departed: &DepartedTarget,
+) {
+    // The sender lives as long as the records, so waiting cannot fail.
+    let _ = records.subscribe().wait_for(|it| it.as_ref() == Some(departed)).await;
+}
--- a/crates/pollenlever/src/mesh/departure_store.rs
+++ b/crates/pollenlever/src/mesh/departure_store.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pollenlever_core::mesh::{DepartedTarget, StoreStep, StoredDeparture};
 use tokio::time::timeout;
 
 use super::MeshShared;
@@ -30,17 +31,19 @@
 pub(super) struct DepartureStore {
     shared: Arc<MeshShared>,
     store: SharedObjectApi,
-    /// Whether this node's object has been read.
-    is_read: bool,
     /// Version of this node's object; `ABSENT_VERSION` if there is none.
     version: Revision,
-    /// The stored departure; `None` if there is none or the object has another form.
-    stored: Option<DepartureObject>,
+    stored: StoredDeparture,
 }
 
 impl DepartureStore {
     pub(super) fn new(shared: Arc<MeshShared>, store: SharedObjectApi) -> DepartureStore {
-        DepartureStore { shared, store, is_read: false, version: ABSENT_VERSION, stored: None }
+        DepartureStore {
+            shared,
+            store,
+            version: ABSENT_VERSION,
+            stored: StoredDeparture::default(),
+        }
     }
 
     /// Restores the departure that an earlier process stored, and stores later ones, for as long as
@@ -92,29 +95,33 @@
         let name = self.shared.settings().name;
         let found = self.store.get(DEPARTURES_KIND, &name).await;
         self.shared.metrics.record_store_call(found.is_ok());
-        self.record_found(found?);
-        self.is_read = true;
-        if let Some(stored) = &self.stored {
-            self.shared.apply_past_departure(stored.departed(), "store");
+        if let Some(found) = self.record_found(found?) {
+            self.shared.apply_past_departure(found.departed(), "store");
         }
         Ok(())
     }
 
-    fn record_found(&mut self, found: Option<Object>) {
+    /// Records this node's object. Returns the departure in it; `None` if it has another form.
+    fn record_found(&mut self, found: Option<Object>) -> Option<DepartureObject> {
+        let has_object = found.is_some();
         self.version = found.as_ref().map_or(ABSENT_VERSION, |it| it.version);
-        self.set_stored(found.and_then(|it| DepartureObject::from_value(&it.value)));
+        let object = found.and_then(|it| DepartureObject::from_value(&it.value));
+        // An object with another address of the node is written again.
+        let own = object.as_ref().filter(|it| it.peer == self.shared.me.addr);
+        self.stored.record_found(has_object, own.map(DepartureObject::departed));
+        self.publish_stored();
+        object
     }
 
-    fn set_stored(&mut self, stored: Option<DepartureObject>) {
-        self.shared.departures.set_stored(stored.as_ref().map(DepartureObject::departed));
-        self.stored = stored;
+    fn publish_stored(&self) {
+        self.shared.departures.set_stored(self.stored.departed().cloned());
     }
 
     /// Handles that the store may lack what this node has stored. The next update then writes it again,
     /// unless the store still has it.
     async fn forget_stored(&mut self) {
-        if self.stored.is_some() {
-            self.set_stored(None);
+        if self.stored.forget() {
+            self.publish_stored();
             tokio::time::sleep(MAX_RESTORE_JITTER.mul_f64(rand::random_range(0.0..1.0))).await;
         }
     }
@@ -122,28 +129,36 @@
     /// Brings the store's object in line with the target: writes its departure, and deletes the
     /// object once another target is in use.
     async fn update(&mut self) -> Result<(), StoreError> {
-        if !self.is_read {
-            self.read().await?;
+        loop {
+            let departed = self.shared.gate.departed_target();
+            match self.stored.next_step(departed.as_ref()) {
+                StoreStep::Read => self.read().await?,
+                StoreStep::Write(departed) => self.write(departed).await?,
+                StoreStep::Delete => self.delete().await?,
+                StoreStep::Wait => return Ok(()),
+            }
         }
+    }
+
+    async fn write(&mut self, departed: DepartedTarget) -> Result<(), StoreError> {
         let name = self.shared.settings().name;
-        let departed = self.shared.gate.departed_target();
-        let departed = departed.map(|it| DepartureObject::new(self.shared.me.addr, &it));
-        if departed == self.stored && (departed.is_some() || self.version == ABSENT_VERSION) {
-            return Ok(());
-        }
-        let Some(departure) = &departed else {
-            let deleted = self.store.delete(DEPARTURES_KIND, &name, self.version).await;
-            self.shared.metrics.record_store_call(deleted.is_ok());
-            deleted?;
-            self.record_found(None);
-            return Ok(());
-        };
-        let value = serde_json::to_value(departure)
-            .map_err(|err| StoreError::Malformed(err.to_string()))?;
+        let object = DepartureObject::new(self.shared.me.addr, &departed);
+        let value =
+            serde_json::to_value(&object).map_err(|err| StoreError::Malformed(err.to_string()))?;
         let written = self.store.put(DEPARTURES_KIND, &name, self.version, &value).await;
         self.shared.metrics.record_store_call(written.is_ok());
         self.version = written?;
-        self.set_stored(departed);
+        self.stored.record_found(true, Some(departed));
+        self.publish_stored();
+        Ok(())
+    }
+
+    async fn delete(&mut self) -> Result<(), StoreError> {
+        let name = self.shared.settings().name;
+        let deleted = self.store.delete(DEPARTURES_KIND, &name, self.version).await;
+        self.shared.metrics.record_store_call(deleted.is_ok());
+        deleted?;
+        self.record_found(None);
         Ok(())
     }
 }
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -181,6 +181,7 @@
     let gate = Arc::clone(&shared.gate);
     tokio::spawn(async move { gate.client.close_expired_connections().await });
     tokio::spawn(Arc::clone(shared).announce_departures());
+    tokio::spawn(Arc::clone(shared).keep_departures_elsewhere());
     tokio::spawn(Arc::clone(shared).spread_routes());
     tokio::spawn(Arc::clone(shared).broadcast_suspicions());
     tokio::spawn(Arc::clone(shared).watch_member_versions());
--- a/crates/pollenlever/src/mesh/target_state.rs
+++ b/crates/pollenlever/src/mesh/target_state.rs
@@ -23,7 +23,7 @@
         self.log_target_change(change, &text);
         if is_draining {
             // The first that a restarted node hears changes nothing for others, but has to be stored.
-            self.departure_changed.notify_one();
+            self.record_departure();
         }
     }
 
@@ -31,7 +31,7 @@
     pub fn handle_target_departure(&self, instance: &InstanceId, started: Option<StartTime>) {
         let change = self.gate.handle_departure(instance, started);
         self.log_target_change(change, &format!("instance={instance}"));
-        self.departure_changed.notify_one();
+        self.record_departure();
     }
 
     fn log_target_change(&self, change: RegistryChange, what: &str) {
@@ -70,7 +70,7 @@
             None => TargetNotice::Exited,
         };
         self.members.notify(MembershipEvent::Target(notice));
-        self.departure_changed.notify_one();
+        self.record_departure();
     }
 
     /// What the target beside `gate` stated last, as far as this node passed it on.
