--- a/crates/pollenlever-core/src/mesh/answer_bytes.rs
+++ b/crates/pollenlever-core/src/mesh/answer_bytes.rs
@@ -34,7 +34,8 @@
 
     /// Records that the head of the answer is complete; its body may be longer.
     pub fn start_body(&self) {
-        self.limit.store(self.limits.max_answer_bytes, Ordering::Relaxed);
+        let limit = self.limits.max_answer_bytes + self.limits.max_overhead_bytes;
+        self.limit.store(limit, Ordering::Relaxed);
     }
 
     /// Checks the length that the head of the answer states.
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/mesh/target_connection.rs
@@ -90,6 +90,7 @@
     /// that the target is not about to close it.
     pub(super) fn is_reusable(&self, max_idle: Duration) -> bool {
         self.sender.is_ready()
+            && !self.takes_nothing.get()
             && self.idle_time().unwrap_or_default() < self.idle_limit.min(max_idle)
     }
 
