--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -4,25 +4,21 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
-use pollenlever_core::config::ServiceConfig;
-use pollenlever_core::id::{ChainId, NodeId, RegionName, ServiceName, WorkspaceName};
-use pollenlever_core::membership::{Member, Membership, MembershipEvent, MembershipSettings};
+use pollenlever_core::id::{NodeId, RegionName, ServiceName};
+use pollenlever_core::membership::{Member, Membership, MembershipSettings};
 use pollenlever_core::memory::ConnectionLimits;
 use pollenlever_core::mesh::{
-    CallClassifier, ClientLimits, HttpRoute, Lineage, RememberedStatements, RouteFreshness,
-    RouteTable, RouteVersion, WATCHERS_PER_REGION, WeightedSplit,
+    CallClassifier, RememberedStatements, RouteFreshness, WATCHERS_PER_REGION, WeightedSplit,
 };
-use pollenlever_core::routing::{NoRoute, RouteRequest, Routing, RoutingSettings, TwoChoices};
+use pollenlever_core::routing::{RoutingSettings, TwoChoices};
 use tokio::sync::{Notify, watch};
 
 use super::HeaderNames;
 use super::departure_records::DepartureRecords;
 use super::downstream::Downstream;
 use super::gate::Gate;
-use super::log_event::{LogEvent, log_event};
 use super::mesh_metrics::MeshMetrics;
 use super::request_log::RequestLog;
-use super::request_sender::RequestSender;
 use super::routes_in_force::RoutesInForce;
 use super::stop_phase::StopPhase;
 use crate::bounds::{ConnectionLimiter, MessageMemory, ProcessBounds};
@@ -32,8 +28,6 @@
 use crate::quota::Quota;
 use crate::settings::MeshSettings;
 
-/// Time over which the load share of a new target grows to its full value.
-const RAMP_UP: Duration = Duration::from_secs(3);
 /// Time for which changes of members are collected before they are pushed together. It is short, as
 /// requests to a target that leaves are refused until its departure is known.
 const GOSSIP_PUSH_INTERVAL: Duration = Duration::from_millis(20);
@@ -95,9 +89,9 @@
     pub(super) watches_routes: AtomicBool,
     /// Era of the store; `None` until an answer of it or another node has told.
     pub(super) store_era: watch::Sender<Option<u64>>,
-    stop_phase: watch::Sender<StopPhase>,
+    pub(super) stop_phase: watch::Sender<StopPhase>,
     /// When a leaving node abandons its open requests, on its clock.
-    abandons_at: OnceLock<Duration>,
+    pub(super) abandons_at: OnceLock<Duration>,
 }
 
 pub(super) struct State {
@@ -246,161 +240,11 @@
         self.lock().settings = cfg;
     }
 
-    /// The routes in force.
-    pub(super) fn routes(&self) -> Option<Arc<RouteTable>> {
-        self.lock().routes.as_ref().map(|it| Arc::clone(&it.table))
-    }
-
-    /// The routes in force with the directory of their workspaces.
-    pub(super) fn routes_in_force(&self) -> Option<RoutesInForce> {
-        self.lock().routes.clone()
-    }
-
-    /// Version of the routes in force; 0 if there are none.
-    pub fn route_version(&self) -> RouteVersion {
-        self.lock().routes.as_ref().map_or(0, |it| it.table.version)
-    }
-
-    /// Time since the routes in force were applied.
-    pub(super) fn routes_age(&self) -> Duration {
-        self.clock.now().saturating_sub(self.lock().routes_since)
-    }
-
-    /// Applies routes, unless the ones in force have the same or a later version. Returns `false` if
-    /// they cannot be used.
-    pub(super) fn apply_routes(&self, table: RouteTable, source: &str) -> bool {
-        let mut state = self.lock();
-        let known = state.routes.as_ref().map_or(0, |it| it.table.version);
-        if table.version <= known && state.routes.is_some() {
-            return true;
-        }
-        let routes = match RoutesInForce::new(table) {
-            Ok(routes) => routes,
-            Err(err) => {
-                let reason = err.to_string();
-                log_event!(LogEvent::RoutesRefused, "source={source} reason={reason:?}");
-                return false;
-            }
-        };
-        let table = &routes.table;
-        log_event!(
-            LogEvent::RoutesInForce,
-            "version={} before={known} source={source}",
-            table.version
-        );
-        state.routes_since = self.clock.now();
-        let own_service: ServiceName = state.settings.service.as_str().into();
-        let max_connections = table.service(&own_service).map_or(0, |it| it.max_connections);
-        self.gate.set_max_connections(max_connections);
-        for service in &table.services {
-            let cfg = ServiceConfig {
-                service: service.service.clone(),
-                version: table.version,
-                ramp_up: RAMP_UP,
-                ..ServiceConfig::default()
-            };
-            state.routing.configure(Arc::new(cfg));
-        }
-        let is_kept = |name: &Arc<str>, split: &mut WeightedSplit| {
-            let route = table.routes.iter().find(|it| it.name == *name);
-            route.is_some_and(|it| split.has_services(&it.services))
-        };
-        state.splits.retain(is_kept);
-        state.call_classifier.retain(|name| table.routes.iter().any(|it| it.name == *name));
-        self.quota.set_workspaces(&table.workspaces);
-        state.routes = Some(routes);
-        drop(state);
-        self.routes_changed.notify_one();
-        true
-    }
-
-    /// Limits for connections of callers.
-    pub(super) fn client_limits(&self) -> ClientLimits {
-        self.lock().routes.as_ref().map_or_else(ClientLimits::default, |it| it.table.limits)
-    }
-
-    /// Chooses the service that runs the next request of a route.
-    pub(super) fn choose_service(&self, route: &HttpRoute) -> Option<ServiceName> {
-        if let [only] = &route.services[..] {
-            return Some(only.service.clone());
-        }
-        let mut state = self.lock();
-        let split = state.splits.entry(route.name.clone());
-        let phase = || rand::random_range(0.0..1.0);
-        split.or_insert_with(|| WeightedSplit::new(&route.services, phase())).choose()
-    }
-
-    /// Position of a request in its call chain, and the workspace on whose behalf the chain runs. A
-    /// call whose id does not identify its run may be recognized by its `deadline`; it then gets the
-    /// importance of its route.
-    pub(super) fn lineage(
-        &self,
-        id: &str,
-        route: &HttpRoute,
-        deadline: Duration,
-        sender: &RequestSender,
-    ) -> (Lineage, Option<WorkspaceName>) {
-        let chain = ChainId { origin: self.me, seq: self.next_id() };
-        if let RequestSender::Caller(workspace) = sender {
-            let importance = route.importance_for(workspace);
-            return (Lineage::root(chain, importance), Some(workspace.name.clone()));
-        }
-        if let Some(call) = self.gate.lineage_of_call(id) {
-            return call;
-        }
-        let last_run = self.gate.last_run_deadline();
-        let is_call = self.lock().call_classifier.is_call(&route.name, deadline, last_run);
-        let root = Lineage::root(chain, route.importance());
-        if is_call {
-            (Lineage { repeat: self.gate.mean_repeat_probability(), ..root.child() }, None)
-        } else {
-            (root, None)
-        }
-    }
-
-    pub(super) fn choose_gate(&self, req: &RouteRequest<'_>) -> Result<NodeId, NoRoute> {
-        let now = self.clock.now();
-        self.lock().routing.choose(now, req)
-    }
-
     /// Returns a number that this process has not used before.
     pub(super) fn next_id(&self) -> u64 {
         self.last_id.fetch_add(1, Ordering::Relaxed) + 1
     }
 
-    pub(super) fn is_leaving(&self) -> bool {
-        *self.stop_phase.borrow() >= StopPhase::Leaving
-    }
-
-    /// Refuses requests of other nodes from now on; the node is no longer ready for callers. Requests
-    /// that are open at `abandons_at` will be abandoned.
-    pub(super) fn start_leaving(&self, abandons_at: Duration) {
-        self.abandons_at.get_or_init(|| abandons_at);
-        self.stop_phase.send_replace(StopPhase::Leaving);
-        self.gate.close();
-        self.members.notify(MembershipEvent::Leave);
-        self.quota.start_leaving();
-    }
-
-    /// Latest deadline that a request can be given: none that it could outlive this node with.
-    pub(super) fn latest_deadline(&self) -> Duration {
-        self.abandons_at.get().copied().unwrap_or(Duration::MAX)
-    }
-
-    /// Refuses new requests of callers from now on.
-    pub(super) fn stop(&self) {
-        self.stop_phase.send_replace(StopPhase::Stopped);
-    }
-
-    /// Answers open requests of callers with an error.
-    pub(super) fn abandon_requests(&self) {
-        self.stop_phase.send_replace(StopPhase::Abandoning);
-    }
-
-    pub(super) fn is_stopped(&self) -> bool {
-        *self.stop_phase.borrow() >= StopPhase::Stopped
-    }
-
     /// Creates the limiter of the connections of a listening address.
     pub(super) fn limiter(
         &self,
@@ -420,23 +264,6 @@
         self.gate.blocked_request_count()
     }
 
-    /// Whether no request is open, of a caller or at the gate, and no connection of a caller.
-    pub(super) fn is_idle(&self) -> bool {
-        self.in_flight_work.is_idle() && self.open_connections.is_idle()
-    }
-
-    /// How far the node is with its stop, with notice of changes.
-    pub(super) fn subscribe_stop_phase(&self) -> watch::Receiver<StopPhase> {
-        self.stop_phase.subscribe()
-    }
-
-    /// Resolves once the node's stop has come to `phase`.
-    pub(super) async fn wait_for_stop_phase(&self, phase: StopPhase) {
-        let mut present = self.subscribe_stop_phase();
-        // The sender lives as long as this node, so waiting cannot fail.
-        let _ = present.wait_for(|it| *it >= phase).await;
-    }
-
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -55,6 +55,8 @@
 mod run_mesh;
 mod run_start;
 mod sent_attempt;
+mod shared_routes;
+mod shared_stop;
 mod slot_guard;
 mod stated_rate;
 mod statement_log;
