--- a/crates/pollenlever/src/mesh/departure_records.rs
+++ b/crates/pollenlever/src/mesh/departure_records.rs
@@ -20,7 +20,10 @@
 const ASKED_NODES: usize = 3;
 /// Wait before other nodes are asked, or the same ones again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Time after which a node whose target has left checks that the nodes that keep its departure still run.
+/// Tries at that interval. While all nodes leave, none keeps anything.
+const QUICK_RETRIES: u32 = 8;
+/// Time between further tries, and after which a node whose target has left checks that the nodes that keep
+/// its departure still run.
 const KEEPERS_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Wait between two tries to tell a restarted node what was kept for it.
 const RECALL_INTERVAL: Duration = Duration::from_millis(500);
@@ -98,6 +101,7 @@
     /// node runs.
     pub(super) async fn keep_departures_elsewhere(self: Arc<MeshShared>) {
         let mut keepers = DepartureKeepers::default();
+        let mut failed_tries = 0;
         loop {
             let Some(departed) = self.gate.departed_target() else {
                 self.departures.changed.notified().await;
@@ -105,25 +109,31 @@
             };
             let possible = self.possible_keepers();
             let to_ask = keepers.to_ask(&departed, &possible);
-            if to_ask.is_empty() {
-                let check = self.departures.changed.notified();
-                let _ = timeout(KEEPERS_CHECK_INTERVAL, check).await;
-                continue;
-            }
-            let asked = to_ask.into_iter().choose_multiple(&mut rand::rng(), ASKED_NODES);
-            for keeper in self.ask_to_keep(asked, &departed).await {
-                keepers.record(&departed, keeper);
+            if !to_ask.is_empty() {
+                failed_tries += 1;
+                let asked = to_ask.into_iter().choose_multiple(&mut rand::rng(), ASKED_NODES);
+                for keeper in self.ask_to_keep(asked, &departed).await {
+                    keepers.record(&departed, keeper);
+                }
+                if keepers.are_enough(&departed, &possible) {
+                    failed_tries = 0;
+                    self.record_kept_elsewhere(departed, keepers.count());
+                }
             }
-            if keepers.are_enough(&departed, &possible) {
-                let (instance, nodes) = (&departed.instance, keepers.count());
-                log_event!(LogEvent::DepartureKeptElsewhere, "instance={instance} nodes={nodes}");
-                self.departures.kept_elsewhere.send_replace(Some(departed));
-            } else {
-                sleep(RETRY_INTERVAL).await;
+            let is_retry_due = (1..=QUICK_RETRIES).contains(&failed_tries);
+            let pause = if is_retry_due { RETRY_INTERVAL } else { KEEPERS_CHECK_INTERVAL };
+            if timeout(pause, self.departures.changed.notified()).await.is_ok() {
+                failed_tries = 0;
             }
         }
     }
 
+    fn record_kept_elsewhere(&self, departed: DepartedTarget, nodes: usize) {
+        let instance = &departed.instance;
+        log_event!(LogEvent::DepartureKeptElsewhere, "instance={instance} nodes={nodes}");
+        self.departures.kept_elsewhere.send_replace(Some(departed));
+    }
+
     /// Has the departure of the target beside this node written down, if it has left.
     pub(super) fn record_departure(&self) {
         self.departure_changed.notify_one();
