--- a/crates/pollenlever/src/net/early_answer_io.rs
+++ b/crates/pollenlever/src/net/early_answer_io.rs
@@ -2,7 +2,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -11,10 +11,16 @@
 /// Once the other side takes no more bytes, writing goes on into nothing, and reading alone decides how the
 /// exchange ends: with the answer that came, or with the end of the connection. An HTTP client that saw the
 /// failed write first would drop that answer.
+///
+/// The system reports a reset once, to whoever asks first, and an end of the connection from then on. A reset
+/// that writing has met is therefore kept for reading: an answer without a length ends with the connection only
+/// if the other side has ended it itself.
 #[derive(Debug)]
 pub(crate) struct EarlyAnswerIo<T> {
     io: T,
     takes_nothing: TakesNothing,
+    /// Whether writing has met a reset.
+    is_reset: bool,
 }
 
 /// Whether the other side of an [`EarlyAnswerIo`] takes no more bytes.
@@ -34,14 +40,16 @@
 impl<T> EarlyAnswerIo<T> {
     pub(crate) fn new(io: T) -> (EarlyAnswerIo<T>, TakesNothing) {
         let takes_nothing = TakesNothing::default();
-        (EarlyAnswerIo { io, takes_nothing: takes_nothing.clone() }, takes_nothing)
+        (EarlyAnswerIo { io, takes_nothing: takes_nothing.clone(), is_reset: false }, takes_nothing)
     }
 
     /// What writing `len` bytes comes to if the socket says `written`.
-    fn outcome(&self, written: io::Result<usize>, len: usize) -> io::Result<usize> {
+    fn outcome(&mut self, written: io::Result<usize>, len: usize) -> io::Result<usize> {
         match written {
             Err(err) if is_closed_by_other_side(&err) => {
                 self.takes_nothing.set();
+                // A broken pipe is met behind an end of the other side's own.
+                self.is_reset |= err.kind() != io::ErrorKind::BrokenPipe;
                 Ok(len)
             }
             written => written,
@@ -55,7 +63,12 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_read(cx, buf)
+        let (before, has_room) = (buf.filled().len(), buf.remaining() > 0);
+        ready!(Pin::new(&mut self.io).poll_read(cx, buf))?;
+        if self.is_reset && has_room && buf.filled().len() == before {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/pollenlever/tests/mesh/main.rs
+++ b/crates/pollenlever/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod attempt_sender;
 mod bad_input;
 mod body_memory;
+mod broken_answers;
 mod config;
 mod connections;
 mod crash;
--- a/crates/pollenlever/tests/mesh/scripted_target.rs
+++ b/crates/pollenlever/tests/mesh/scripted_target.rs
@@ -21,6 +21,9 @@
     Answer(u16, &'static str),
     /// Like `Answer` with status 200, without reading the body of the request; then close the connection.
     AnswerUnread(&'static str),
+    /// Write this text, with `{id}` replaced by the request's id, without reading the body of the request;
+    /// then reset the connection.
+    WriteUnreadAndReset(&'static str),
     /// Like `Answer` with status 200, after this time.
     AnswerAfter(Duration, &'static str),
     /// Answer 503 with the header that says that the request was not run, echoing its id.
@@ -185,6 +188,11 @@
             let (text, close) = match action {
                 Action::Answer(status, body) => (answer(status, body), false),
                 Action::AnswerUnread(body) => (answer(200, body), true),
+                Action::WriteUnreadAndReset(text) => {
+                    let _ = io.write_all(text.replace("{id}", &id).as_bytes()).await;
+                    // The connection ends with a reset.
+                    return io.set_zero_linger().unwrap();
+                }
                 Action::AnswerAfter(delay, body) => {
                     tokio::time::sleep(delay).await;
                     (answer(200, body), false)
@@ -249,7 +257,7 @@
         };
         let head = String::from_utf8(buf.drain(..head_len).collect()).unwrap();
         let mut arrival = Arrival { head, body: String::new(), at: Instant::now() };
-        if matches!(self.next_action(), Action::AnswerUnread(_)) {
+        if matches!(self.next_action(), Action::AnswerUnread(_) | Action::WriteUnreadAndReset(_)) {
             return Some(arrival);
         }
         let len: usize = arrival.header("content-length").map_or(0, |it| it.parse().unwrap());
