--- a/crates/pollenlever-core/src/membership/digest.rs
+++ b/crates/pollenlever-core/src/membership/digest.rs
@@ -23,7 +23,7 @@
 impl Digest {
     /// Bucket to which an address belongs.
     pub fn bucket(addr: SocketAddr) -> BucketId {
-        (hash_addr(addr, 0) % BUCKETS as u64) as BucketId
+        (address_hash(addr, 0) % BUCKETS as u64) as BucketId
     }
 
     /// Adds an entry, or removes it if it was added before (its hash is XORed in).
@@ -50,7 +50,13 @@
 }
 
 /// Hash of an address with a seed.
-pub(super) fn hash_addr(addr: SocketAddr, seed: u64) -> u64 {
+///
+/// ```
+/// use pollenlever_core::membership::address_hash;
+/// let addr = "127.0.0.1:7101".parse().unwrap();
+/// assert_ne!(address_hash(addr, 1), address_hash(addr, 2));
+/// ```
+pub fn address_hash(addr: SocketAddr, seed: u64) -> u64 {
     xxh3_64_with_seed(&addr_bytes(addr), seed)
 }
 
--- a/crates/pollenlever-core/src/membership/inbox.rs
+++ b/crates/pollenlever-core/src/membership/inbox.rs
@@ -94,6 +94,8 @@
         let last = buckets.last().copied().unwrap_or_default();
         if has_more && rounds < MAX_FOLLOW_UP_SYNCS {
             self.sync(to, last.wrapping_add(1), rounds + 1, actions);
+        } else {
+            self.has_synced = true;
         }
     }
 
--- a/crates/pollenlever-core/src/membership/membership.rs
+++ b/crates/pollenlever-core/src/membership/membership.rs
@@ -50,6 +50,7 @@
     pub(super) last_tick: Timestamp,
     pub(super) is_announced: bool,
     pub(super) is_leaving: bool,
+    pub(super) has_synced: bool,
     pub(super) rng: SmallRng,
 }
 
@@ -77,6 +78,7 @@
             last_tick: Timestamp::ZERO,
             is_announced: false,
             is_leaving: false,
+            has_synced: false,
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -111,6 +113,12 @@
         self.table.live().any(|it| it.node != self.me.node)
     }
 
+    /// Whether this node has compared its whole table with that of another member. Until then it may lack
+    /// members that the others know.
+    pub fn has_synced(&self) -> bool {
+        self.has_synced
+    }
+
     /// Whether this node is one of the `count` members of its region that rendezvous hashing with
     /// `seed` chooses for a duty. Two nodes may both think so for a moment, so the duty has to bear
     /// that.
--- a/crates/pollenlever-core/src/membership/mod.rs
+++ b/crates/pollenlever-core/src/membership/mod.rs
@@ -25,7 +25,7 @@
 mod seed_list;
 
 pub use change::{Change, Stamp};
-pub use digest::{BucketId, Digest};
+pub use digest::{BucketId, Digest, address_hash};
 pub use gossip_message::{GossipMessage, GossipPurpose};
 pub use health::Health;
 pub use member::{Member, TargetState};
--- a/crates/pollenlever-core/src/membership/overlay.rs
+++ b/crates/pollenlever-core/src/membership/overlay.rs
@@ -1,6 +1,6 @@
 use std::collections::BTreeMap;
 
-use super::digest::hash_addr;
+use super::digest::address_hash;
 use super::{Member, highest_scores};
 use crate::id::{NodeId, RegionName};
 
@@ -75,7 +75,7 @@
 
 /// The node that follows `me` in the order of a ring, which is cyclic; `None` if there is no other.
 fn successor(me: NodeId, nodes: &[NodeId], ring: u64) -> Option<NodeId> {
-    let ring_position = |node: NodeId| (hash_addr(node.addr, ring), node);
+    let ring_position = |node: NodeId| (address_hash(node.addr, ring), node);
     let my_position = ring_position(me);
     let others = nodes.iter().filter(|it| it.addr != me.addr);
     // Nodes after `me` sort before those that precede it, each group in ring order.
--- a/crates/pollenlever-core/src/membership/rendezvous.rs
+++ b/crates/pollenlever-core/src/membership/rendezvous.rs
@@ -1,4 +1,4 @@
-use super::digest::hash_addr;
+use super::digest::address_hash;
 use crate::id::NodeId;
 
 /// The `count` nodes with the highest scores for `seed`, highest first (rendezvous hashing).
@@ -21,7 +21,7 @@
 ) -> Vec<NodeId> {
     let mut chosen: Vec<(u64, NodeId)> = Vec::with_capacity(count + 1);
     for node in nodes {
-        let scored = (hash_addr(node.addr, seed), node);
+        let scored = (address_hash(node.addr, seed), node);
         if chosen.len() == count && chosen.last().is_none_or(|last| *last >= scored) {
             continue;
         }
@@ -43,6 +43,6 @@
 /// assert_eq!(rank(nodes.iter().copied(), 7, chosen[2]), 2);
 /// ```
 pub fn rank(nodes: impl IntoIterator<Item = NodeId>, seed: u64, node: NodeId) -> usize {
-    let score = |it: NodeId| (hash_addr(it.addr, seed), it);
+    let score = |it: NodeId| (address_hash(it.addr, seed), it);
     nodes.into_iter().filter(|it| score(*it) > score(node)).count()
 }
--- a/crates/pollenlever-core/src/mesh/kept_departures.rs
+++ b/crates/pollenlever-core/src/mesh/kept_departures.rs
@@ -16,11 +16,13 @@
 /// departure alone does not replace a later one with it.
 ///
 /// ```
+/// use pollenlever_core::id::NodeId;
 /// use pollenlever_core::mesh::{DepartedTarget, KeptDepartures};
 /// let departed = DepartedTarget { instance: "i-1".into(), started: 5 };
 /// let mut kept = KeptDepartures::default();
 /// assert!(kept.keep("127.0.0.1:7101@1".parse().unwrap(), departed.clone()));
-/// let restarted = "127.0.0.1:7101@2".parse().unwrap();
+/// let restarted: NodeId = "127.0.0.1:7101@2".parse().unwrap();
+/// assert_eq!(kept.kept_for(restarted.addr), [departed.clone()]);
 /// assert_eq!(kept.begin_recall(restarted), [departed]);
 /// assert_eq!(kept.begin_recall(restarted), []);
 /// ```
@@ -55,6 +57,12 @@
         true
     }
 
+    /// The departures that are kept for processes of the node at `addr`.
+    pub fn kept_for(&self, addr: SocketAddr) -> Vec<DepartedTarget> {
+        let kept = self.by_node.get(&addr).into_iter().flatten();
+        kept.map(|it| it.departed.clone()).collect()
+    }
+
     /// The departures that a process has to be told, and is from now on: those that neither it nor a later
     /// process knows.
     pub fn begin_recall(&mut self, node: NodeId) -> Vec<DepartedTarget> {
--- a/crates/pollenlever-core/src/mesh/mesh_reply.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_reply.rs
@@ -1,6 +1,6 @@
 use bincode::{Decode, Encode};
 
-use super::{AttemptOutcome, ProcessStatement, RouteTable, RouteVersion};
+use super::{AttemptOutcome, DepartedTarget, ProcessStatement, RouteTable, RouteVersion};
 use crate::id::NodeId;
 use crate::message::GateLoad;
 use crate::quota::{ShareDelegationReply, TokenGrant};
@@ -45,4 +45,6 @@
     Tokens(Vec<TokenGrant>),
     /// Number of shards of the share table; 0 if the node does not know it.
     QuotaShards(u32),
+    /// Departures that the node keeps for processes of the requesting node.
+    KeptDepartures(Vec<DepartedTarget>),
 }
--- a/crates/pollenlever-core/src/mesh/mesh_request.rs
+++ b/crates/pollenlever-core/src/mesh/mesh_request.rs
@@ -32,4 +32,6 @@
     KeepDeparture(DepartedTarget),
     /// The target beside the receiver has left, as an earlier process of the receiver has told the sender.
     RecallDeparture(DepartedTarget),
+    /// Send the departures that the receiver keeps for processes of the sender.
+    KeptDepartures,
 }
--- a/crates/pollenlever-core/src/message/mod.rs
+++ b/crates/pollenlever-core/src/message/mod.rs
@@ -17,4 +17,4 @@
 pub use suspicion::Suspicion;
 
 /// Version of the protocol between nodes; peers with a different version are refused.
-pub const PROTOCOL_VERSION: u16 = 8;
+pub const PROTOCOL_VERSION: u16 = 9;
--- a/crates/pollenlever-core/tests/departures/main.rs
+++ b/crates/pollenlever-core/tests/departures/main.rs
@@ -61,3 +61,9 @@
     a_drill_makes_the_store_first_design_forget => (Design::StoreFirst, DRILLS);
     a_restarted_keeper_is_never_replaced => (Design::KeepersNotReplaced, PEERS);
 }
+
+// DRAIN: a started node took a late report before the nodes that kept the departure knew the node.
+cases! { check_broken:
+    a_report_before_the_recall_brings_a_target_back => (Design::ReportsBeforeRecall, REFUSALS);
+    a_report_before_the_recall_brings_a_target_back_in_a_drill => (Design::ReportsBeforeRecall, DRILLS);
+}
--- a/crates/pollenlever-core/tests/departures/process.rs
+++ b/crates/pollenlever-core/tests/departures/process.rs
@@ -3,13 +3,13 @@
 use pollenlever_core::Timestamp;
 use pollenlever_core::id::NodeId;
 use pollenlever_core::mesh::{
-    ConfirmationState, DepartedTarget, DepartureConfirmation, DepartureKeepers, StoreStep,
-    StoredDeparture, TargetRegistry, TargetReport,
+    ConfirmationState, DepartedTarget, DepartureConfirmation, DepartureKeepers, DepartureRecall,
+    StoreStep, StoredDeparture, TargetRegistry, TargetReport,
 };
 
 use crate::store::{CallOutcome, Store};
 
-/// Longest wait at the start for the store.
+/// Longest wait at the start for the store, in the earlier designs.
 const RECOVERY_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time for which the earlier design waited for the store before it asked other nodes.
 const STORE_ALONE_TIME: Duration = Duration::from_millis(100);
@@ -22,6 +22,8 @@
     StoreFirst,
     /// Keepers were asked only until the departure was confirmed, and not replaced (882ff00).
     KeepersNotReplaced,
+    /// A started node took reports after the store's answer, or 1.5 s without one (0723d75).
+    ReportsBeforeRecall,
 }
 
 /// A process of the node beside the target.
@@ -33,6 +35,9 @@
     started_at: Timestamp,
     stored: StoredDeparture,
     is_read: bool,
+    recall: DepartureRecall,
+    /// Whether the process knows the other nodes.
+    has_joined: bool,
     version: u64,
     known_era: u64,
     keepers: DepartureKeepers,
@@ -49,6 +54,8 @@
             started_at: now,
             stored: StoredDeparture::default(),
             is_read: false,
+            recall: DepartureRecall::new(now),
+            has_joined: false,
             version: 0,
             known_era: era,
             keepers: DepartureKeepers::default(),
@@ -56,9 +63,13 @@
         }
     }
 
-    /// Takes a report of a target, unless the node still waits for the store.
-    pub(crate) fn report(&mut self, now: Timestamp, report: TargetReport) {
-        if !self.is_read && now < self.started_at + RECOVERY_TIMEOUT {
+    /// Takes a report of a target, unless the node may not have heard of the target's departure yet.
+    pub(crate) fn report(&mut self, now: Timestamp, report: TargetReport, others: &[NodeId]) {
+        let takes_reports = match self.design {
+            Design::Present => self.recall.is_complete(now, self.known(others)),
+            _ => self.is_read || now >= self.started_at + RECOVERY_TIMEOUT,
+        };
+        if !takes_reports {
             return;
         }
         let is_draining = report.is_draining;
@@ -72,6 +83,29 @@
         }
     }
 
+    fn known<'a>(&self, others: &'a [NodeId]) -> Option<&'a [NodeId]> {
+        self.has_joined.then_some(others)
+    }
+
+    /// Learns of the other nodes.
+    pub(crate) fn join(&mut self) {
+        self.has_joined = true;
+    }
+
+    /// The nodes that the started process has to ask what they keep for it.
+    pub(crate) fn recall_requests(&mut self, now: Timestamp, others: &[NodeId]) -> Vec<NodeId> {
+        let known = self.known(others);
+        self.recall.to_ask(now, known)
+    }
+
+    /// Takes what another node keeps for this one.
+    pub(crate) fn take_kept(&mut self, from: NodeId, kept: Vec<DepartedTarget>) {
+        for departed in kept {
+            self.registry.handle_past_departure(departed);
+        }
+        self.recall.record_answer(from);
+    }
+
     /// The departure that the target may be told now that it is known.
     pub(crate) fn confirm(&mut self, now: Timestamp, others: &[NodeId]) -> Option<DepartedTarget> {
         let (departed, mut confirmation, _) = self.asked.clone()?;
@@ -116,6 +150,7 @@
 
     fn record_found(&mut self, store: &Store) -> Option<DepartedTarget> {
         self.is_read = true;
+        self.recall.record_stored();
         self.version = store.version;
         self.stored.record_found(store.object.is_some(), store.object.clone());
         store.object.clone()
@@ -138,7 +173,7 @@
         let departed = self.registry.departed()?;
         let asked_at = self.asked.as_ref().map(|it| it.2);
         let asks = match self.design {
-            Design::Present => true,
+            Design::Present | Design::ReportsBeforeRecall => true,
             Design::KeepersNotReplaced => asked_at.is_some(),
             Design::StoreFirst => asked_at.is_some_and(|it| now >= it + STORE_ALONE_TIME),
         };
--- a/crates/pollenlever-core/tests/departures/world.rs
+++ b/crates/pollenlever-core/tests/departures/world.rs
@@ -106,6 +106,9 @@
     pub(crate) fn play(&mut self) -> Result<(), &'static str> {
         for _ in 0..STEPS {
             self.step();
+            if self.design == Design::Present || self.design == Design::ReportsBeforeRecall {
+                self.check_out_of_use()?;
+            }
             if self.rng.random_ratio(1, 10) {
                 self.settle();
                 self.check()?;
@@ -117,7 +120,7 @@
 
     fn step(&mut self) {
         self.now += ROUND / 2;
-        let step = self.rng.random_range(0..17);
+        let step = self.rng.random_range(0..19);
         self.log.push(format!("{:?} step {step}", self.now));
         match step {
             0 | 1 => self.send_report(),
@@ -132,6 +135,7 @@
             13 => self.store.refuses = self.faults.refusals && self.rng.random(),
             14 => self.store.take_copy(),
             15 if self.faults.drills => self.store.restore(),
+            17 | 18 => self.ask_for_kept(true),
             16 if self.target.is_confirmed && self.rng.random_ratio(1, 4) => self.replace_target(),
             _ => {}
         }
@@ -162,12 +166,17 @@
         self.target.sequence += 1;
         let report = self.report();
         self.reports.push(report.clone());
-        self.process.report(self.now, report);
+        self.report_to_process(report);
+    }
+
+    fn report_to_process(&mut self, report: TargetReport) {
+        let nodes = self.nodes();
+        self.process.report(self.now, report, &nodes);
     }
 
     fn send_late_report(&mut self) {
         if let Some(report) = self.reports.choose(&mut self.rng).cloned() {
-            self.process.report(self.now, report);
+            self.report_to_process(report);
         }
     }
 
@@ -220,8 +229,9 @@
         }
     }
 
-    /// Other nodes learn of the present process.
+    /// Other nodes learn of the present process, and it of them.
     fn join(&mut self) {
+        self.process.join();
         for other in &mut self.others {
             other.recalled.extend(other.kept.begin_recall(self.process.node));
         }
@@ -235,6 +245,19 @@
         }
     }
 
+    /// The started process asks the other nodes what they keep for it.
+    fn ask_for_kept(&mut self, may_fail: bool) {
+        let nodes = self.nodes();
+        let addr = self.process.node.addr;
+        for asked in self.process.recall_requests(self.now, &nodes) {
+            if may_fail && self.draws_peer_fault() {
+                continue;
+            }
+            let at = nodes.iter().position(|it| *it == asked).unwrap();
+            self.process.take_kept(asked, self.others[at].kept.kept_for(addr));
+        }
+    }
+
     fn restart_node(&mut self) {
         let node = node(0, self.process.node.incarnation + 1);
         self.process = Process::start(self.design, node, self.now, self.store.era);
@@ -269,21 +292,28 @@
             self.process.call_store(&mut self.store, false);
             self.join();
             self.recall();
+            self.ask_for_kept(false);
             self.ask_keepers(false);
             self.confirm();
         }
         self.peer_faults_left = 1;
     }
 
+    /// A target whose departure was confirmed is out of use, also while nodes start.
+    fn check_out_of_use(&self) -> Result<(), &'static str> {
+        let serving = self.process.registry.serving().map(|it| it.started);
+        if self.target.is_confirmed && serving == Some(self.target.started) {
+            return Err("a target is in use whose departure was confirmed");
+        }
+        Ok(())
+    }
+
     /// Late reports never bring back a target whose departure was confirmed, and one that has not left is
     /// served.
     fn check(&mut self) -> Result<(), &'static str> {
         for report in self.reports.clone().into_iter().filter(|it| !it.is_draining) {
-            self.process.report(self.now, report);
-            let serving = self.process.registry.serving().map(|it| it.started);
-            if self.target.is_confirmed && serving == Some(self.target.started) {
-                return Err("a target is in use whose departure was confirmed");
-            }
+            self.report_to_process(report);
+            self.check_out_of_use()?;
         }
         if !self.target.is_leaving {
             self.send_report();
--- a/crates/pollenlever/src/mesh/departure_records.rs
+++ b/crates/pollenlever/src/mesh/departure_records.rs
@@ -6,7 +6,7 @@
 use pollenlever_core::membership::Member;
 use pollenlever_core::mesh::{
     ConfirmationState, DepartedTarget, DepartureConfirmation, DepartureKeepers, KeptDepartures,
-    MIN_KEEPERS, MeshReply, MeshRequest, RegistryChange,
+    MIN_KEEPERS, MeshReply, MeshRequest, RegistryChange, keeper_candidates,
 };
 use rand::seq::IteratorRandom;
 use tokio::sync::{Notify, watch};
@@ -70,7 +70,7 @@
     /// Waits until the store and other nodes know of a departure, or for long enough for one of them.
     /// Returns whether any does.
     async fn wait_until_recorded(&self, departed: &DepartedTarget) -> bool {
-        let has_other_nodes = !self.possible_keepers().is_empty();
+        let has_other_nodes = !self.keeper_candidates().is_empty();
         let mut confirmation = DepartureConfirmation::new(self.clock.now(), has_other_nodes);
         let stored = wait_until_known(&self.departures.stored, departed);
         let kept = wait_until_known(&self.departures.kept_elsewhere, departed);
@@ -107,15 +107,15 @@
                 self.departures.changed.notified().await;
                 continue;
             };
-            let possible = self.possible_keepers();
-            let to_ask = keepers.to_ask(&departed, &possible);
+            let candidates = self.keeper_candidates();
+            let to_ask = keepers.to_ask(&departed, &candidates);
             if !to_ask.is_empty() {
                 failed_tries += 1;
                 let asked = to_ask.into_iter().choose_multiple(&mut rand::rng(), ASKED_NODES);
                 for keeper in self.ask_to_keep(asked, &departed).await {
                     keepers.record(&departed, keeper);
                 }
-                if keepers.are_enough(&departed, &possible) {
+                if keepers.are_enough(&departed, &candidates) {
                     failed_tries = 0;
                     self.record_kept_elsewhere(departed, keepers.count());
                 }
@@ -140,18 +140,19 @@
         self.departures.changed.notify_one();
     }
 
-    /// The other nodes in use that can keep departures: those of this region if there are enough, as
-    /// bytes between regions are dear, or else all.
-    fn possible_keepers(&self) -> Vec<NodeId> {
+    /// The other nodes that may keep the departures of this node's target: some of those in use that can, of
+    /// this region if there are enough, as bytes between regions are dear, or else of all.
+    pub(super) fn keeper_candidates(&self) -> Vec<NodeId> {
         let members: Vec<Member> = self.members.read(|it| it.table().live().cloned().collect());
         let is_possible = |it: &Member| it.node != self.me && self.keeps_departures(it.node);
         let possible: Vec<Member> = members.into_iter().filter(is_possible).collect();
         let is_near = |it: &&Member| it.region == self.region;
         let near: Vec<NodeId> = possible.iter().filter(is_near).map(|it| it.node).collect();
         if near.len() >= MIN_KEEPERS {
-            return near;
+            return keeper_candidates(self.me.addr, &near);
         }
-        possible.into_iter().map(|it| it.node).collect()
+        let all: Vec<NodeId> = possible.iter().map(|it| it.node).collect();
+        keeper_candidates(self.me.addr, &all)
     }
 
     /// Asks nodes to keep a departure. Returns those that do.
@@ -188,6 +189,11 @@
         if is_kept { Ok(()) } else { Err(ErrorKind::Overloaded) }
     }
 
+    /// The departures that this node keeps for processes of another one.
+    pub(super) fn kept_departures_of(&self, node: NodeId) -> Vec<DepartedTarget> {
+        self.departures.kept_for_others().kept_for(node.addr)
+    }
+
     /// Tells a restarted node of the departures that its earlier processes asked this node to keep.
     pub(super) fn recall_departures(self: &Arc<MeshShared>, node: NodeId) {
         for departed in self.departures.kept_for_others().begin_recall(node) {
--- a/crates/pollenlever/src/mesh/departure_store.rs
+++ b/crates/pollenlever/src/mesh/departure_store.rs
@@ -47,14 +47,12 @@
     }
 
     /// Restores the departure that an earlier process stored, and stores later ones, for as long as
-    /// the node runs. If the store does not answer in time, reports of the target are taken, and a
-    /// departure that is read later takes the target out of use again.
+    /// the node runs. A departure that is read late takes the target out of use again.
     pub(super) async fn run(mut self) {
         if timeout(RECOVERY_TIMEOUT, self.read_until_answered()).await.is_err() {
             let kind = DEPARTURES_KIND;
             log_event!(LogEvent::StoreLost, "kind={kind} reason=\"read timeout\"");
         }
-        self.shared.mark_target_state_restored();
         let mut era = self.shared.store_era.subscribe();
         let mut backoff = StoreBackoff::new(MAX_BACKOFF);
         loop {
@@ -98,6 +96,7 @@
         if let Some(found) = self.record_found(found?) {
             self.shared.apply_past_departure(found.departed(), "store");
         }
+        self.shared.record_departure_read();
         Ok(())
     }
 
--- a/crates/pollenlever/src/mesh/log_event.rs
+++ b/crates/pollenlever/src/mesh/log_event.rs
@@ -30,6 +30,7 @@
     TargetReportIgnored,
     DepartureKeptElsewhere,
     DepartureNotConfirmed,
+    DeparturesRecalled,
     TargetStatement,
     TargetLoadMalformed,
     ApiKeyRefused,
@@ -55,7 +56,7 @@
 
 impl LogEvent {
     /// All events, in the order of their declaration.
-    pub const ALL: [LogEvent; 47] = [
+    pub const ALL: [LogEvent; 48] = [
         LogEvent::NodeStarted,
         LogEvent::NodeLeaving,
         LogEvent::NodeStopped,
@@ -82,6 +83,7 @@
         LogEvent::TargetReportIgnored,
         LogEvent::DepartureKeptElsewhere,
         LogEvent::DepartureNotConfirmed,
+        LogEvent::DeparturesRecalled,
         LogEvent::TargetStatement,
         LogEvent::TargetLoadMalformed,
         LogEvent::ApiKeyRefused,
@@ -139,6 +141,7 @@
             LogEvent::TargetReportIgnored => "target-report-ignored",
             LogEvent::DepartureKeptElsewhere => "departure-kept-elsewhere",
             LogEvent::DepartureNotConfirmed => "departure-not-confirmed",
+            LogEvent::DeparturesRecalled => "departures-recalled",
             LogEvent::TargetStatement => "target-statement",
             LogEvent::TargetLoadMalformed => "target-load-malformed",
             LogEvent::ApiKeyRefused => "api-key-refused",
--- a/crates/pollenlever/src/mesh/member_versions.rs
+++ b/crates/pollenlever/src/mesh/member_versions.rs
@@ -17,6 +17,8 @@
 const CONFIRMATIONS_VERSION: u16 = 7;
 /// First protocol version whose nodes keep departures for each other.
 const KEPT_DEPARTURES_VERSION: u16 = 8;
+/// First protocol version whose nodes are asked by a restarted one what they keep for it.
+const RECALLED_DEPARTURES_VERSION: u16 = 9;
 /// Time between two checks whether members speak earlier protocol versions.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -84,6 +86,11 @@
         self.protocol_of(node).is_none_or(|it| it >= KEPT_DEPARTURES_VERSION)
     }
 
+    /// Whether a node answers a restarted one that asks for its kept departures.
+    pub(super) fn answers_recalls(&self, node: NodeId) -> bool {
+        self.protocol_of(node).is_none_or(|it| it >= RECALLED_DEPARTURES_VERSION)
+    }
+
     /// Members that can hold units of quotas and be homes of shards. Nodes that have not been heard of
     /// count among them, unless the deployment is known to have members that cannot.
     pub(super) fn members_with_quotas(&self) -> Vec<Member> {
--- a/crates/pollenlever/src/mesh/mesh_handler.rs
+++ b/crates/pollenlever/src/mesh/mesh_handler.rs
@@ -50,6 +50,9 @@
                 shared.apply_past_departure(departed, "peer");
                 (MeshReply::Acknowledged, Bytes::new())
             }
+            MeshRequest::KeptDepartures => {
+                (MeshReply::KeptDepartures(shared.kept_departures_of(from)), Bytes::new())
+            }
             MeshRequest::Routes(known) => {
                 let newer = shared.routes().filter(|it| it.version > known);
                 (MeshReply::Routes(newer.map(|it| (*it).clone())), Bytes::new())
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -176,6 +176,7 @@
     tokio::spawn(driver.run());
     tokio::spawn(seeds.run());
     tokio::spawn(departures.run());
+    tokio::spawn(Arc::clone(shared).recall_own_departures());
     tokio::spawn(delete_orphaned_departures(Arc::clone(shared), platform.store()));
     tokio::spawn(Arc::clone(&shared.gate).serve_queue());
     let gate = Arc::clone(&shared.gate);
--- a/crates/pollenlever/src/mesh/mesh_shared.rs
+++ b/crates/pollenlever/src/mesh/mesh_shared.rs
@@ -18,6 +18,7 @@
 use super::downstream::Downstream;
 use super::gate::Gate;
 use super::mesh_metrics::MeshMetrics;
+use super::own_departures::OwnDepartures;
 use super::request_log::RequestLog;
 use super::routes_in_force::RoutesInForce;
 use super::stop_phase::StopPhase;
@@ -81,7 +82,8 @@
     /// What targets stated in the answers that this node passed on.
     pub(super) remembered_statements: Mutex<RememberedStatements>,
     last_id: AtomicU64,
-    target_state_restored: AtomicBool,
+    /// What this process has heard of departures that earlier ones confirmed.
+    pub(super) own_departures: OwnDepartures,
     pub(super) is_fetching_routes: AtomicBool,
     /// Whether routes of a newer version are in the store, and no node can send them to this one.
     pub(super) is_routes_read_due: AtomicBool,
@@ -183,7 +185,7 @@
             state: Mutex::new(state),
             remembered_statements: Mutex::default(),
             last_id: AtomicU64::new(0),
-            target_state_restored: AtomicBool::new(false),
+            own_departures: OwnDepartures::new(clock.now()),
             is_fetching_routes: AtomicBool::new(false),
             is_routes_read_due: AtomicBool::new(false),
             watches_routes: AtomicBool::new(false),
@@ -209,16 +211,6 @@
             && self.members.read(|it| it.is_chosen_in_region(WATCHER_SEED, WATCHERS_PER_REGION))
     }
 
-    /// Whether the node has restored what its target reported to an earlier process of the node, or
-    /// has stopped waiting for it.
-    pub fn is_target_state_restored(&self) -> bool {
-        self.target_state_restored.load(Ordering::Relaxed)
-    }
-
-    pub(super) fn mark_target_state_restored(&self) {
-        self.target_state_restored.store(true, Ordering::Relaxed);
-    }
-
     /// This node as the other nodes know it.
     pub fn member(&self) -> Member {
         self.members.read(|it| it.me().clone())
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -37,6 +37,7 @@
 mod mesh_node;
 mod mesh_platform;
 mod mesh_shared;
+mod own_departures;
 mod pending_request;
 mod pipeline;
 mod pipelined_answer;
--- a/crates/pollenlever/src/peer/codec.rs
+++ b/crates/pollenlever/src/peer/codec.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use pollenlever_core::message::PROTOCOL_VERSION;
 
-use super::request_versions::{VERSION_6, VERSION_7, check_request};
+use super::message_versions::{VERSION_6, VERSION_7, VERSION_8, check_reply, check_request};
 use super::{ReplyFrame, RequestFrame, WireError, v4, v5};
 
 /// Oldest protocol version that nodes of this build speak with others.
@@ -39,7 +39,7 @@
 pub fn encode_request(frame: &RequestFrame) -> Result<Bytes, WireError> {
     match frame.version {
         PROTOCOL_VERSION => encode(frame),
-        VERSION_7 | VERSION_6 | v5::VERSION => {
+        VERSION_8 | VERSION_7 | VERSION_6 | v5::VERSION => {
             check_request(frame)?;
             encode(frame)
         }
@@ -62,7 +62,7 @@
 /// ```
 pub fn decode_request(head: &[u8]) -> Result<RequestFrame, WireError> {
     match read_version(head)? {
-        PROTOCOL_VERSION | VERSION_7 | VERSION_6 | v5::VERSION => decode(head),
+        PROTOCOL_VERSION | VERSION_8 | VERSION_7 | VERSION_6 | v5::VERSION => decode(head),
         v4::VERSION => decode::<v4::RequestFrame>(head).map(RequestFrame::from),
         version => Err(unknown_version(version)),
     }
@@ -84,8 +84,12 @@
 /// ```
 pub fn encode_reply(frame: &ReplyFrame) -> Result<Bytes, WireError> {
     match frame.version {
-        PROTOCOL_VERSION | VERSION_7 | VERSION_6 => encode(frame),
-        v5::VERSION => encode(&v5::ReplyFrame::from(frame.clone())),
+        PROTOCOL_VERSION => encode(frame),
+        VERSION_8 | VERSION_7 | VERSION_6 => {
+            check_reply(frame)?;
+            encode(frame)
+        }
+        v5::VERSION => encode(&v5::ReplyFrame::try_from(frame.clone())?),
         v4::VERSION => encode(&v4::ReplyFrame::try_from(frame.clone())?),
         version => Err(unknown_version(version)),
     }
@@ -102,7 +106,7 @@
 /// ```
 pub fn decode_reply(head: &[u8]) -> Result<ReplyFrame, WireError> {
     match read_version(head)? {
-        PROTOCOL_VERSION | VERSION_7 | VERSION_6 => decode(head),
+        PROTOCOL_VERSION | VERSION_8 | VERSION_7 | VERSION_6 => decode(head),
         v5::VERSION => decode::<v5::ReplyFrame>(head).map(ReplyFrame::from),
         v4::VERSION => decode::<v4::ReplyFrame>(head).map(ReplyFrame::from),
         version => Err(unknown_version(version)),
--- a/crates/pollenlever/src/peer/v4/mesh_reply.rs
+++ b/crates/pollenlever/src/peer/v4/mesh_reply.rs
@@ -25,7 +25,10 @@
             Current::RoutesVersion { node, version } => MeshReply::RoutesVersion { node, version },
             Current::Acknowledged => MeshReply::Acknowledged,
             Current::Routes(table) => MeshReply::Routes(table.map(RouteTable::from)),
-            Current::SharesDelegated(_) | Current::Tokens(_) | Current::QuotaShards(_) => {
+            Current::SharesDelegated(_)
+            | Current::Tokens(_)
+            | Current::QuotaShards(_)
+            | Current::KeptDepartures(_) => {
                 return Err(WireError::NotInVersion { version: VERSION });
             }
         })
--- a/crates/pollenlever/src/peer/v4/mesh_request.rs
+++ b/crates/pollenlever/src/peer/v4/mesh_request.rs
@@ -32,7 +32,8 @@
             | Current::QuotaShards
             | Current::ConfirmRoutes(_)
             | Current::KeepDeparture(_)
-            | Current::RecallDeparture(_) => {
+            | Current::RecallDeparture(_)
+            | Current::KeptDepartures => {
                 return Err(WireError::NotInVersion { version: VERSION });
             }
         })
--- a/crates/pollenlever/src/peer/v5/mesh_reply.rs
+++ b/crates/pollenlever/src/peer/v5/mesh_reply.rs
@@ -3,7 +3,8 @@
 use pollenlever_core::mesh::{MeshReply as Current, RouteTable, RouteVersion};
 use pollenlever_core::quota::{ShareDelegationReply, TokenGrant};
 
-use super::AttemptReply;
+use super::{AttemptReply, VERSION};
+use crate::peer::WireError;
 
 /// The reply to a request of the mesh.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -18,9 +19,11 @@
     QuotaShards(u32),
 }
 
-impl From<Current> for MeshReply {
-    fn from(it: Current) -> MeshReply {
-        match it {
+impl TryFrom<Current> for MeshReply {
+    type Error = WireError;
+
+    fn try_from(it: Current) -> Result<MeshReply, WireError> {
+        Ok(match it {
             Current::Attempt(reply) => MeshReply::Attempt(reply.into()),
             Current::Sealed(is_sealed) => MeshReply::Sealed(is_sealed),
             Current::RoutesVersion { node, version } => MeshReply::RoutesVersion { node, version },
@@ -29,7 +32,8 @@
             Current::SharesDelegated(reply) => MeshReply::SharesDelegated(reply),
             Current::Tokens(grants) => MeshReply::Tokens(grants),
             Current::QuotaShards(shards) => MeshReply::QuotaShards(shards),
-        }
+            Current::KeptDepartures(_) => return Err(WireError::NotInVersion { version: VERSION }),
+        })
     }
 }
 
--- a/crates/pollenlever/src/peer/v5/peer_reply.rs
+++ b/crates/pollenlever/src/peer/v5/peer_reply.rs
@@ -5,6 +5,7 @@
 use pollenlever_core::rollout::ConfigMessage;
 
 use super::{GateLoad, MeshReply};
+use crate::peer::WireError;
 
 /// The reply to a request of the same name.
 #[derive(Debug, Clone, PartialEq, Encode, Decode)]
@@ -21,9 +22,11 @@
     Refused(ErrorKind),
 }
 
-impl From<Current> for PeerReply {
-    fn from(it: Current) -> PeerReply {
-        match it {
+impl TryFrom<Current> for PeerReply {
+    type Error = WireError;
+
+    fn try_from(it: Current) -> Result<PeerReply, WireError> {
+        Ok(match it {
             Current::Attempt(answer, load) => PeerReply::Attempt(answer, load.into()),
             Current::Forward(answer) => PeerReply::Forward(answer),
             Current::Grant(is_granted) => PeerReply::Grant(is_granted),
@@ -32,9 +35,9 @@
             Current::Suspects => PeerReply::Suspects,
             Current::Gossip(message) => PeerReply::Gossip(message),
             Current::Config(message) => PeerReply::Config(message),
-            Current::Mesh(reply) => PeerReply::Mesh(reply.into()),
+            Current::Mesh(reply) => PeerReply::Mesh(reply.try_into()?),
             Current::Refused(kind) => PeerReply::Refused(kind),
-        }
+        })
     }
 }
 
--- a/crates/pollenlever/src/peer/v5/reply_frame.rs
+++ b/crates/pollenlever/src/peer/v5/reply_frame.rs
@@ -2,6 +2,7 @@
 use pollenlever_core::id::NodeId;
 
 use super::{PeerReply, VERSION};
+use crate::peer::WireError;
 use crate::peer::reply_frame as current;
 
 /// Head of a reply.
@@ -12,9 +13,11 @@
     reply: PeerReply,
 }
 
-impl From<current::ReplyFrame> for ReplyFrame {
-    fn from(it: current::ReplyFrame) -> ReplyFrame {
-        ReplyFrame { version: VERSION, from: it.from, reply: it.reply.into() }
+impl TryFrom<current::ReplyFrame> for ReplyFrame {
+    type Error = WireError;
+
+    fn try_from(it: current::ReplyFrame) -> Result<ReplyFrame, WireError> {
+        Ok(ReplyFrame { version: VERSION, from: it.from, reply: it.reply.try_into()? })
     }
 }
 
--- a/crates/pollenlever/tests/frames/main.rs
+++ b/crates/pollenlever/tests/frames/main.rs
@@ -19,6 +19,7 @@
 const VERSION_6: &str = include_str!("version-6.txt");
 const VERSION_7: &str = include_str!("version-7.txt");
 const VERSION_8: &str = include_str!("version-8.txt");
+const VERSION_9: &str = include_str!("version-9.txt");
 const TO: u64 = 0x4f;
 
 /// Recorded heads by direction and name.
@@ -95,22 +96,27 @@
 
 #[test]
 fn version_6_is_written_and_read_as_recorded() {
-    check_version(6, VERSION_6, samples::request_in_version_6, Some);
+    check_version(6, VERSION_6, samples::request_in_version_6, samples::reply_in_version_8);
 }
 
 #[test]
 fn version_7_is_written_and_read_as_recorded() {
-    check_version(7, VERSION_7, samples::request_in_version_7, Some);
+    check_version(7, VERSION_7, samples::request_in_version_7, samples::reply_in_version_8);
 }
 
 #[test]
 fn version_8_is_written_and_read_as_recorded() {
-    check_version(8, VERSION_8, Some, Some);
+    check_version(8, VERSION_8, samples::request_in_version_8, samples::reply_in_version_8);
+}
+
+#[test]
+fn version_9_is_written_and_read_as_recorded() {
+    check_version(9, VERSION_9, Some, Some);
 }
 
 #[test]
 fn each_spoken_version_is_recorded() {
-    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=8);
+    assert_eq!(OLDEST_PROTOCOL_VERSION..=PROTOCOL_VERSION, 4..=9);
 }
 
 #[test]
--- a/crates/pollenlever/tests/frames/samples.rs
+++ b/crates/pollenlever/tests/frames/samples.rs
@@ -21,8 +21,8 @@
 use routes::{confirmation, route_table};
 
 pub(crate) use as_read::{
-    reply_in_version_4, reply_in_version_5, request_in_version_4, request_in_version_6,
-    request_in_version_7,
+    reply_in_version_4, reply_in_version_5, reply_in_version_8, request_in_version_4,
+    request_in_version_6, request_in_version_7, request_in_version_8,
 };
 
 /// Names and requests.
@@ -50,6 +50,7 @@
         ("mesh-confirm-routes", mesh(MeshRequest::ConfirmRoutes(confirmation()))),
         ("mesh-keep-departure", mesh(MeshRequest::KeepDeparture(departed()))),
         ("mesh-recall-departure", mesh(MeshRequest::RecallDeparture(departed()))),
+        ("mesh-kept-departures", mesh(MeshRequest::KeptDepartures)),
     ]
 }
 
@@ -74,6 +75,7 @@
         ("mesh-shares-delegated", mesh(MeshReply::SharesDelegated(delegation_reply()))),
         ("mesh-tokens", mesh(MeshReply::Tokens(vec![token_grant()]))),
         ("mesh-quota-shards", mesh(MeshReply::QuotaShards(8))),
+        ("mesh-kept-departures", mesh(MeshReply::KeptDepartures(vec![departed()]))),
         ("refused", PeerReply::Refused(ErrorKind::WrongProtocolVersion)),
     ];
     let attempts = outcomes().into_iter().map(|(name, outcome)| {
