--- a/crates/pollenlever/src/lib.rs
+++ b/crates/pollenlever/src/lib.rs
@@ -15,5 +15,6 @@
 pub mod ring;
 pub mod settings;
 pub mod store;
+mod target;
 pub mod telemetry;
 pub mod tool;
--- a/crates/pollenlever/src/mesh/gate.rs
+++ b/crates/pollenlever/src/mesh/gate.rs
@@ -66,7 +66,7 @@
 
     /// Sets the number of connections that the target accepts; 0 means unlimited.
     pub(super) fn set_max_connections(&self, max: u32) {
-        self.client.set_max_connections(max);
+        self.client.pool().set_max_connections(max);
     }
 
     /// Sets whether a pace of started targets is determined.
@@ -155,7 +155,7 @@
     }
 
     pub(super) fn close_idle_connections(&self) {
-        self.client.close_idle_connections();
+        self.client.pool().close_idle_connections();
     }
 
     /// Current load of the gate, without what depends on the class of a request.
--- a/crates/pollenlever/src/mesh/mesh_node.rs
+++ b/crates/pollenlever/src/mesh/mesh_node.rs
@@ -180,7 +180,7 @@
     tokio::spawn(delete_orphaned_departures(Arc::clone(shared), platform.store()));
     tokio::spawn(Arc::clone(&shared.gate).serve_queue());
     let gate = Arc::clone(&shared.gate);
-    tokio::spawn(async move { gate.client.close_expired_connections().await });
+    tokio::spawn(async move { gate.client.pool().close_expired_connections().await });
     tokio::spawn(Arc::clone(shared).announce_departures());
     tokio::spawn(Arc::clone(shared).keep_departures_elsewhere());
     tokio::spawn(Arc::clone(shared).spread_routes());
--- a/crates/pollenlever/src/mesh/mod.rs
+++ b/crates/pollenlever/src/mesh/mod.rs
@@ -3,7 +3,6 @@
 //! gate, the admission control, of a node whose target runs the requested service. A target gets
 //! requests only from the gate of its own node.
 
-mod answer_body;
 mod answer_statement;
 mod attempt_exchange;
 mod attempt_seal;
@@ -28,7 +27,6 @@
 mod gate_suspects;
 mod gate_target;
 mod header_names;
-mod idle_limit;
 mod log_event;
 mod member_changes;
 mod member_versions;
@@ -65,7 +63,6 @@
 mod store_backoff;
 mod suspicion_exchange;
 mod target_client;
-mod target_connection;
 mod target_result;
 mod target_run;
 mod target_state;
--- a/crates/pollenlever/src/node/target_thread.rs
+++ b/crates/pollenlever/src/node/target_thread.rs
@@ -27,7 +27,8 @@
     ) -> Result<TargetThread, NodeStartError> {
         let thread = NetworkThread::start("target")?;
         let client =
-            TargetClient::new(cfg.target, cfg.max_body_bytes)?.with_memory(shared.memory.clone());
+            TargetClient::new(cfg.target, cfg.max_body_bytes).with_memory(shared.memory.clone());
+        thread.spawn(client.clone().close_expired_connections());
         let (commands, commands_rx) = mpsc::channel(cfg.ring_capacity);
         thread.spawn(run_gate(commands_rx, client, shared.events.clone()));
         let watch = TargetWatch::new(cfg.target, shared.events.clone(), Arc::clone(control));
--- a/crates/pollenlever/src/mesh/answer_body.rs
+++ b/crates/pollenlever/src/target/answer_body.rs
@@ -15,7 +15,7 @@
 
 /// Why a body could not be read to its end.
 #[derive(Debug, Error)]
-pub(super) enum BodyError {
+pub(crate) enum BodyError {
     #[error("{0}")]
     Broken(#[from] hyper::Error),
     #[error("{0}")]
@@ -26,7 +26,7 @@
 
 /// Reads the body of an answer to its end. It takes its memory before it is read, and the target is not
 /// read while it waits.
-pub(super) async fn read_body(
+pub(crate) async fn read_body(
     mut body: Incoming,
     bytes: &AnswerBytes,
     memory: &MessageMemory,
--- a/crates/pollenlever/src/mesh/target_connection.rs
+++ b/crates/pollenlever/src/target/connection.rs
@@ -10,16 +10,15 @@
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use pollenlever_core::mesh::{AnswerBytes, AnswerLimits, RequestId};
+use pollenlever_core::mesh::{AnswerBytes, RequestId};
 use tokio::net::{TcpSocket, TcpStream};
 
+use super::PoolSettings;
 use super::answer_body::{BodyError, read_body};
 use crate::bounds::MessageMemory;
 use crate::net::{EarlyAnswerIo, ObservedIo, ReadObserver, TakesNothing};
 use crate::node::InFlightGuard;
 
-/// Timeout for a new connection to the target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Receive buffer of a connection, in bytes. The kernel doubles it; without a size it may grow to tens
 /// of megabytes for a target that sends faster than the node reads.
 const RECV_BUFFER_BYTES: u32 = 1 << 20;
@@ -37,7 +36,7 @@
 
 /// An open connection to the target beside the node.
 #[derive(Debug)]
-pub(super) struct TargetConnection {
+pub(crate) struct TargetConnection {
     sender: SendRequest<Full<Bytes>>,
     /// Bytes of the answer that is being read.
     bytes: Arc<AnswerBytes>,
@@ -54,17 +53,18 @@
 impl TargetConnection {
     /// Connects; `open` counts the connection while it exists. Dropping the connection closes it,
     /// even while the target is working.
-    pub(super) async fn open(
+    pub(crate) async fn open(
         addr: SocketAddr,
+        settings: PoolSettings,
         open: InFlightGuard,
     ) -> Result<TargetConnection, String> {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, connect(addr)).await;
+        let connect = tokio::time::timeout(settings.connect_timeout, connect(addr)).await;
         let io = connect.map_err(|_| "connect timed out".to_owned())?;
         let io = io.map_err(|err| err.to_string())?;
         if let Err(err) = io.set_nodelay(true) {
             log::debug!("cannot set TCP_NODELAY reason={:?}", err.to_string());
         }
-        let bytes = Arc::new(AnswerBytes::new(AnswerLimits::default()));
+        let bytes = Arc::new(AnswerBytes::new(settings.answers));
         let (io, takes_nothing) = EarlyAnswerIo::new(ObservedIo::new(io, bytes.clone()));
         let mut builder = Builder::new();
         builder.max_buf_size(MAX_BUF_BYTES);
@@ -88,31 +88,31 @@
 
     /// Whether the connection is ready and has been idle for less than its limit and `max_idle`, so
     /// that the target is not about to close it.
-    pub(super) fn is_reusable(&self, max_idle: Duration) -> bool {
+    pub(crate) fn is_reusable(&self, max_idle: Duration) -> bool {
         self.sender.is_ready()
             && !self.takes_nothing.get()
             && self.idle_time().unwrap_or_default() < self.idle_limit.min(max_idle)
     }
 
     /// Time since the last answer was read; `None` before the first one.
-    pub(super) fn idle_time(&self) -> Option<Duration> {
+    pub(crate) fn idle_time(&self) -> Option<Duration> {
         self.idle_since.map(|it| it.elapsed())
     }
 
     /// Whether the target has rejected the request on this connection. A repeated copy of that
     /// rejection could not be told from the answer to another send of the same request.
-    pub(super) fn has_rejected(&self, id: &RequestId) -> bool {
+    pub(crate) fn has_rejected(&self, id: &RequestId) -> bool {
         self.rejected.contains(id)
     }
 
     /// Records that the target has rejected a request.
-    pub(super) fn record_rejection(&mut self, id: &RequestId) {
+    pub(crate) fn record_rejection(&mut self, id: &RequestId) {
         self.rejected.push(id.clone());
     }
 
     /// Sends a request and waits for the head of the answer. The error returns the request if
     /// nothing of it was sent.
-    pub(super) async fn send(
+    pub(crate) async fn send(
         &mut self,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
@@ -123,7 +123,7 @@
     }
 
     /// Reads the body of the answer whose head [`send`](TargetConnection::send) returned.
-    pub(super) async fn read_body(
+    pub(crate) async fn read_body(
         &self,
         body: Incoming,
         memory: &MessageMemory,
@@ -132,7 +132,7 @@
     }
 
     /// Records that an answer was read to its end. Returns whether the connection can be reused.
-    pub(super) async fn finish_exchange(&mut self, headers: &HeaderMap) -> bool {
+    pub(crate) fn finish_exchange(&mut self, headers: &HeaderMap) -> bool {
         self.idle_since = Some(Instant::now());
         if let Some(timeout) = keep_alive_timeout(headers) {
             self.idle_limit = timeout.saturating_sub(IDLE_MARGIN);
--- a/crates/pollenlever/src/mesh/idle_limit.rs
+++ b/crates/pollenlever/src/target/idle_limit.rs
@@ -23,7 +23,7 @@
 /// A connection that breaks during a run says nothing about idle times: the target may lose answers
 /// for another reason, and connections that are not reused are expensive.
 #[derive(Debug, Default)]
-pub(super) struct IdleLimit {
+pub(crate) struct IdleLimit {
     state: Mutex<State>,
 }
 
@@ -38,12 +38,12 @@
 impl IdleLimit {
     /// Longest idle time after which a connection may be reused; [`Duration::MAX`] if no limit was
     /// learned recently.
-    pub(super) fn get(&self) -> Duration {
+    pub(crate) fn get(&self) -> Duration {
         self.lock().limit()
     }
 
     /// Records that a connection was reused after `idle`.
-    pub(super) fn record_reuse(&self, idle: Duration) {
+    pub(crate) fn record_reuse(&self, idle: Duration) {
         let mut state = self.lock();
         if idle >= state.reused_idle() {
             state.reused = Some((idle, Instant::now()));
@@ -52,7 +52,7 @@
 
     /// Records that a connection was lost `waited` after it was reused, without an answer. It had
     /// been idle for `idle` before.
-    pub(super) fn record_loss(&self, idle: Duration, waited: Duration) {
+    pub(crate) fn record_loss(&self, idle: Duration, waited: Duration) {
         let mut state = self.lock();
         let is_broken_run = waited >= DEAD_AT_ONCE && state.reused_idle() >= idle;
         if idle < MIN_IDLE_LIMIT || is_broken_run {
--- a/crates/pollenlever/tests/support/stub_target.rs
+++ b/crates/pollenlever/tests/support/stub_target.rs
@@ -4,9 +4,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// Body of the answers of the target.
-pub(crate) const BODY: &str = "the whole answer";
-
 /// Length of the body of a long answer, in bytes.
 const LONG_BODY_BYTES: usize = 900_000;
 
@@ -19,6 +16,9 @@
 }
 
 impl StubTarget {
+    /// Body of the answers.
+    pub(crate) const BODY: &str = "the whole answer";
+
     pub(crate) fn start() -> StubTarget {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
         let addr = listener.local_addr().unwrap();
@@ -56,26 +56,28 @@
 
     /// Answers a request. Returns whether the connection stays open.
     fn answer(&self, mut io: &TcpStream, path: &str) -> bool {
-        let length = BODY.len();
+        let (body, length) = (StubTarget::BODY, StubTarget::BODY.len());
         let text = match path.rsplit('/').next().unwrap_or_default() {
-            "cut" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{BODY}", length + 1),
-            "unmarked" => format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{BODY}"),
+            "cut" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", length + 1),
+            "unmarked" => format!("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{body}"),
             "cut-chunk" => format!(
-                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n"
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n"
             ),
             "chunked" => format!(
-                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{BODY}\r\n0\r\n\r\n"
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{body}\r\n0\r\n\r\n"
             ),
             "large" => format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", 1 << 30),
             status if status.starts_with("status-") => {
                 let status = status.trim_start_matches("status-");
-                format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{BODY}")
+                format!("HTTP/1.1 {status} X\r\ncontent-length: {length}\r\n\r\n{body}")
             }
             "long" => {
                 let body = "x".repeat(LONG_BODY_BYTES);
                 format!("HTTP/1.1 200 OK\r\ncontent-length: {LONG_BODY_BYTES}\r\n\r\n{body}")
             }
             "crash" => String::new(),
+            "unread" => complete_answer(),
+            "unread-cut" => return cut_by_reset(io),
             "slow" => {
                 if is_closed_within(io, Duration::from_millis(1500)) {
                     self.disconnects.fetch_add(1, Ordering::SeqCst);
@@ -85,15 +87,25 @@
             }
             _ => complete_answer(),
         };
-        let keeps_connection =
-            text == complete_answer() || path.ends_with("/chunked") || path.ends_with("/long");
+        let keeps_connection = (text == complete_answer() && !path.ends_with("/unread"))
+            || path.ends_with("/chunked")
+            || path.ends_with("/long");
         io.write_all(text.as_bytes()).is_ok() && keeps_connection
     }
 }
 
 fn complete_answer() -> String {
-    let length = BODY.len();
-    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nx-colour: blue\r\n\r\n{BODY}")
+    let (body, length) = (StubTarget::BODY, StubTarget::BODY.len());
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\nx-colour: blue\r\n\r\n{body}")
+}
+
+/// Writes a part of an answer, and resets the connection while the request is still being sent. Returns that the
+/// connection does not stay open.
+fn cut_by_reset(mut io: &TcpStream) -> bool {
+    let head = "HTTP/1.1 200 OK\r\ncontent-length: 10000\r\n\r\n";
+    let _ = io.write_all(format!("{head}{}", "x".repeat(5_000)).as_bytes());
+    // Closing a socket with unread bytes resets its connection.
+    false
 }
 
 fn read_request(rx: &mut BufReader<TcpStream>) -> Option<String> {
@@ -105,8 +117,10 @@
     }
     let lengths = head.lines().filter_map(|line| line.strip_prefix("content-length: "));
     let length = lengths.map(|it| it.trim().parse().unwrap_or(0)).next().unwrap_or(0);
-    let mut body = vec![0; length];
-    rx.read_exact(&mut body).ok()?;
+    if !head.contains("/unread") {
+        let mut body = vec![0; length];
+        rx.read_exact(&mut body).ok()?;
+    }
     Some(head)
 }
 
