--- a/crates/pollenlever/src/net/hangup_io.rs
+++ b/crates/pollenlever/src/net/hangup_io.rs
@@ -19,17 +19,28 @@
 /// Socket of a caller that notices a hang-up even while requests on the connection are unread.
 ///
 /// The HTTP server does not read while it answers; this reads ahead of it, up to
-/// [`MAX_READ_AHEAD_BYTES`].
+/// [`MAX_READ_AHEAD_BYTES`]. A failure that it meets there is kept for the server, which would take it for an
+/// end of the connection otherwise.
 #[derive(Debug, Clone)]
 pub(crate) struct HangupIo {
     state: Arc<Mutex<State>>,
 }
 
+/// How reading from a connection ended.
+#[derive(Debug, Clone, Copy)]
+enum ReadEnd {
+    /// The other side has ended it in order.
+    Closed,
+    /// Reading failed, such as after a reset. The system says so once.
+    Failed(io::ErrorKind),
+}
+
 #[derive(Debug)]
 struct State {
     io: TcpStream,
     read_ahead: BytesMut,
-    is_closed: bool,
+    /// How the caller has ended the connection; `None` while it is open.
+    end: Option<ReadEnd>,
     last_read: Instant,
     slot: Arc<ConnectionSlot>,
 }
@@ -37,7 +48,7 @@
 impl HangupIo {
     /// Wraps the socket of the connection of `slot`; `read_ahead` holds the bytes already read from it.
     pub(crate) fn new(io: TcpStream, read_ahead: BytesMut, slot: Arc<ConnectionSlot>) -> HangupIo {
-        let state = State { io, read_ahead, is_closed: false, last_read: Instant::now(), slot };
+        let state = State { io, read_ahead, end: None, last_read: Instant::now(), slot };
         HangupIo { state: Arc::new(Mutex::new(state)) }
     }
 
@@ -45,7 +56,7 @@
     /// full.
     pub(super) fn poll_hangup(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut state = self.lock();
-        while !state.is_closed {
+        while state.end.is_none() {
             if state.read_ahead.len() >= MAX_READ_AHEAD_BYTES {
                 return Poll::Pending;
             }
@@ -59,7 +70,7 @@
     /// Ready once the caller has closed the connection; drops what it sends until then.
     pub(super) fn poll_drained(&self, cx: &mut Context<'_>) -> Poll<()> {
         let mut state = self.lock();
-        while !state.is_closed {
+        while state.end.is_none() {
             state.read_ahead.clear();
             if state.poll_fill(cx).is_pending() {
                 return Poll::Pending;
@@ -94,7 +105,8 @@
                 self.last_read = Instant::now();
                 self.read_ahead.extend_from_slice(buf.filled());
             }
-            Poll::Ready(_) => self.is_closed = true,
+            Poll::Ready(Ok(())) => self.end = Some(ReadEnd::Closed),
+            Poll::Ready(Err(err)) => self.end = Some(ReadEnd::Failed(err.kind())),
         }
         Poll::Ready(())
     }
@@ -114,9 +126,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let mut state = self.lock();
-        if state.read_ahead.is_empty() && !state.is_closed && state.poll_fill(cx).is_pending() {
+        if state.read_ahead.is_empty() && state.end.is_none() && state.poll_fill(cx).is_pending() {
             return Poll::Pending;
         }
+        if let (true, Some(ReadEnd::Failed(kind))) = (state.read_ahead.is_empty(), state.end) {
+            return Poll::Ready(Err(kind.into()));
+        }
         let len = state.read_ahead.len().min(buf.remaining());
         buf.put_slice(&state.read_ahead[..len]);
         state.read_ahead.advance(len);
--- a/crates/pollenlever/tests/mesh/bad_input.rs
+++ b/crates/pollenlever/tests/mesh/bad_input.rs
@@ -68,6 +68,26 @@
     assert_eq!(mesh.arrivals(), [1]);
 }
 
+/// Checks that a request is not forwarded whose body, framed by `line`, the caller breaks off with a reset.
+async fn check_cut_by_reset(line: &str, part: &str) {
+    let mesh = TestMesh::start(&[("charge", &[Action::Answer(200, "run")])]).await;
+    let mut caller = mesh.caller().await;
+    caller.write(&format!("POST /charge/1 HTTP/1.1\r\n{HEAD}{line}\r\n\r\n{part}")).await;
+    caller.reset();
+    assert_eq!(mesh.call("POST", "/charge/1", "good").await.status, 200);
+    assert_eq!(mesh.arrivals(), [1]);
+}
+
+#[tokio::test]
+async fn a_request_whose_body_a_reset_cuts_is_not_forwarded() {
+    check_cut_by_reset("Content-Length: 10", "abc").await;
+}
+
+#[tokio::test]
+async fn a_request_whose_chunks_a_reset_cuts_are_not_forwarded() {
+    check_cut_by_reset("Transfer-Encoding: chunked", "3\r\nabc\r\n").await;
+}
+
 #[tokio::test]
 async fn a_request_inside_a_body_is_not_run() {
     let mesh = TestMesh::start(&[("charge", &[Action::Answer(200, "run")])]).await;
--- a/crates/pollenlever/tests/mesh/raw_caller.rs
+++ b/crates/pollenlever/tests/mesh/raw_caller.rs
@@ -107,6 +107,11 @@
         Some(answer)
     }
 
+    /// Closes the connection with a reset.
+    pub(crate) fn reset(self) {
+        self.io.set_zero_linger().unwrap();
+    }
+
     async fn read(&mut self) -> bool {
         let mut bytes = [0; 4096];
         let read = tokio::time::timeout(READ_TIMEOUT, self.io.read(&mut bytes)).await;
