Name what DepartureRecall records of the store

Cause: a newcomer reads record_stored as 'a departure was stored'; it says that the store has answered.

--- a/crates/pollenlever-core/src/mesh/departure_recall.rs
+++ b/crates/pollenlever-core/src/mesh/departure_recall.rs
@@ -25,7 +25,7 @@
 /// let ms = Duration::from_millis;
 /// let others = ["127.0.0.1:7101@1".parse().unwrap(), "127.0.0.1:7102@1".parse().unwrap()];
 /// let mut recall = DepartureRecall::new(ms(0));
-/// recall.record_stored();
+/// recall.record_store_answer();
 /// assert_eq!(recall.to_ask(ms(10), Some(&others)), others);
 /// assert!(!recall.is_complete(ms(10), Some(&others)));
 /// recall.record_answer(others[0]);
@@ -53,7 +53,7 @@
     }
 
     /// Records that the store has answered, with a departure or without one.
-    pub fn record_stored(&mut self) {
+    pub fn record_store_answer(&mut self) {
         self.has_store_answered = true;
     }
 
--- a/crates/pollenlever-core/tests/departures/process.rs
+++ b/crates/pollenlever-core/tests/departures/process.rs
@@ -150,7 +150,7 @@
 
     fn record_found(&mut self, store: &Store) -> Option<DepartedTarget> {
         self.is_read = true;
-        self.recall.record_stored();
+        self.recall.record_store_answer();
         self.version = store.version;
         self.stored.record_found(store.object.is_some(), store.object.clone());
         store.object.clone()
--- a/crates/pollenlever/src/mesh/own_departures.rs
+++ b/crates/pollenlever/src/mesh/own_departures.rs
@@ -49,7 +49,7 @@
 
     /// Records that the store has told whether it has a departure.
     pub(super) fn record_departure_read(&self) {
-        self.own_departures.recall().record_stored();
+        self.own_departures.recall().record_store_answer();
     }
 
     /// Asks the nodes that may keep departures for this one, until nothing more can be heard.
