--- a/crates/pollenlever/src/node/peer_thread.rs
+++ b/crates/pollenlever/src/node/peer_thread.rs
@@ -46,7 +46,11 @@
             local_node: shared.local_node,
             max_body_bytes: options.max_body_bytes,
             memory: shared.memory.clone(),
-            connections: ConnectionLimiter::new("peers", shared.bounds.peers()),
+            connections: ConnectionLimiter::with_metrics(
+                "peers",
+                shared.bounds.peers(),
+                shared.bounds_metrics.clone(),
+            ),
             in_flight_work: shared.in_flight_work.clone(),
             versions: Arc::clone(client.versions()),
             handler: Arc::new(handler),
--- a/crates/pollenlever/src/node/shared_state.rs
+++ b/crates/pollenlever/src/node/shared_state.rs
@@ -25,6 +25,8 @@
     pub(super) streams: Arc<PendingReplies<(PeerReply, Bytes)>>,
     /// What the process may take in all.
     pub(super) bounds: ProcessBounds,
+    /// Counts what the bounds refuse and close.
+    pub(super) bounds_metrics: BoundsMetrics,
     /// Limits the connections of callers.
     pub(super) connections: ConnectionLimiter,
     /// Memory for the bodies of requests and answers.
@@ -41,14 +43,19 @@
         let local_node = NodeId { addr: cfg.peer_address(), incarnation: random_incarnation() };
         let (events, rx) = ring(cfg.ring_capacity);
         let bounds = ProcessBounds::of_process(cfg.process_limits());
-        let connections = ConnectionLimiter::new("callers", bounds.callers());
+        let bounds_metrics = BoundsMetrics::default();
+        let connections =
+            ConnectionLimiter::with_metrics("callers", bounds.callers(), bounds_metrics.clone());
         let memory = MessageMemory::with_callers(
             bounds.memory(),
             Some(connections.clone()),
-            BoundsMetrics::default(),
+            bounds_metrics.clone(),
         );
+        let telemetry =
+            NodeTelemetry::new(&cfg.region, &cfg.zone, local_node).with_bounds(&bounds_metrics);
         let shared = SharedState {
             bounds,
+            bounds_metrics,
             connections,
             memory,
             local_node,
@@ -56,7 +63,7 @@
             calls: Arc::default(),
             streams: Arc::default(),
             in_flight_work: InFlightCounter::default(),
-            telemetry: Arc::new(NodeTelemetry::new(&cfg.region, &cfg.zone, local_node)),
+            telemetry: Arc::new(telemetry),
         };
         (shared, rx)
     }
--- a/crates/pollenlever/src/telemetry/node_telemetry.rs
+++ b/crates/pollenlever/src/telemetry/node_telemetry.rs
@@ -13,6 +13,7 @@
 use super::labels::EventLabels;
 use super::series_table::SeriesTable;
 use super::{KindBurn, NodeBurn, Telemetry, Verdict};
+use crate::bounds::BoundsMetrics;
 
 /// Service or kind name under which calls to undeclared services or kinds are counted.
 const UNDECLARED: &str = "undeclared";
@@ -63,6 +64,12 @@
         }
     }
 
+    /// Adds the counters of what the bounds of the process refuse and close.
+    pub(crate) fn with_bounds(mut self, bounds: &BoundsMetrics) -> NodeTelemetry {
+        bounds.register(&mut self.registry);
+        self
+    }
+
     /// Returns the counts of all request kinds so far.
     pub fn burn(&self) -> NodeBurn {
         let now = self.started.elapsed();
--- a/crates/pollenlever/tests/node_misbehaving_clients.rs
+++ b/crates/pollenlever/tests/node_misbehaving_clients.rs
@@ -74,6 +74,20 @@
     )*};
 }
 
+// What the bounds of `pollenleverd` closed was in its logs alone.
+#[test]
+fn daemon_connections_that_the_bounds_close_are_not_counted() {
+    const CROWD: usize = 400;
+    let _alone = ALONE.lock().unwrap_or_else(PoisonError::into_inner);
+    let node = start_node(FEW_DESCRIPTORS);
+    let runtime = Runtime::new().unwrap();
+    let _crowd = runtime.block_on(Crowd::open(CROWD, node.cfg.entry, sends(OPEN_HEAD, "")));
+    let line = "pollenlever_connections_closed_total{address=\"callers\"";
+    let metrics = format!("http://{}/metrics", node.cfg.entry);
+    let text = || reqwest::blocking::get(&metrics)?.text();
+    node.wait_for("counter", || text().is_ok_and(|it| it.contains(line)));
+}
+
 const CALLERS: fn(&TestNode) -> SocketAddr = |it| it.cfg.entry;
 const PEER: fn(&TestNode) -> SocketAddr = |it| it.cfg.peer;
 
